--- /dev/null
+++ b/internal/config/types.go
@@ -0,0 +1,175 @@
+// Package config holds the configuration that operators change: organisations, keys, profiles, services,
+// models and data centres. Entities are versioned by the head version of the change log, and a process
+// never replaces an entity by an older version of it.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Kind is the kind of a configuration entity.
+type Kind string
+
+// The kinds of entities.
+const (
+	KindOrganisation Kind = "organisation"
+	KindKey          Kind = "key"
+	KindProfile      Kind = "profile"
+	KindService      Kind = "service"
+	KindModel        Kind = "model"
+	KindDataCentre   Kind = "data_centre"
+)
+
+// Kinds returns every kind in the order in which entities may refer to earlier ones.
+func Kinds() []Kind {
+	return []Kind{KindOrganisation, KindProfile, KindDataCentre, KindService, KindModel, KindKey}
+}
+
+// Organisation is a customer with a rate and a burst over all hosts together.
+type Organisation struct {
+	Name   string  `json:"name"`
+	Rate   float64 `json:"rate"`   // tokens a second
+	Burst  int64   `json:"burst"`  // tokens
+	Weight float64 `json:"weight"` // share of a contended backend server; 1 if zero
+}
+
+// Key is an API key. Only its digest is stored.
+type Key struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Digest       string `json:"digest"` // SHA-256 of the key, in lower-case hex
+	Withdrawn    bool   `json:"withdrawn"`
+}
+
+// Class separates requests that somebody waits for from batch work.
+type Class string
+
+// The classes of a profile.
+const (
+	ClassInteractive Class = "interactive"
+	ClassBatch       Class = "batch"
+)
+
+// Profile describes how a kind of work is served.
+type Profile struct {
+	Name            string  `json:"name"`
+	Class           Class   `json:"class"`
+	FirstTokenMS    int64   `json:"first_token_ms"`    // target for the first token, milliseconds
+	BetweenTokensMS int64   `json:"between_tokens_ms"` // target between tokens, milliseconds
+	DeadlineMS      int64   `json:"deadline_ms"`       // from arrival to the last byte, milliseconds
+	Priority        int     `json:"priority"`          // higher is served first by the engine
+	MaxOutputTokens int64   `json:"max_output_tokens"` // upper bound and default
+	KVTokens        int64   `json:"kv_tokens"`         // KV cache reserved for one running request, tokens
+	RetryBudget     float64 `json:"retry_budget"`      // retries for each first attempt, e.g. 0.2
+}
+
+// Deadline returns the deadline as a duration.
+func (p Profile) Deadline() time.Duration { return time.Duration(p.DeadlineMS) * time.Millisecond }
+
+// ServiceKind separates model services from plain services.
+type ServiceKind string
+
+// The kinds of a service.
+const (
+	ServiceModel ServiceKind = "model"
+	ServicePlain ServiceKind = "plain"
+)
+
+// Service is something callers call. It picks the profile that it runs under.
+type Service struct {
+	Name              string      `json:"name"`
+	Kind              ServiceKind `json:"kind"`
+	Profile           string      `json:"profile"`
+	AllowedProfiles   []string    `json:"allowed_profiles,omitempty"`   // others that a caller may name
+	Open              bool        `json:"open,omitempty"`               // needs no key
+	RepeatableMethods []string    `json:"repeatable_methods,omitempty"` // besides GET and HEAD
+}
+
+// Repeatable reports whether a call with this HTTP method may be sent twice.
+func (s Service) Repeatable(method string) bool {
+	if method == "GET" || method == "HEAD" {
+		return true
+	}
+	for _, m := range s.RepeatableMethods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// Model is a model or an adapter of a model service.
+type Model struct {
+	Name       string `json:"name"`
+	Service    string `json:"service"`
+	Base       string `json:"base,omitempty"` // base model of an adapter
+	MemoryMB   int64  `json:"memory_mb"`      // weights, mebibytes
+	KVTokenKB  int64  `json:"kv_token_kb"`    // KV cache of one token, kibibytes
+	MinCopies  int    `json:"min_copies"`     // copies that must stay resident
+	WeightPath string `json:"weight_path"`    // name in the weight store
+}
+
+// Adapter reports whether the model is an adapter of a base model.
+func (m Model) Adapter() bool { return m.Base != "" }
+
+// DataCentre is a data centre in a region.
+type DataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Out    bool   `json:"out"` // taken out of service
+}
+
+// Entity is one versioned entity. Version is the head version of the change that set it.
+type Entity struct {
+	Kind    Kind            `json:"kind"`
+	Name    string          `json:"name"`
+	Version int64           `json:"version"`
+	Deleted bool            `json:"deleted,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// EntityID names an entity.
+type EntityID struct {
+	Kind Kind
+	Name string
+}
+
+// ID returns the kind and name of e.
+func (e Entity) ID() EntityID { return EntityID{e.Kind, e.Name} }
+
+// NewEntity encodes value, one of the entity types of this package, as an entity without a version.
+func NewEntity(value any) (Entity, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return Entity{}, fmt.Errorf("encode entity: %w", err)
+	}
+	switch v := value.(type) {
+	case Organisation:
+		return Entity{Kind: KindOrganisation, Name: v.Name, Value: raw}, nil
+	case Key:
+		return Entity{Kind: KindKey, Name: v.ID, Value: raw}, nil
+	case Profile:
+		return Entity{Kind: KindProfile, Name: v.Name, Value: raw}, nil
+	case Service:
+		return Entity{Kind: KindService, Name: v.Name, Value: raw}, nil
+	case Model:
+		return Entity{Kind: KindModel, Name: v.Name, Value: raw}, nil
+	case DataCentre:
+		return Entity{Kind: KindDataCentre, Name: v.Name, Value: raw}, nil
+	}
+	return Entity{}, fmt.Errorf("encode entity: unsupported type %T", value)
+}
+
+// Change is one entry of the change log.
+type Change struct {
+	Version  int64     `json:"version"`
+	ID       string    `json:"id"`
+	Author   string    `json:"author"`
+	Reason   string    `json:"reason"`
+	Action   string    `json:"action"`
+	Affects  string    `json:"affects"` // what the change affects, as shown before acting
+	At       time.Time `json:"at"`      // the operator's clock; for reading only
+	Entities []Entity  `json:"entities"`
+}
--- /dev/null
+++ b/internal/settings/sidecar.go
@@ -0,0 +1,85 @@
+package settings
+
+import "time"
+
+// Sidecar holds the settings of pomelo-sidecar.
+type Sidecar struct {
+	Process      Process      `yaml:"process"`
+	Log          Log          `yaml:"log"`
+	Peers        SidecarPeers `yaml:"peers"`
+	Backend      Backend      `yaml:"backend"`
+	TableService TableService `yaml:"table_service"`
+	ConfigSync   ConfigSync   `yaml:"config_sync"`
+	Admission    Admission    `yaml:"admission"`
+	DebugListen  string       `yaml:"debug_listen"` // IP:port of /debug/vars and /healthz; empty for none
+	Shutdown     Shutdown     `yaml:"shutdown"`
+}
+
+// SidecarPeers is the edge towards gateways.
+type SidecarPeers struct {
+	Listen   string   `yaml:"listen"`   // IP:port
+	TLS      TLS      `yaml:"tls"`      // mutual
+	Gateways []string `yaml:"gateways"` // IP:port of gateways known at start, for configuration
+}
+
+// Backend describes the backend server beside the sidecar.
+type Backend struct {
+	Service      string   `yaml:"service"`
+	Kind         string   `yaml:"kind"` // model or plain
+	URL          string   `yaml:"url"`
+	MemoryMB     int64    `yaml:"memory_mb"`     // accelerator memory, mebibytes; model only
+	ChecksOrders bool     `yaml:"checks_orders"` // refuses orders with an old fencing number
+	AdapterSlots int      `yaml:"adapter_slots"` // adapter loads in flight at full speed
+	PollInterval Duration `yaml:"poll_interval"` // between two reads of the engine's state
+}
+
+// Admission bounds what the backend server is given.
+type Admission struct {
+	Policy           string   `yaml:"policy"`            // fair, fifo or priority
+	ColdConcurrency  int      `yaml:"cold_concurrency"`  // requests at once for a fresh backend server
+	MaxConcurrency   int      `yaml:"max_concurrency"`   // requests at once for a warm backend server
+	RampStep         Duration `yaml:"ramp_step"`         // time of good service before the limit doubles
+	MaxQueue         int      `yaml:"max_queue"`         // queued requests
+	MaxQueueOrg      int      `yaml:"max_queue_org"`     // queued requests of one organisation
+	BatchConcurrency int      `yaml:"batch_concurrency"` // batch requests at once while interactive ones run
+}
+
+func defaultSidecar() *Sidecar {
+	return &Sidecar{
+		Log:          Log{Level: "info", Format: "text"},
+		Backend:      Backend{Kind: "model", AdapterSlots: 16, PollInterval: Duration(500 * time.Millisecond)},
+		TableService: defaultTableService(),
+		ConfigSync:   ConfigSync{PollInterval: Duration(3 * time.Second), FreshFor: Duration(8 * time.Second)},
+		Admission: Admission{
+			Policy: "fair", ColdConcurrency: 2, MaxConcurrency: 16, RampStep: Duration(2 * time.Second),
+			MaxQueue: 256, MaxQueueOrg: 128, BatchConcurrency: 2,
+		},
+		Shutdown: Shutdown{NoticeDelay: Duration(2 * time.Second), Grace: Duration(5 * time.Minute)},
+	}
+}
+
+func (s *Sidecar) problems() []Problem {
+	var c checker
+	c.common(s.Process, s.Log, s.TableService)
+	c.address("$.peers.listen", s.Peers.Listen)
+	c.addresses("$.peers.gateways", s.Peers.Gateways)
+	c.positive("$.peers.gateways", len(s.Peers.Gateways) > 0, "at least one gateway address")
+	c.tls("$.peers.tls", s.Peers.TLS, true)
+	c.name("$.backend.service", s.Backend.Service)
+	c.name("$.backend.url", s.Backend.URL)
+	c.oneOf("$.backend.kind", s.Backend.Kind, "model", "plain")
+	if s.Backend.Kind == "model" {
+		c.positive("$.backend.memory_mb", s.Backend.MemoryMB > 0, "mebibytes above zero for a model engine")
+	}
+	c.oneOf("$.admission.policy", s.Admission.Policy, "fair", "fifo", "priority")
+	c.positive("$.admission.cold_concurrency", s.Admission.ColdConcurrency >= 1, "a whole number above zero")
+	c.positive("$.admission.max_concurrency", s.Admission.MaxConcurrency >= s.Admission.ColdConcurrency,
+		"at least cold_concurrency")
+	c.positive("$.admission.ramp_step", s.Admission.RampStep > 0, "a duration above zero")
+	c.positive("$.admission.max_queue", s.Admission.MaxQueue >= 0, "zero or a whole number above")
+	c.positive("$.shutdown.grace", s.Shutdown.Grace > 0, "a duration above zero")
+	if s.DebugListen != "" {
+		c.address("$.debug_listen", s.DebugListen)
+	}
+	return c.found
+}
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,143 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// Pool holds at most one session to each peer address and opens streams on it. A session is opened at
+// first use and closed when it fails or stays idle.
+type Pool struct {
+	tlsConfig *tls.Config
+
+	mu       sync.Mutex
+	sessions map[string]*pooledSession
+}
+
+type pooledSession struct {
+	mu       sync.Mutex
+	session  *yamux.Session
+	lastUsed time.Time
+}
+
+// NewPool returns an empty pool. tlsConfig may be nil for plain TCP.
+func NewPool(tlsConfig *tls.Config) *Pool {
+	return &Pool{tlsConfig: tlsConfig, sessions: make(map[string]*pooledSession)}
+}
+
+// Open opens a stream to the peer at address (IP:port). An error means that no byte of the
+// conversation was sent.
+func (p *Pool) Open(ctx context.Context, address string) (*Stream, error) {
+	entry := p.entry(address)
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	if entry.session == nil || entry.session.IsClosed() {
+		session, err := p.dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		entry.session = session
+	}
+	entry.lastUsed = time.Now()
+	conn, err := entry.session.OpenStream()
+	if err != nil {
+		_ = entry.session.Close()
+		entry.session = nil
+		return nil, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	return &Stream{Conn: conn}, nil
+}
+
+func (p *Pool) entry(address string) *pooledSession {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.sessions[address]
+	if !ok {
+		e = new(pooledSession)
+		p.sessions[address] = e
+	}
+	return e
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var conn net.Conn
+	var err error
+	if p.tlsConfig != nil {
+		conn, err = (&tls.Dialer{Config: p.tlsConfig}).DialContext(ctx, "tcp", address)
+	} else {
+		conn, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("open session to %s: %w", address, err)
+	}
+	return session, nil
+}
+
+// Drop closes the session to address, so that the next Open dials again. It is used after a
+// conversation timed out, which is how a dead peer is noticed without keep-alive.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	e, ok := p.sessions[address]
+	delete(p.sessions, address)
+	p.mu.Unlock()
+	if ok {
+		e.close()
+	}
+}
+
+// CloseIdle closes sessions without a stream that were last used before the given time.
+func (p *Pool) CloseIdle(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, e := range p.sessions {
+		if e.idleSince(before) {
+			e.close()
+			delete(p.sessions, address)
+		}
+	}
+}
+
+func (e *pooledSession) idleSince(before time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.session == nil || e.session.IsClosed() || (e.session.NumStreams() == 0 && e.lastUsed.Before(before))
+}
+
+func (e *pooledSession) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.session != nil {
+		_ = e.session.Close()
+		e.session = nil
+	}
+}
+
+// Close closes every session.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, e := range p.sessions {
+		e.close()
+		delete(p.sessions, address)
+	}
+}
+
+// Len returns the number of sessions, for metrics.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
--- /dev/null
+++ b/internal/wire/wirepb/doc.go
@@ -0,0 +1,2 @@
+// Package wirepb holds the generated protobuf messages of package wire.
+package wirepb
