--- /dev/null
+++ b/cmd/fake-engine/main.go
@@ -0,0 +1,85 @@
+// Command fake-engine runs the stand-in for a model engine.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/engine"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	shutdownGrace = 5 * time.Second
+)
+
+func main() {
+	listen, opts := parseFlags()
+	opts.Logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := serve(ctx, listen, engine.New(opts)); err != nil {
+		opts.Logger.Error("fake-engine stopped", "error", err)
+		os.Exit(1)
+	}
+}
+
+func parseFlags() (listen string, o engine.Options) {
+	flag.StringVar(&listen, "listen", "127.0.0.1:9101", "IP address and port to listen on")
+	flag.Func("model", "model resident at start, as NAME=MEBIBYTES; may be repeated", func(text string) error {
+		name, size, found := strings.Cut(text, "=")
+		memoryMB, err := strconv.ParseInt(size, 10, 64)
+		if !found || name == "" || err != nil || memoryMB < 0 {
+			return fmt.Errorf("%q is not NAME=MEBIBYTES", text)
+		}
+		o.Models = append(o.Models, engine.Model{Name: name, MemoryMB: memoryMB})
+		return nil
+	})
+	flag.Int64Var(&o.MemoryTotalMB, "memory-mb", 81920, "accelerator memory in mebibytes; 0 for no limit")
+	flag.Int64Var(&o.KVTokenKB, "kv-token-kb", 128, "KV cache of one token in kibibytes")
+	flag.IntVar(&o.Concurrency, "concurrency", 16, "requests in the batch; 0 for no limit")
+	flag.DurationVar(&o.FirstToken, "first-token", 60*time.Millisecond, "time to the first token")
+	flag.DurationVar(&o.BetweenTokens, "between-tokens", 10*time.Millisecond, "time between two tokens")
+	flag.Float64Var(&o.BatchSlowdown, "batch-slowdown", 0.03, "share of time added by each other request in the batch")
+	flag.Float64Var(&o.ColdFactor, "cold-factor", 3, "factor on all times right after a start")
+	flag.DurationVar(&o.WarmUp, "warm-up", 10*time.Second, "time until the server is warm")
+	flag.IntVar(&o.BearsCold, "bears-cold", 4, "concurrent requests that a fresh server bears; 0 for no limit")
+	flag.IntVar(&o.BearsWarm, "bears-warm", 32, "concurrent requests that a warm server bears; 0 for no limit")
+	flag.DurationVar(&o.DownTime, "down-time", 2*time.Second, "time without service after the server fell over")
+	flag.IntVar(&o.CacheBlocks, "cache-blocks", 4096, "blocks of 16 words in the prefix cache; 0 for none")
+	flag.Float64Var(&o.CacheSaving, "cache-saving", 0.8, "share of the first-token time saved by a cached prompt")
+	flag.DurationVar(&o.LoadTime, "load-time", 700*time.Millisecond, "time to load a model")
+	flag.DurationVar(&o.UnloadTime, "unload-time", 100*time.Millisecond, "time to unload a model")
+	flag.DurationVar(&o.AdapterTime, "adapter-time", 5*time.Millisecond, "time to load an adapter")
+	flag.IntVar(&o.AdapterSlots, "adapter-slots", 16, "adapter loads in flight at full speed; 0 for no limit")
+	flag.Int64Var(&o.AdapterMB, "adapter-mb", 64, "memory of one adapter in mebibytes")
+	flag.BoolVar(&o.Fencing, "fencing", false, "refuse model orders with an old fencing number")
+	flag.Parse()
+	return listen, o
+}
+
+// serve answers until ctx ends, and then finishes running requests.
+func serve(ctx context.Context, listen string, handler http.Handler) error {
+	server := &http.Server{Addr: listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stopped := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+		defer cancel()
+		stopped <- server.Shutdown(ctx)
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return <-stopped
+}
--- /dev/null
+++ b/internal/fake/engine/chat.go
@@ -0,0 +1,179 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	maxChatBytes    = 8 << 20
+	requestIDHeader = "X-Request-Id"
+)
+
+// call is one chat request in the engine.
+type call struct {
+	request  chatRequest
+	gen      generation
+	id       string // as answered
+	cutAfter int    // tokens before the connection is cut; negative for never
+	truncate bool   // the stream ends without finish reason and [DONE]
+	ctx      context.Context
+	end      context.CancelCauseFunc
+	job      *job
+	entry    *modelEntry
+	mem      *memory
+	kvKB     int64
+	first    time.Duration // until the first token, before the slow-down
+}
+
+func (s *Server) handleChat(w http.ResponseWriter, r *http.Request) {
+	c, err := readCall(w, r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	c.ctx, c.end = context.WithCancelCause(r.Context())
+	defer c.end(nil)
+	status, message := s.admit(c)
+	w.Header().Set(requestIDHeader, c.id)
+	if status != http.StatusOK {
+		writeError(w, status, message)
+		return
+	}
+	defer s.leave(c)
+	if c.request.Stream {
+		err = s.stream(w, c)
+	} else {
+		err = s.whole(w, c)
+	}
+	if err != nil {
+		s.opts.Logger.Info("request cut", "request_id", c.id, "cause", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func readCall(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c := &call{cutAfter: -1, id: r.Header.Get(requestIDHeader)}
+	if c.id == "" {
+		c.id = uuid.NewString()
+	}
+	raw, err := readBody(w, r, maxChatBytes)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(raw, &c.request); err != nil {
+		return nil, fmt.Errorf("invalid body: %w", err)
+	}
+	c.gen, err = c.request.generation()
+	return c, err
+}
+
+// admit puts the call into the batch. Any status but 200 refuses it.
+func (s *Server) admit(c *call) (status int, message string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.downUntil) {
+		return http.StatusServiceUnavailable, "the engine is down"
+	}
+	entry, ok := s.mem.serving(c.request.Model)
+	if !ok {
+		return http.StatusNotFound, fmt.Sprintf("The model `%s` does not exist.", c.request.Model)
+	}
+	if bears := s.bearsLocked(); bears > 0 && s.batch.size() >= bears {
+		s.fallOverLocked()
+		return http.StatusServiceUnavailable, errFellOver.Error()
+	}
+	if c.gen.badResume {
+		s.badResumes++
+	}
+	if take(&s.faults.CutStreams) {
+		c.cutAfter = s.faults.CutAfterTokens
+	}
+	c.truncate = c.request.Stream && take(&s.faults.TruncateStreams)
+	if take(&s.faults.CrossAnswers) {
+		c.id = uuid.NewString()
+		c.gen.text = NewText(c.request.Model, c.id)
+	}
+	cached := s.cache.use(c.request.Model, c.gen.prompt)
+	c.first = scale(s.opts.FirstToken, 1-s.opts.CacheSaving*cached)
+	c.kvKB = s.opts.KVTokenKB * int64(c.gen.promptTokens+c.gen.to-c.gen.from)
+	c.entry, c.mem = entry, s.mem
+	s.mem.acquire(entry, c.kvKB)
+	s.batch.limit = s.opts.Concurrency
+	c.job = s.batch.add(c.request.Priority, c.end)
+	return http.StatusOK, ""
+}
+
+func (s *Server) leave(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.batch.remove(c.job)
+	c.mem.release(c.request.Model, c.entry, c.kvKB)
+	s.signalLocked()
+}
+
+// waitTurn waits until the call runs in the batch.
+func (s *Server) waitTurn(c *call) error {
+	for {
+		s.mu.Lock()
+		running, changed := c.job.running, s.changed
+		s.mu.Unlock()
+		if running {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-c.ctx.Done():
+			return context.Cause(c.ctx)
+		}
+	}
+}
+
+var errCut = errors.New("cut by a fault")
+
+// generate calls emit for each token at its time.
+func (s *Server) generate(c *call, emit func(i int, token string) error) error {
+	if err := s.waitTurn(c); err != nil {
+		return err
+	}
+	wait := c.first
+	for i := c.gen.from; i < c.gen.to; i++ {
+		if c.cutAfter == i-c.gen.from {
+			return errCut
+		}
+		s.mu.Lock()
+		slowdown := s.slowdownLocked()
+		s.mu.Unlock()
+		if err := pause(c.ctx, scale(wait, slowdown)); err != nil {
+			return err
+		}
+		if err := emit(i, c.gen.text.Token(i)); err != nil {
+			return err
+		}
+		wait = s.opts.BetweenTokens
+	}
+	if c.cutAfter >= c.gen.to-c.gen.from {
+		return errCut
+	}
+	return nil
+}
+
+func (s *Server) whole(w http.ResponseWriter, c *call) error {
+	err := s.generate(c, func(int, string) error { return nil })
+	if err != nil {
+		return err
+	}
+	message := &delta{Role: "assistant", Content: c.gen.text.Slice(c.gen.from, c.gen.to)}
+	reason := c.gen.finishReason()
+	writeJSON(w, http.StatusOK, completion{
+		ID: "chatcmpl-" + c.id, Object: "chat.completion", Created: time.Now().Unix(), Model: c.request.Model,
+		Choices: []choice{{Message: message, FinishReason: &reason}}, Usage: c.gen.usage(),
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/fake/engine/server.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+)
+
+// Causes with which running requests are ended.
+var (
+	errFellOver  = errors.New("the engine fell over")
+	errRestarted = errors.New("the engine restarted")
+)
+
+// Server is the stand-in. It implements http.Handler.
+type Server struct {
+	opts    Options
+	handler http.Handler
+
+	mu          sync.Mutex
+	changed     chan struct{} // closed and replaced when the batch, the faults or the models change
+	incarnation string
+	startedAt   time.Time
+	downUntil   time.Time
+	fellOver    int
+	mem         *memory
+	cache       *prefixCache
+	batch       batch
+	fence       int64
+	adapterBusy int // adapter loads in flight
+	badResumes  int
+	faults      Faults
+	seen        []SeenRequest
+}
+
+// New returns a cold server with the models of opts resident.
+func New(opts Options) *Server {
+	s := &Server{opts: opts.withDefaults(), changed: make(chan struct{})}
+	s.startLocked(s.opts.Models)
+	r := mux.NewRouter()
+	r.HandleFunc("/control", s.handleControl).Methods(http.MethodPost)
+	r.HandleFunc("/control/requests", s.handleSeen).Methods(http.MethodGet)
+	api := r.NewRoute().Subrouter()
+	api.Use(s.observe)
+	api.HandleFunc("/v1/chat/completions", s.handleChat).Methods(http.MethodPost)
+	api.HandleFunc("/v1/models", s.handleModels).Methods(http.MethodGet)
+	api.HandleFunc("/v1/load_lora_adapter", s.handleLoadAdapter).Methods(http.MethodPost)
+	api.HandleFunc("/v1/unload_lora_adapter", s.handleUnloadAdapter).Methods(http.MethodPost)
+	api.HandleFunc("/v2/repository/index", s.handleIndex).Methods(http.MethodPost)
+	api.HandleFunc("/v2/repository/models/{name:.+}/{action:load|unload}", s.handleOrder).Methods(http.MethodPost)
+	api.HandleFunc("/engine/state", s.handleState).Methods(http.MethodGet)
+	api.HandleFunc("/health", s.handleHealth).Methods(http.MethodGet)
+	s.handler = r
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
+
+// Restart ends every running request and starts cold: new incarnation, no models, no fencing number.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restartLocked()
+}
+
+func (s *Server) restartLocked() {
+	s.batch.endAll(errRestarted)
+	s.startLocked(nil)
+	s.opts.Logger.Info("restarted cold", "incarnation", s.incarnation)
+}
+
+func (s *Server) startLocked(models []Model) {
+	o := s.opts
+	o.Models = models
+	// The batch is not reset here: each ended request leaves it on its own.
+	high := int64(0)
+	if s.mem != nil {
+		high = s.mem.highMB
+	}
+	s.mem = newMemory(o)
+	s.mem.highMB = max(s.mem.highMB, high)
+	s.cache = newPrefixCache(o.CacheBlocks)
+	s.incarnation = uuid.NewString()
+	s.startedAt = time.Now()
+	s.downUntil = time.Time{}
+	s.fence = 0
+	s.signalLocked()
+}
+
+func (s *Server) signalLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// warmth is 0 right after a start and 1 after WarmUp.
+func (s *Server) warmthLocked() float64 {
+	if s.opts.WarmUp <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(time.Since(s.startedAt))/float64(s.opts.WarmUp)))
+}
+
+// bearsLocked is the number of concurrent requests above which the server falls over; 0 for no limit.
+func (s *Server) bearsLocked() int {
+	warmth := s.warmthLocked()
+	if warmth == 1 || s.opts.BearsCold == 0 {
+		return s.opts.BearsWarm
+	}
+	return s.opts.BearsCold + int(warmth*float64(s.opts.BearsWarm-s.opts.BearsCold))
+}
+
+// slowdownLocked is the factor on all times: cold start and batch size.
+func (s *Server) slowdownLocked() float64 {
+	cold := s.opts.ColdFactor + (1-s.opts.ColdFactor)*s.warmthLocked()
+	return cold * (1 + s.opts.BatchSlowdown*float64(max(0, s.batch.runningCount()-1)))
+}
+
+// fallOverLocked drops every running request. The server is down for DownTime and then cold.
+func (s *Server) fallOverLocked() {
+	s.fellOver++
+	s.batch.endAll(errFellOver)
+	s.downUntil = time.Now().Add(s.opts.DownTime)
+	s.startedAt = s.downUntil
+	s.cache = newPrefixCache(s.opts.CacheBlocks)
+	s.opts.Logger.Warn("fell over", "times", s.fellOver, "down_time", s.opts.DownTime)
+}
+
+// pause waits for d. It returns the cause if ctx ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return context.Cause(ctx)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// writeError answers in the error form of the chat-completions API.
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, map[string]any{"error": map[string]any{"message": message, "type": http.StatusText(status), "code": status}})
+}
