Add the sidecar: admission, ledger, engine and plain-service clients, bookings

Cause: the sidecar decides whatever must hold about one backend server. Ruled out: keep-alive connections to the backend server, because net/http may resend a request on a reused one. Conclusion: submit to engine and submit to plain service are wired from frame to frame.

--- /dev/null
+++ b/internal/sidecar/check.go
@@ -0,0 +1,248 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/admission"
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// defaultDeadline applies when neither the request nor its profile has a deadline.
+const defaultDeadline = 10 * time.Minute
+
+// confirmed returns the configuration, confirmed and at least at version.
+func (s *Server) confirmed(ctx context.Context, version int64) (*config.Snapshot, error) {
+	if err := s.opts.Config.Confirm(ctx); err != nil {
+		return nil, errkind.Wrap(errkind.ConfigStale, err, "confirm the configuration")
+	}
+	snapshot := s.opts.Config.Snapshot()
+	if snapshot != nil && snapshot.Version() < version {
+		if puller, ok := s.opts.Config.(Puller); ok {
+			if err := puller.Pull(ctx, version); err != nil {
+				return nil, errkind.Wrap(errkind.ConfigStale, err, "pull configuration version %d", version)
+			}
+		}
+		snapshot = s.opts.Config.Snapshot()
+	}
+	switch {
+	case snapshot == nil || snapshot.Version() == 0:
+		return nil, errkind.New(errkind.NotReady, "no configuration yet")
+	case snapshot.Version() < version:
+		return nil, errkind.New(errkind.ConfigStale, "version %d is older than the request's %d", snapshot.Version(), version)
+	}
+	return snapshot, nil
+}
+
+// checkKey checks the key by its ID. An open service needs none.
+func checkKey(snapshot *config.Snapshot, r *wirepb.Submit) error {
+	service, _ := snapshot.Service(r.GetService())
+	if r.GetKeyId() == "" {
+		if service.Open {
+			return nil
+		}
+		return errkind.New(errkind.KeyMissing, "service %q is not open", r.GetService())
+	}
+	key, ok := snapshot.Key(r.GetKeyId())
+	switch {
+	case !ok:
+		return errkind.New(errkind.KeyUnknown, "key %q", r.GetKeyId())
+	case key.Withdrawn:
+		return errkind.New(errkind.KeyWithdrawn, "key %q", r.GetKeyId())
+	case key.Organisation != r.GetOrganisation():
+		return errkind.New(errkind.KeyUnknown, "key %q is not of organisation %q", r.GetKeyId(), r.GetOrganisation())
+	}
+	return nil
+}
+
+func (s *Server) checkDataCentre(snapshot *config.Snapshot) error {
+	name := s.opts.Settings.Process.DataCentre
+	if dc, ok := snapshot.DataCentre(name); !ok || dc.Out {
+		return errkind.New(errkind.DataCentreOut, "data centre %q", name)
+	}
+	return nil
+}
+
+// checkService checks the service and its profile.
+func (s *Server) checkService(snapshot *config.Snapshot, name, profile string) (config.Profile, error) {
+	service, ok := snapshot.Service(name)
+	if !ok || name != s.opts.Settings.Backend.Service || string(service.Kind) != s.opts.Settings.Backend.Kind {
+		return config.Profile{}, errkind.New(errkind.RouteNotFound, "service %q is not served here", name)
+	}
+	if profile != service.Profile && !slices.Contains(service.AllowedProfiles, profile) {
+		return config.Profile{}, errkind.New(errkind.ProfileNotAllowed, "profile %q of service %q", profile, name)
+	}
+	p, ok := snapshot.Profile(profile)
+	if !ok {
+		return config.Profile{}, errkind.New(errkind.ProfileNotAllowed, "profile %q is not known", profile)
+	}
+	return p, nil
+}
+
+// checkModel checks that the model can be served now. The caller holds the lock.
+func (s *Server) checkModel(snapshot *config.Snapshot, name string) (config.Model, error) {
+	model, ok := snapshot.Model(name)
+	if !ok || model.Service != s.opts.Settings.Backend.Service {
+		return config.Model{}, errkind.New(errkind.ModelUnknown, "model %q", name)
+	}
+	if base := baseOf(model); !s.resident(base) {
+		return config.Model{}, errkind.New(errkind.ModelNotResident, "model %q", base)
+	}
+	if model.Adapter() && !s.ledger.HeldAdapter(name) && s.ledger.Free()+s.idleAdapterMB() < model.MemoryMB {
+		return config.Model{}, errkind.New(errkind.MemoryFull, "adapter of %d MB, %d MB are free", model.MemoryMB, s.ledger.Free())
+	}
+	return model, nil
+}
+
+func baseOf(m config.Model) string {
+	if m.Adapter() {
+		return m.Base
+	}
+	return m.Name
+}
+
+// kvMB returns the KV cache in mebibytes that is reserved for a request: the profile's tokens, or the
+// request's own if they are more.
+func kvMB(snapshot *config.Snapshot, model config.Model, profile config.Profile, tokens int64) int64 {
+	perToken := model.KVTokenKB
+	if base, ok := snapshot.Model(baseOf(model)); ok && perToken == 0 {
+		perToken = base.KVTokenKB
+	}
+	return (max(profile.KVTokens, tokens)*perToken + 1023) / 1024
+}
+
+// checkMemory refuses a request that would not fit even if it ran alone. The caller holds the lock.
+func (s *Server) checkMemory(mb int64) error {
+	if room := s.ledger.Total() - s.ledger.Fixed(); mb > room {
+		return errkind.New(errkind.MemoryFull, "%d MB of KV cache, %d MB beside the models", mb, room)
+	}
+	return nil
+}
+
+// admit makes all checks in their order and queues the request.
+func (s *Server) admit(ctx context.Context, t *task) (time.Duration, error) {
+	r := t.submit
+	snapshot, err := s.confirmed(ctx, r.GetConfigVersion())
+	if err != nil {
+		return 0, err
+	}
+	if err := checkKey(snapshot, r); err != nil {
+		return 0, err
+	}
+	if err := s.checkDataCentre(snapshot); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refusing {
+		return 0, errkind.New(errkind.Draining, "host %q", s.opts.Settings.Process.Host)
+	}
+	if t.profile, err = s.checkService(snapshot, r.GetService(), r.GetProfile()); err != nil {
+		return 0, err
+	}
+	if err := s.prepare(snapshot, t); err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	limit := s.ramp.Limit()
+	wait, err := s.queue.Check(now, t.item, limit)
+	if err == nil {
+		err = s.checkMemory(t.kvMB)
+	}
+	if err != nil {
+		return wait, err
+	}
+	if wait, err = s.queue.Offer(now, t.item, limit); err != nil {
+		return wait, err
+	}
+	s.tasks[t.item] = t
+	s.admitted++
+	s.noteDemand(t)
+	return wait, nil
+}
+
+// prepare resolves the model and the figures that admission uses. The caller holds the lock.
+func (s *Server) prepare(snapshot *config.Snapshot, t *task) error {
+	r := t.submit
+	tokens := max(r.GetPromptTokens()+r.GetMaxOutputTokens(), 1)
+	if s.isModel() {
+		model, err := s.checkModel(snapshot, r.GetModel())
+		if err != nil {
+			return err
+		}
+		t.model = model
+		t.kvMB = kvMB(snapshot, model, t.profile, tokens)
+	}
+	organisation, _ := snapshot.Organisation(r.GetOrganisation())
+	t.item = &admission.Item{
+		Organisation: r.GetOrganisation(), Weight: organisation.Weight, Batch: t.profile.Class == config.ClassBatch,
+		Priority: t.profile.Priority, Deadline: t.deadline, Tokens: tokens,
+	}
+	return nil
+}
+
+// recheck makes the checks that may have changed while the request was queued or the process was paused.
+func (s *Server) recheck(ctx context.Context, t *task) error {
+	snapshot, err := s.confirmed(ctx, t.submit.GetConfigVersion())
+	if err != nil {
+		return err
+	}
+	if err := checkKey(snapshot, t.submit); err != nil {
+		return err
+	}
+	if err := s.checkDataCentre(snapshot); err != nil {
+		return err
+	}
+	if !time.Now().Before(t.deadline) {
+		return errkind.New(errkind.DeadlineUnreachable, "the deadline passed in the queue")
+	}
+	return nil
+}
+
+// probe answers what would be done with a request.
+func (s *Server) probe(ctx context.Context, p *wirepb.Probe) *wirepb.ProbeReply {
+	t := &task{deadline: time.Now().Add(defaultDeadline), submit: &wirepb.Submit{
+		Organisation: p.GetOrganisation(), Service: p.GetService(), Profile: p.GetProfile(), Model: p.GetModel(),
+		MaxOutputTokens: p.GetTokens(),
+	}}
+	reply := new(wirepb.ProbeReply)
+	snapshot, err := s.confirmed(ctx, 0)
+	if err == nil {
+		err = s.checkDataCentre(snapshot)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply.PrefixHit = s.prefixes.has(p.GetPrefixHash())
+	if err == nil {
+		reply.Resident = s.served(p.GetModel())
+		err = s.probeQueue(snapshot, t, reply)
+	}
+	reply.Kind = int32(errkind.Of(err))
+	return reply
+}
+
+// probeQueue makes the checks under the lock, which the caller holds.
+func (s *Server) probeQueue(snapshot *config.Snapshot, t *task, reply *wirepb.ProbeReply) error {
+	if s.draining {
+		return errkind.New(errkind.Draining, "host %q", s.opts.Settings.Process.Host)
+	}
+	var err error
+	if t.profile, err = s.checkService(snapshot, t.submit.GetService(), t.submit.GetProfile()); err != nil {
+		return err
+	}
+	if t.profile.DeadlineMS > 0 {
+		t.deadline = time.Now().Add(t.profile.Deadline())
+	}
+	if err := s.prepare(snapshot, t); err != nil {
+		return err
+	}
+	wait, err := s.queue.Check(time.Now(), t.item, s.ramp.Limit())
+	reply.QueueMs = wait.Milliseconds()
+	if err != nil {
+		return err
+	}
+	return s.checkMemory(t.kvMB)
+}
--- /dev/null
+++ b/internal/sidecar/run.go
@@ -0,0 +1,217 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pomelowheel/pomelowheel/internal/booking"
+	"github.com/pomelowheel/pomelowheel/internal/engine"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/plainservice"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+func newID() string { return uuid.NewString() }
+
+// serveModel runs a started model request.
+func (s *Server) serveModel(ctx context.Context, t *task) outcome {
+	if t.model.Adapter() {
+		if err := s.ensureAdapter(ctx, t.model); err != nil {
+			s.finish(t, true, 0)
+			return refused(err)
+		}
+	}
+	r := t.submit
+	handedOver := time.Now()
+	result, err := s.engine.Chat(ctx, engine.ChatRequest{
+		RequestID: r.GetRequestId(), Model: r.GetModel(), Body: r.GetHttp().GetBody(), Priority: t.profile.Priority,
+		ResumeText: r.GetResumeText(), ResumeTokens: r.GetResumeOffset(), MaxTokens: r.GetMaxOutputTokens(),
+	}, func(c engine.Chunk) error { return s.passText(t, c, handedOver) })
+	o := outcome{
+		err: err, finish: result.FinishReason,
+		promptTokens: result.PromptTokens, outputTokens: max(result.OutputTokens, t.tokens),
+	}
+	t.tokens = max(t.tokens, result.OutputTokens) + result.PromptTokens
+	if err != nil {
+		o.err, o.notRun = s.judge(ctx, t, err)
+	} else {
+		s.noteServed(t, o.outputTokens)
+	}
+	s.finish(t, err == nil || o.notRun, servedTime(t, err))
+	return o
+}
+
+func servedTime(t *task, err error) time.Duration {
+	if err != nil {
+		return 0
+	}
+	return time.Since(t.startedAt)
+}
+
+// passText sends generated text on and tells the ramp.
+func (s *Server) passText(t *task, c engine.Chunk, handedOver time.Time) error {
+	first := t.tokens == 0
+	t.tokens += c.Tokens
+	now := time.Now()
+	s.mu.Lock()
+	if first {
+		s.ramp.FirstAnswer(now, now.Sub(handedOver), time.Duration(t.profile.FirstTokenMS)*time.Millisecond)
+	} else {
+		s.ramp.Good(now)
+	}
+	s.dispatch()
+	s.mu.Unlock()
+	chunk := &wirepb.Chunk{Text: c.Text, Tokens: c.Tokens}
+	if first {
+		chunk.HttpStatus = http.StatusOK
+	}
+	return t.send(chunk)
+}
+
+// judge turns the error of a handed-over call into the answer and says whether the request certainly did
+// not run. A stream of a withdrawn key ends as OutcomeUnknown, because its request was handed over.
+func (s *Server) judge(ctx context.Context, t *task, err error) (error, bool) {
+	kind := errkind.Of(err)
+	if kind.NotRun() && t.sequence == 0 {
+		if ctx.Err() != nil {
+			return stopped(ctx, "before hand-over"), true
+		}
+		if kind == errkind.BackendUnreachable || kind == errkind.Overloaded {
+			s.noteFailure(t, err)
+		}
+		return err, true
+	}
+	if ctx.Err() != nil {
+		cause := context.Cause(ctx)
+		switch errkind.Of(cause) {
+		case errkind.KeyWithdrawn, errkind.KeyUnknown, errkind.KeyMissing:
+			return errkind.Wrap(errkind.OutcomeUnknown, cause, "the key was withdrawn while the request ran"), false
+		case errkind.CallerCancelled:
+			return cause, false
+		}
+		if !time.Now().Before(t.deadline) {
+			return errkind.Wrap(errkind.DeadlineExceeded, err, "the deadline passed after hand-over"), false
+		}
+		return err, false
+	}
+	if kind != errkind.CallerCancelled {
+		s.noteFailure(t, err)
+	}
+	if kind.NotRun() {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "failed after a part of the answer"), false
+	}
+	return err, false
+}
+
+// stopped returns why ctx ended, for a request that was not handed over.
+func stopped(ctx context.Context, when string) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return errkind.New(errkind.DeadlineUnreachable, "the deadline passed %s", when)
+	}
+	return cause
+}
+
+// noteFailure lets the ramp fall back after a failure of the backend server.
+func (s *Server) noteFailure(t *task, err error) {
+	s.mu.Lock()
+	s.ramp.Bad()
+	s.mu.Unlock()
+	s.log.Warn("backend server failed", "request_id", t.submit.GetRequestId(), "error", err)
+}
+
+// servePlain runs a started call of a plain service.
+func (s *Server) servePlain(ctx context.Context, t *task) outcome {
+	if t.submit.GetIdempotencyKey() == "" {
+		return s.call(ctx, t, &answer{task: t})
+	}
+	claim, recorded, err := s.book.Claim(ctx, bookingRequest(t.submit))
+	if err != nil {
+		s.finish(t, true, 0)
+		return refused(err)
+	}
+	if recorded != nil {
+		s.finish(t, true, 0)
+		return replay(t, recorded)
+	}
+	if err := s.afterClaim(ctx, t); err != nil {
+		s.book.Release(*claim)
+		s.finish(t, true, 0)
+		return refused(err)
+	}
+	// The call goes on when the gateway goes away, so that its outcome is recorded for the repeat.
+	callCtx, stop := context.WithDeadline(context.WithoutCancel(ctx), t.deadline)
+	defer stop()
+	a := &answer{task: t, keep: booking.DefaultMaxBody}
+	o := s.call(callCtx, t, a)
+	switch {
+	case o.notRun:
+		s.book.Release(*claim)
+	case o.err == nil:
+		s.book.Record(ctx, *claim, a.outcome())
+	}
+	return o
+}
+
+// afterClaim checks again what may have changed while the claim was written.
+func (s *Server) afterClaim(ctx context.Context, t *task) error {
+	if ctx.Err() != nil {
+		return stopped(ctx, "while the call was claimed")
+	}
+	return s.recheck(ctx, t)
+}
+
+func bookingRequest(r *wirepb.Submit) booking.Request {
+	scope := r.GetOrganisation()
+	if scope == "" {
+		scope = "open:" + r.GetService()
+	}
+	h := r.GetHttp()
+	return booking.Request{
+		Scope: scope, Key: r.GetIdempotencyKey(), AttemptID: newID(),
+		BodyHash: booking.BodyHash([]byte(r.GetService()), []byte(h.GetMethod()), []byte(h.GetPath()),
+			[]byte(h.GetQuery()), h.GetBody()),
+	}
+}
+
+// call makes the call, passes the answer on and frees the slot.
+func (s *Server) call(ctx context.Context, t *task, a *answer) outcome {
+	h := t.submit.GetHttp()
+	handedOver := time.Now()
+	err := s.plain.Do(ctx, plainservice.Request{
+		RequestID: t.submit.GetRequestId(), Method: h.GetMethod(), Path: h.GetPath(), Query: h.GetQuery(),
+		Headers: httpHeaders(h.GetHeaders()), Body: h.GetBody(),
+	}, a)
+	o := outcome{err: err}
+	t.tokens = t.item.Tokens
+	if err != nil {
+		o.err, o.notRun = s.judge(ctx, t, err)
+	} else {
+		s.mu.Lock()
+		s.ramp.FirstAnswer(time.Now(), time.Since(handedOver), time.Duration(t.profile.FirstTokenMS)*time.Millisecond)
+		s.mu.Unlock()
+	}
+	s.finish(t, true, servedTime(t, err))
+	return o
+}
+
+// replay sends a recorded outcome.
+func replay(t *task, recorded *booking.Outcome) outcome {
+	if recorded.Truncated {
+		return outcome{replayed: true, err: errkind.New(errkind.OutcomeUnknown,
+			"the call ran with status %d, and its answer was too large to record", recorded.Status)}
+	}
+	a := &answer{task: t}
+	err := a.Head(recorded.Status, recorded.Headers)
+	if err == nil && len(recorded.Body) > 0 {
+		err = a.Data(recorded.Body)
+	}
+	if err != nil {
+		err = errkind.Wrap(errkind.CallerCancelled, err, "send the recorded outcome")
+	}
+	return outcome{replayed: true, err: err}
+}
--- /dev/null
+++ b/internal/sidecar/status.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pomelowheel/pomelowheel/internal/admission"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// maxPrefixes bounds the recently served prefix hashes.
+const maxPrefixes = 64
+
+// prefixes holds the recently served prefix hashes, the latest last.
+type prefixes []string
+
+func (p *prefixes) add(hash string) {
+	if hash == "" {
+		return
+	}
+	kept := slices.DeleteFunc(*p, func(h string) bool { return h == hash })
+	if len(kept) >= maxPrefixes {
+		kept = slices.Delete(kept, 0, len(kept)-maxPrefixes+1)
+	}
+	*p = append(kept, hash)
+}
+
+func (p prefixes) has(hash string) bool { return hash != "" && slices.Contains(p, hash) }
+
+// modelLoad is the demand for one model since the start.
+type modelLoad struct{ requests, tokens int64 }
+
+// noteDemand counts an admitted request. The caller holds the lock.
+func (s *Server) noteDemand(t *task) {
+	if t.model.Name == "" {
+		return
+	}
+	load, ok := s.loads[t.model.Name]
+	if !ok {
+		load = new(modelLoad)
+		s.loads[t.model.Name] = load
+	}
+	load.requests++
+}
+
+// noteServed counts a whole answer.
+func (s *Server) noteServed(t *task, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefixes.add(t.submit.GetPrefixHash())
+	if load, ok := s.loads[t.model.Name]; ok {
+		load.tokens += tokens
+	}
+}
+
+// Status returns the soft state that routing uses.
+func (s *Server) Status() *wirepb.Status {
+	snapshot := s.opts.Config.Snapshot()
+	p := s.opts.Settings.Process
+	status := &wirepb.Status{
+		Identity: &wirepb.Identity{
+			Host: p.Host, DataCentre: p.DataCentre, Role: "sidecar",
+			Incarnation: s.opts.Incarnation, Address: s.opts.Address,
+		},
+		Service: s.opts.Settings.Backend.Service,
+		Kind:    s.opts.Settings.Backend.Kind,
+	}
+	if snapshot != nil {
+		status.ConfigVersion = snapshot.Version()
+		status.DataCentreOut = s.checkDataCentre(snapshot) != nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.ramp.Limit()
+	status.Running, status.Queued, status.Limit = int64(s.queue.Running()), int64(s.queue.Queued()), int64(limit)
+	status.QueueMs = s.queue.Wait(new(admission.Item), limit).Milliseconds()
+	status.Draining = s.draining
+	status.BackendIncarnation = s.incarnation
+	status.Prefixes = slices.Clone(s.prefixes)
+	status.Ready = status.GetConfigVersion() > 0 && !s.draining && (!s.isModel() || s.engineKnown())
+	if s.isModel() {
+		s.modelStatus(status)
+	}
+	return status
+}
+
+func (s *Server) modelStatus(status *wirepb.Status) {
+	for _, name := range slices.Sorted(maps.Keys(s.models)) {
+		if s.resident(name) {
+			status.Resident = append(status.Resident, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.adapters)) {
+		if s.adapters[name].loaded {
+			status.Adapters = append(status.Adapters, name)
+		}
+	}
+	status.MemoryTotalMb = s.ledger.Total()
+	status.MemoryFreeMb = max(s.ledger.Free(), 0)
+	running := make(map[string]int64)
+	for _, t := range s.tasks {
+		if t.started {
+			running[t.model.Name]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.loads)) {
+		load := s.loads[name]
+		status.ModelLoads = append(status.ModelLoads, &wirepb.ModelLoad{
+			Model: name, Requests: load.requests, Tokens: load.tokens, Running: running[name],
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/task.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/admission"
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// endTimeout bounds sending the last frame to a gateway that reads slowly.
+const endTimeout = time.Second
+
+// task is one request from its Submit to its last frame.
+type task struct {
+	submit   *wirepb.Submit
+	stream   *transport.Stream
+	deadline time.Time
+	profile  config.Profile
+	model    config.Model
+	kvMB     int64
+	item     *admission.Item
+	id       string // names the run in the ledger
+	start    chan struct{}
+	handback chan error
+	cancel   context.CancelCauseFunc
+
+	started   bool // guarded by the server's lock
+	startedAt time.Time
+	sequence  uint64
+	tokens    int64
+}
+
+// outcome is how a task ended. notRun is certain, and then the answer is a Refused frame.
+type outcome struct {
+	err          error
+	notRun       bool
+	finish       string
+	promptTokens int64
+	outputTokens int64
+	replayed     bool
+}
+
+func refused(err error) outcome { return outcome{err: err, notRun: true} }
+
+// submit serves a Submit conversation.
+func (s *Server) submit(ctx context.Context, stream *transport.Stream, r *wirepb.Submit) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t := &task{
+		submit: r, stream: stream, id: r.GetRequestId() + "/" + newID(), deadline: s.deadline(r),
+		start: make(chan struct{}), handback: make(chan error, 1), cancel: cancel,
+	}
+	go t.receive()
+	wait, err := s.admit(ctx, t)
+	s.logAdmission(t, wait, err)
+	if err != nil {
+		s.end(t, refused(err))
+		return
+	}
+	defer s.leave()
+	accepted := &wirepb.Accepted{RequestId: r.GetRequestId(), Attempt: r.GetAttempt(), QueueMs: wait.Milliseconds()}
+	if err := stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Accepted{Accepted: accepted}}); err != nil {
+		cancel(errkind.Wrap(errkind.CallerCancelled, err, "send Accepted"))
+	}
+	s.mu.Lock()
+	s.dispatch()
+	s.mu.Unlock()
+	deadlineCtx, stop := context.WithDeadline(ctx, t.deadline)
+	defer stop()
+	s.end(t, s.serve(deadlineCtx, t))
+}
+
+func (s *Server) deadline(r *wirepb.Submit) time.Time {
+	left := time.Duration(r.GetDeadlineMs()) * time.Millisecond
+	if left <= 0 {
+		left = defaultDeadline
+	}
+	return time.Now().Add(left)
+}
+
+// receive cancels the task when the gateway sends Cancel or closes the stream.
+func (t *task) receive() {
+	for {
+		frame, err := t.stream.Recv()
+		if err != nil {
+			t.cancel(errkind.Wrap(errkind.CallerCancelled, err, "the stream was closed"))
+			return
+		}
+		if frame.GetCancel() != nil {
+			t.cancel(errkind.New(errkind.CallerCancelled, "the gateway cancelled the request"))
+			return
+		}
+	}
+}
+
+// serve waits for the start, runs the task and frees what it holds.
+func (s *Server) serve(ctx context.Context, t *task) outcome {
+	if err := s.await(ctx, t); err != nil {
+		return refused(err)
+	}
+	if err := s.recheck(ctx, t); err != nil {
+		s.finish(t, true, 0)
+		return refused(err)
+	}
+	// A blocked write to the gateway must not outlive the request.
+	unblock := context.AfterFunc(ctx, func() { _ = t.stream.SetWriteDeadline(time.Now()) })
+	defer unblock()
+	if s.isModel() {
+		return s.serveModel(ctx, t)
+	}
+	return s.servePlain(ctx, t)
+}
+
+// await returns nil when the task may start. After an error the task holds nothing.
+func (s *Server) await(ctx context.Context, t *task) error {
+	select {
+	case <-t.start:
+		return nil
+	case err := <-t.handback:
+		return err
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case t.started:
+		s.release(t, true, 0)
+	case s.queue.Remove(t.item):
+		delete(s.tasks, t.item)
+	}
+	s.dispatch()
+	return stopped(ctx, "in the queue")
+}
+
+// dispatch starts the requests that may start. The caller holds the lock.
+func (s *Server) dispatch() {
+	for {
+		var blocked *admission.Item
+		var full error
+		item := s.queue.Next(s.ramp.Limit(), func(due *admission.Item) bool {
+			if !s.isModel() {
+				return true
+			}
+			t := s.tasks[due]
+			full = s.ledger.StartRun(t.id, t.kvMB)
+			blocked = due
+			return full == nil
+		})
+		if item == nil {
+			if full != nil && s.queue.Running() == 0 {
+				s.handBack(blocked, full)
+				continue
+			}
+			return
+		}
+		t := s.tasks[item]
+		t.started, t.startedAt = true, time.Now()
+		close(t.start)
+	}
+}
+
+// finish frees the slot and the KV cache of a started task and starts the next one. whole says that the
+// backend server holds nothing of the task any more; served of zero is not counted as a service time.
+func (s *Server) finish(t *task, whole bool, served time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release(t, whole, served)
+	s.dispatch()
+}
+
+func (s *Server) release(t *task, whole bool, served time.Duration) {
+	s.queue.Done(t.item, t.tokens, served)
+	s.ledger.EndRun(t.id, whole)
+	delete(s.tasks, t.item)
+}
+
+// send sends the next chunk of the answer.
+func (t *task) send(c *wirepb.Chunk) error {
+	t.sequence++
+	c.RequestId, c.Attempt, c.Sequence = t.submit.GetRequestId(), t.submit.GetAttempt(), t.sequence
+	return t.stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Chunk{Chunk: c}})
+}
+
+// end sends the last frame.
+func (s *Server) end(t *task, o outcome) {
+	_ = t.stream.SetWriteDeadline(time.Now().Add(endTimeout))
+	kind := errkind.Of(o.err)
+	detail := ""
+	var typed *errkind.Error
+	if errors.As(o.err, &typed) {
+		detail = typed.Detail
+	}
+	r := t.submit
+	var frame *wirepb.Envelope
+	if o.notRun {
+		frame = &wirepb.Envelope{Message: &wirepb.Envelope_Refused{Refused: &wirepb.Refused{
+			RequestId: r.GetRequestId(), Attempt: r.GetAttempt(), Kind: int32(kind), Detail: detail,
+			RetryAfterMs: kind.Answer().RetryAfter.Milliseconds(), Status: s.Status(),
+		}}}
+	} else {
+		frame = &wirepb.Envelope{Message: &wirepb.Envelope_End{End: &wirepb.End{
+			RequestId: r.GetRequestId(), Attempt: r.GetAttempt(), Sequence: t.sequence + 1, Kind: int32(kind),
+			Detail: detail, FinishReason: o.finish, PromptTokens: o.promptTokens, OutputTokens: o.outputTokens,
+			Status: s.Status(), Replayed: o.replayed,
+		}}}
+	}
+	err := t.stream.Send(frame)
+	s.log.Debug("request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "kind", kind.String(),
+		"handed_over", !o.notRun, "detail", detail, "send_error", err)
+}
+
+// logAdmission writes the line of one admission decision.
+func (s *Server) logAdmission(t *task, wait time.Duration, err error) {
+	choice, reason := "queued", "all checks passed"
+	if err != nil {
+		choice, reason = errkind.Of(err).String(), err.Error()
+	}
+	r := t.submit
+	s.log.Info("admission", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "organisation", r.GetOrganisation(),
+		"profile", r.GetProfile(), "model", r.GetModel(), "wait_ms", wait.Milliseconds(), "kv_mb", t.kvMB,
+		"choice", choice, "reason", reason)
+}
