--- /dev/null
+++ b/internal/engine/chat_test.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+func TestEngine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine")
+}
+
+const whole = `data: {"choices":[{"delta":{"content":"Lan"}}]}
+
+: comment
+data: {"choices":[{"delta":{"content":"tern"}}]}
+
+data: {"choices":[{"delta":{},"finish_reason":"stop"}]}
+
+data: {"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":2}}
+
+data: [DONE]
+
+`
+
+var _ = Describe("a chat completion", func() {
+	var answer, echo string
+	var status int
+	var body map[string]any
+	var server *httptest.Server
+	BeforeEach(func() {
+		answer, echo, status = whole, "r1", http.StatusOK
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body = nil
+			Expect(json.NewDecoder(r.Body).Decode(&body)).To(Succeed())
+			w.Header().Set("X-Request-Id", echo)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(answer))
+		}))
+		DeferCleanup(server.Close)
+	})
+	chat := func() (string, ChatResult, error) {
+		var text strings.Builder
+		r := ChatRequest{RequestID: "r1", Model: "m", Priority: 3, MaxTokens: 10, ResumeText: "so far", ResumeTokens: 4,
+			Body: []byte(`{"messages":[{"role":"user","content":"hi"}],"temperature":0.5}`)}
+		result, err := New(server.URL).Chat(context.Background(), r, func(c Chunk) error {
+			text.WriteString(c.Text)
+			return nil
+		})
+		return text.String(), result, err
+	}
+
+	It("returns the text and the usage, and resumes after delivered text", func() {
+		text, result, err := chat()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(Equal("Lantern"))
+		Expect(result).To(Equal(ChatResult{FinishReason: "stop", PromptTokens: 7, OutputTokens: 2}))
+		Expect(body).To(HaveKeyWithValue("priority", BeEquivalentTo(-3)))
+		Expect(body).To(HaveKeyWithValue("max_tokens", BeEquivalentTo(6)))
+		Expect(body).To(HaveKeyWithValue("temperature", BeEquivalentTo(0.5)))
+		Expect(body).To(HaveKeyWithValue("continue_final_message", true))
+		Expect(body["messages"]).To(HaveLen(2))
+	})
+
+	DescribeTable("an answer that is not whole or not ours is an error", func(spoil func(), want errkind.Kind) {
+		spoil()
+		_, _, err := chat()
+		Expect(errkind.Of(err)).To(Equal(want), "%v", err)
+	},
+		Entry("no [DONE]", func() { answer = strings.Replace(whole, "data: [DONE]", "", 1) }, errkind.OutcomeUnknown),
+		Entry("no finish reason", func() { answer = strings.Replace(whole, `"stop"`, `""`, 1) }, errkind.OutcomeUnknown),
+		Entry("broken event", func() { answer = "data: {\n\n" }, errkind.ProtocolError),
+		Entry("answer to another request", func() { echo = "r2" }, errkind.ProtocolError),
+		Entry("error event", func() { answer = `data: {"error":{"message":"x"}}` + "\n\n" }, errkind.BackendFailed),
+		Entry("model not there", func() { status = http.StatusNotFound }, errkind.ModelNotResident),
+		Entry("overload", func() { status = http.StatusServiceUnavailable }, errkind.Overloaded),
+		Entry("failure", func() { status = http.StatusInternalServerError }, errkind.BackendFailed),
+		Entry("unreachable", func() { server.Close() }, errkind.BackendUnreachable),
+	)
+})
+
+// Guards against a crash or an endless loop on what an engine sends.
+func FuzzReadEvents(f *testing.F) {
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, stream string) {
+		result, err := readEvents(strings.NewReader(stream), func(Chunk) error { return nil })
+		if err == nil && result.FinishReason == "" {
+			t.Fatal("a stream without a finish reason counts as whole")
+		}
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,6 +4,8 @@
 package ledger
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
@@ -25,8 +27,9 @@
 	total       int64
 	models      map[string]*entry
 	adapters    map[string]*entry
-	running     map[string]int64
+	running     map[string]*run
 	ended       map[string]endedRun
+	last        countedRuns
 	unknown     int64 // used memory that no known item explains
 	kvPeak      int64 // largest KV reservation since the last Begin
 	fencing     uint64
@@ -47,14 +50,28 @@
 
 func (e *entry) mb() int64 { return max(e.reserved, e.reported) }
 
+// run is a running request. The times are logical, and zero before the first part of the answer.
+type run struct {
+	mb        int64
+	firstSeen uint64
+	lastSeen  uint64
+}
+
 type endedRun struct {
 	mb        int64
 	changedAt uint64
 }
 
-// Report is the engine's state in the ledger's terms. Models holds the memory of each model that is
+// countedRuns is how many requests an earlier report counted as running.
+type countedRuns struct {
+	running    int
+	mark       Mark
+	observedAt uint64
+}
+
+// EngineState is the engine's state in the ledger's terms. Models holds the memory of each model that is
 // loading, ready or unloading.
-type Report struct {
+type EngineState struct {
 	Incarnation string
 	TotalMB     int64
 	UsedMB      int64
@@ -68,7 +85,7 @@
 	return &Ledger{
 		opts: opts, total: opts.TotalMB, fencing: opts.FirstFencing,
 		models: make(map[string]*entry), adapters: make(map[string]*entry),
-		running: make(map[string]int64), ended: make(map[string]endedRun),
+		running: make(map[string]*run), ended: make(map[string]endedRun),
 	}
 }
 
@@ -96,11 +113,11 @@
 
 func (l *Ledger) kv() int64 {
 	var sum int64
-	for _, mb := range l.running {
-		sum += mb
+	for _, r := range l.running {
+		sum += r.mb
 	}
-	for _, run := range l.ended {
-		sum += run.mb
+	for _, r := range l.ended {
+		sum += r.mb
 	}
 	return sum
 }
@@ -179,22 +196,35 @@
 	if mb > l.Free() {
 		return errkind.New(errkind.MemoryFull, "%d MB of KV cache are needed, %d MB are free", mb, l.Free())
 	}
-	l.running[id] = mb
+	l.running[id] = &run{mb: mb}
 	l.kvPeak = max(l.kvPeak, l.kv())
 	return nil
 }
 
+// SeenRun notes that a part of the answer arrived, which shows that the engine runs the request.
+func (l *Ledger) SeenRun(id string) {
+	r, ok := l.running[id]
+	if !ok {
+		return
+	}
+	l.clock++
+	r.lastSeen = l.clock
+	if r.firstSeen == 0 {
+		r.firstSeen = l.clock
+	}
+}
+
 // EndRun ends a running request. The KV cache of one that did not end with a whole answer stays reserved
 // until a report shows that the engine has stopped it.
 func (l *Ledger) EndRun(id string, whole bool) {
-	mb, ok := l.running[id]
+	r, ok := l.running[id]
 	if !ok {
 		return
 	}
 	delete(l.running, id)
 	if !whole {
 		l.clock++
-		l.ended[id] = endedRun{mb: mb, changedAt: l.clock}
+		l.ended[id] = endedRun{mb: r.mb, changedAt: l.clock}
 	}
 }
 
@@ -210,7 +240,7 @@
 
 // Observe takes the report asked for at mark. What the ledger doesn't know is counted; what the report no
 // longer shows is released if it can't come back.
-func (l *Ledger) Observe(now time.Time, mark Mark, r Report) {
+func (l *Ledger) Observe(now time.Time, mark Mark, r EngineState) {
 	if r.TotalMB > 0 {
 		l.total = min(l.opts.TotalMB, r.TotalMB)
 	}
@@ -273,21 +303,34 @@
 	return e.changedAt < uint64(mark) && (!e.ordered || now.Sub(e.loadSent) > l.opts.OrderLife)
 }
 
+// observeRuns releases the KV cache of ended runs. A report counts the running requests without naming them,
+// so any of the counted ones may be ended runs, except those that are known to have run at that time.
 func (l *Ledger) observeRuns(mark Mark, running int) {
-	possible := len(l.running)
-	for _, run := range l.ended {
-		if run.changedAt >= uint64(mark) {
-			possible++
+	certain := 0
+	for _, r := range l.running {
+		if r.firstSeen > 0 && r.firstSeen < uint64(l.last.mark) && r.lastSeen > l.last.observedAt {
+			certain++
 		}
 	}
-	if running > possible {
-		return
-	}
-	for id, run := range l.ended {
-		if run.changedAt < uint64(mark) {
-			delete(l.ended, id)
+	l.keepLargest(l.last.mark, max(l.last.running-certain, 0))
+	l.keepLargest(mark, running)
+	l.clock++
+	l.last = countedRuns{running: running, mark: mark, observedAt: l.clock}
+}
+
+// keepLargest keeps the n largest of the runs that ended before mark. The engine still holds at most n of
+// them, so that the kept ones bound their memory.
+func (l *Ledger) keepLargest(mark Mark, n int) {
+	var ids []string
+	for id, r := range l.ended {
+		if r.changedAt < uint64(mark) {
+			ids = append(ids, id)
 		}
 	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(l.ended[b].mb, l.ended[a].mb) })
+	for _, id := range ids[min(n, len(ids)):] {
+		delete(l.ended, id)
+	}
 }
 
 // Held reports whether memory is reserved for a model.
--- /dev/null
+++ b/internal/plainservice/client_test.go
@@ -0,0 +1,127 @@
+package plainservice
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+func TestPlainService(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "plainservice")
+}
+
+type recorder struct {
+	status  int
+	headers http.Header
+	body    strings.Builder
+}
+
+func (r *recorder) Head(status int, headers http.Header) error {
+	r.status, r.headers = status, headers
+	return nil
+}
+
+func (r *recorder) Data(data []byte) error {
+	_, err := r.body.Write(data)
+	return err
+}
+
+var _ = Describe("a call", func() {
+	var executed atomic.Int64
+	var seen http.Header
+	var server *httptest.Server
+	var got *recorder
+	BeforeEach(func() {
+		executed.Store(0)
+		got = new(recorder)
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			executed.Add(1)
+			seen = r.Header.Clone()
+			body, _ := io.ReadAll(r.Body)
+			switch r.URL.Path {
+			case "/redirect":
+				http.Redirect(w, r, "/other", http.StatusFound)
+			case "/cut-before":
+				panic(http.ErrAbortHandler)
+			case "/cut-during":
+				w.Header().Set("Content-Length", "100")
+				_, _ = w.Write([]byte("part"))
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			default:
+				w.Header().Set("X-Answer", "yes")
+				w.WriteHeader(http.StatusCreated)
+				_, _ = w.Write(body)
+			}
+		}))
+		DeferCleanup(server.Close)
+	})
+	do := func(path string) error {
+		r := Request{RequestID: "r1", Method: "POST", Path: path, Query: "q=1", Body: []byte("tow"), Headers: http.Header{
+			"Authorization": {"Bearer secret"}, "X-Caller": {"c"}, "Connection": {"close"}}}
+		return New(server.URL, 50).Do(context.Background(), r, got)
+	}
+
+	It("passes the whole answer and never a key", func() {
+		Expect(do("/book")).To(Succeed())
+		Expect(got.status).To(Equal(http.StatusCreated))
+		Expect(got.headers.Get("X-Answer")).To(Equal("yes"))
+		Expect(got.body.String()).To(Equal("tow"))
+		Expect(seen).NotTo(HaveKey("Authorization"))
+		Expect(seen.Get("X-Caller")).To(Equal("c"))
+		Expect(seen.Get("X-Request-Id")).To(Equal("r1"))
+	})
+
+	It("does not follow redirects, which would run a second call", func() {
+		Expect(do("/redirect")).To(Succeed())
+		Expect(got.status).To(Equal(http.StatusFound))
+		Expect(executed.Load()).To(BeEquivalentTo(1))
+	})
+
+	DescribeTable("ends as unknown after hand-over and is not sent again", func(path string) {
+		Expect(errkind.Of(do(path))).To(Equal(errkind.OutcomeUnknown))
+		Expect(executed.Load()).To(BeEquivalentTo(1))
+	}, Entry("cut before the answer", "/cut-before"), Entry("cut within the answer", "/cut-during"))
+
+	It("bounds the answer", func() {
+		err := New(server.URL, 2).Do(context.Background(), Request{Method: "POST", Path: "/book", Body: []byte("long")}, got)
+		Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+	})
+
+	It("reports a refused connection as not run", func() {
+		server.Close()
+		Expect(errkind.Of(do("/book"))).To(Equal(errkind.BackendUnreachable))
+		Expect(executed.Load()).To(BeZero())
+	})
+
+	It("does not resend when the service closes each connection without an answer", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		var connections atomic.Int64
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				connections.Add(1)
+				_ = conn.Close()
+			}
+		}()
+		err = New("http://"+listener.Addr().String(), 50).Do(context.Background(), Request{Method: "POST", Path: "/book"}, got)
+		Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+		Expect(connections.Load()).To(BeEquivalentTo(1))
+	})
+})
--- a/internal/sidecar/adapters.go
+++ b/internal/sidecar/adapters.go
@@ -16,11 +16,13 @@
 	memoryMB int64
 	loaded   bool
 	usedAt   time.Time // for eviction of the least recently used
+	loadedAt time.Time // a report asked for earlier doesn't show the adapter
 	changing chan struct{}
 }
 
-// observeAdapters takes the reported adapters and fills their memory for the ledger. The caller holds the lock.
-func (s *Server) observeAdapters(snapshot *config.Snapshot, state engine.State, memory map[string]int64) {
+// observeAdapters takes the adapters of a report asked for at askedAt and fills their memory for the ledger.
+// The caller holds the lock.
+func (s *Server) observeAdapters(snapshot *config.Snapshot, askedAt time.Time, state engine.State, memory map[string]int64) {
 	for _, name := range state.Adapters {
 		a, ok := s.adapters[name]
 		if !ok {
@@ -35,7 +37,7 @@
 		memory[name] = a.memoryMB
 	}
 	for name, a := range s.adapters {
-		if a.changing == nil && !slices.Contains(state.Adapters, name) {
+		if a.changing == nil && a.loadedAt.Before(askedAt) && !slices.Contains(state.Adapters, name) {
 			delete(s.adapters, name)
 		}
 	}
@@ -113,7 +115,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a.loaded = err == nil
+	a.loaded, a.loadedAt = err == nil, time.Now()
 	close(a.changing)
 	a.changing = nil
 	s.log.Info("placement", "model", model.Name, "choice", "adapter load", "memory_mb", model.MemoryMB,
--- a/internal/sidecar/residency.go
+++ b/internal/sidecar/residency.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
@@ -19,6 +21,8 @@
 	maxUnreachable = 3
 	// loadRetry is the time after which a load order that shows no effect is sent again.
 	loadRetry = 5 * time.Second
+	// unloadRetry is the time after which an unload order that shows no effect is sent again.
+	unloadRetry = 2 * time.Second
 	// maxLoadTries bounds the load orders for one request of the planner.
 	maxLoadTries = 5
 )
@@ -31,10 +35,11 @@
 	fencing   uint64
 	sentAt    time.Time // zero if the load order is still to be sent
 	tries     int
-	removing  bool // the copies row is being changed for an unload
-	leaving   bool // the model may be unloaded when nothing runs on it
-	listed    bool // this sidecar is in the copies row
-	corrected bool // the copies row was compared with the engine's state since the start
+	unloadAt  time.Time // of the last unload order
+	removing  bool      // the copies row is being changed for an unload
+	leaving   bool      // the model may be unloaded when nothing runs on it
+	listed    bool      // this sidecar is in the copies row
+	corrected bool      // the copies row was compared with the engine's state since the start
 }
 
 func (s *Server) engineKnown() bool { return s.incarnation != "" && s.unreachable < maxUnreachable }
@@ -80,12 +85,13 @@
 	s.mu.Lock()
 	mark := s.ledger.Begin()
 	s.mu.Unlock()
+	askedAt := time.Now()
 	state, err := s.engine.State(ctx)
 	if err != nil {
 		s.engineLost(err)
 		return
 	}
-	names := s.observe(mark, state)
+	names := s.observe(mark, askedAt, state)
 	for _, name := range names {
 		s.syncModel(ctx, name)
 	}
@@ -101,8 +107,8 @@
 	}
 }
 
-// observe takes a report and returns the models to act on.
-func (s *Server) observe(mark ledger.Mark, state engine.State) []string {
+// observe takes a report asked for at askedAt and returns the models to act on.
+func (s *Server) observe(mark ledger.Mark, askedAt time.Time, state engine.State) []string {
 	snapshot := s.opts.Config.Snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,7 +119,7 @@
 		s.prefixes = nil
 	}
 	s.ramp.Incarnation(state.Incarnation)
-	report := ledger.Report{
+	report := ledger.EngineState{
 		Incarnation: state.Incarnation, TotalMB: state.MemoryTotalMB, UsedMB: state.MemoryUsedMB, Running: state.Running,
 		Models: make(map[string]int64), Adapters: make(map[string]int64),
 	}
@@ -127,14 +133,23 @@
 			report.Models[m.Name] = m.MemoryMB
 		}
 	}
-	s.observeAdapters(snapshot, state, report.Adapters)
+	s.observeAdapters(snapshot, askedAt, state, report.Adapters)
 	s.ledger.Observe(time.Now(), mark, report)
-	names := make([]string, 0, len(s.models))
-	for name := range s.models {
-		names = append(names, name)
-	}
 	s.dispatch()
-	return names
+	return s.modelNames(snapshot)
+}
+
+// modelNames returns the models to compare with the engine's state: known ones and those of the service,
+// which may still be listed in a copies row by an earlier process. The caller holds the lock.
+func (s *Server) modelNames(snapshot *config.Snapshot) []string {
+	if snapshot != nil {
+		for _, m := range snapshot.Models() {
+			if !m.Adapter() && m.Service == s.opts.Settings.Backend.Service {
+				s.residency(m.Name)
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(s.models))
 }
 
 func (s *Server) residency(name string) *residency {
@@ -155,10 +170,15 @@
 		r.wanted = false
 		s.log.Info("placement", "model", name, "choice", "resident", "reason", "the engine reports it ready")
 	}
+	absent := r.state == "" || r.state == stateUnavailable
+	if absent && !r.wanted && !r.removing && !r.leaving && s.ledger.Held(name) {
+		// The engine lost the model. An unload order makes late load orders old before memory is released.
+		r.leaving = true
+	}
 	add := ready && !r.listed && !r.leaving && !r.removing
 	correct := !ready && (r.listed || !r.corrected)
 	load := r.wanted && !ready && (r.sentAt.IsZero() || (r.state != "LOADING" && time.Since(r.sentAt) > loadRetry))
-	unload := r.leaving && s.runningOn(name) == 0
+	unload := r.leaving && s.runningOn(name) == 0 && (!s.ledger.Held(name) || time.Since(r.unloadAt) > unloadRetry)
 	s.mu.Unlock()
 	switch {
 	case add:
@@ -234,6 +254,7 @@
 		s.mu.Unlock()
 		return
 	}
+	r.unloadAt = time.Now()
 	fencing := s.ledger.Unload(name)
 	adapters := s.adaptersOf(name)
 	s.mu.Unlock()
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -58,6 +58,7 @@
 	t.tokens += c.Tokens
 	now := time.Now()
 	s.mu.Lock()
+	s.ledger.SeenRun(t.id)
 	if first {
 		s.ramp.FirstAnswer(now, now.Sub(handedOver), time.Duration(t.profile.FirstTokenMS)*time.Millisecond)
 	} else {
