Test the sidecar's request path, residency and drain

Cause: a drain could end before a booking's outcome was recorded, and a path without a leading slash or a broken header reached net/http, which answered as if the service were unreachable. Ruled out: letting net/http judge the header, because its refusal can't be told from a failed dial.

--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -110,6 +110,7 @@
 
 func debugHandler(server *sidecar.Server) http.Handler {
 	expvar.Publish("sidecar", expvar.Func(func() any { return server.Status() }))
+	expvar.Publish("ended", expvar.Func(func() any { return server.Ended() }))
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", expvar.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
--- a/internal/booking/booking.go
+++ b/internal/booking/booking.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/duty"
@@ -72,6 +73,7 @@
 type Book struct {
 	opts    Options
 	backlog *duty.Ring[task]
+	pending atomic.Int64 // tasks in the backlog or being retried
 }
 
 type task struct {
@@ -195,7 +197,9 @@
 // later puts a task into the backlog. A full backlog leaves the claim without an outcome, so that the call
 // is never run again.
 func (b *Book) later(t task, err error) {
+	b.pending.Add(1)
 	if !b.backlog.Offer(t) {
+		b.pending.Add(-1)
 		b.opts.Log.Error("claim left without an outcome", "row", t.claim.key.String(), "reason", "backlog is full", "error", err)
 	}
 }
@@ -233,5 +237,5 @@
 	return b.opts.Store.Write(ctx, c.changeID("release"), op)
 }
 
-// Backlog returns how many outcomes and releases wait for the table service.
-func (b *Book) Backlog() int { return b.backlog.Len() }
+// Pending returns how many outcomes and releases wait for the table service.
+func (b *Book) Pending() int64 { return b.pending.Load() }
--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -144,7 +144,7 @@
 		v.away = true
 		_, _, err := book.Claim(ctx, request("a"))
 		Expect(errkind.Of(err)).To(Equal(errkind.StoreUnavailable))
-		Expect(book.Backlog()).To(BeZero())
+		Expect(book.Pending()).To(BeZero())
 	})
 
 	It("removes the claim of a call that did not run", func() {
--- a/internal/booking/run.go
+++ b/internal/booking/run.go
@@ -19,6 +19,7 @@
 			return ctx.Err()
 		case t := <-b.backlog.C():
 			b.retry(ctx, t)
+			b.pending.Add(-1)
 		}
 	}
 }
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
@@ -56,7 +59,7 @@
 type Request struct {
 	RequestID string
 	Method    string
-	Path      string
+	Path      string // as in the request line, escaped
 	Query     string
 	Headers   http.Header
 	Body      []byte
@@ -92,6 +95,9 @@
 }
 
 func (c *Client) request(ctx context.Context, r Request) (*http.Request, error) {
+	if !strings.HasPrefix(r.Path, "/") {
+		return nil, fmt.Errorf("path %q does not start with a slash", r.Path)
+	}
 	target := c.base + r.Path
 	if r.Query != "" {
 		target += "?" + r.Query
@@ -107,7 +113,22 @@
 	request.GetBody = nil
 	request.Header = passed(r.Headers)
 	request.Header.Set("X-Request-Id", r.RequestID)
-	return request, nil
+	return request, checkHeaders(request.Header)
+}
+
+// checkHeaders refuses fields that net/http would refuse too, which would look like an unreachable service.
+func checkHeaders(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("header name %q is not valid", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return fmt.Errorf("the value of header %q is not valid", name)
+			}
+		}
+	}
+	return nil
 }
 
 // passed copies the header fields that are passed on.
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
+// outcomeInterval is how often a drain looks for outcomes that are not recorded yet.
+const outcomeInterval = 50 * time.Millisecond
+
 // Drain ends the service gracefully: the status says draining at once, new requests are refused after the
-// notice delay, queued ones are handed back, and running ones finish. It returns when none is left, when
-// the grace time has passed or when ctx ends.
+// notice delay, queued ones are handed back, and running ones finish. It returns when none is left and
+// every outcome of a booking is recorded, when the grace time has passed or when ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
@@ -25,11 +29,16 @@
 	defer cancel()
 	select {
 	case <-s.idle:
-		s.log.Info("drain", "step", "done")
-		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	for s.book.Pending() > 0 {
+		if err := pause(ctx, outcomeInterval); err != nil {
+			return fmt.Errorf("%d outcomes are not recorded: %w", s.book.Pending(), err)
+		}
+	}
+	s.log.Info("drain", "step", "done")
+	return nil
 }
 
 // refuse stops admission and hands back the queue.
--- /dev/null
+++ b/internal/sidecar/model_test.go
@@ -0,0 +1,198 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/engine"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// testEngine loads at once and generates the words of the prompt's answer; "hold" waits after the first.
+type testEngine struct {
+	mu       sync.Mutex
+	state    engine.State
+	loseNext bool // drops the next order without an answer
+}
+
+func (e *testEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name := strings.Split(strings.TrimPrefix(r.URL.Path, "/v2/repository/models/"), "/")[0]
+	switch {
+	case r.URL.Path == "/v1/chat/completions":
+		e.chat(w, r)
+		return
+	case r.URL.Path == "/engine/state":
+	case r.URL.Path == "/v1/load_lora_adapter":
+		e.mu.Lock()
+		e.state.Adapters = append(e.state.Adapters, "m-a")
+		e.mu.Unlock()
+	default:
+		e.order(name, strings.HasSuffix(r.URL.Path, "/load"))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(e.state)
+}
+
+func (e *testEngine) order(name string, load bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loseNext {
+		e.loseNext = false
+		panic(http.ErrAbortHandler)
+	}
+	e.state.Models = nil
+	if load {
+		e.state.Models = []engine.ModelState{{Name: name, State: "READY", MemoryMB: 400}}
+	}
+}
+
+func (e *testEngine) chat(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Messages []struct{ Content string }
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	_, _ = fmt.Fprint(w, `data: {"choices":[{"delta":{"content":"blue "}}]}`, "\n\n")
+	w.(http.Flusher).Flush()
+	switch body.Messages[0].Content {
+	case "hold":
+		<-r.Context().Done()
+	case "cut":
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprint(w, `data: {"choices":[{"delta":{"content":"lantern"},"finish_reason":"stop"}]}`, "\n\n",
+		`data: {"usage":{"prompt_tokens":3,"completion_tokens":2}}`, "\n\ndata: [DONE]\n\n")
+}
+
+var _ = Describe("a model engine", func() {
+	var e *testEngine
+	var h *harness
+	BeforeEach(func() {
+		e = &testEngine{state: engine.State{Incarnation: "a", MemoryTotalMB: 1000}}
+		backend := httptest.NewServer(e)
+		DeferCleanup(backend.Close)
+		h = newHarness("model", "float", backend.URL)
+		Eventually(func() bool { return h.server.Status().GetReady() }).Should(BeTrue())
+	})
+	order := func(action, model string, epoch int64) errkind.Kind {
+		GinkgoHelper()
+		stream := h.open(&wirepb.Envelope{Message: &wirepb.Envelope_ModelOrder{ModelOrder: &wirepb.ModelOrder{
+			Action: action, Model: model, PlannerEpoch: epoch}}})
+		reply, err := stream.Recv()
+		Expect(err).NotTo(HaveOccurred())
+		return errkind.Kind(reply.GetOrderReply().GetKind())
+	}
+	resident := func() []string { return h.server.Status().GetResident() }
+	row := func() []Copy {
+		stored, _ := h.store.Get(context.Background(), CopiesKey("m"))
+		var r CopiesRow
+		_ = json.Unmarshal(stored.Value, &r)
+		return r.Copies
+	}
+	load := func() {
+		GinkgoHelper()
+		Expect(order("load", "m", 1)).To(Equal(errkind.None))
+		Eventually(resident).Should(ConsistOf("m"))
+		Eventually(row).Should(HaveLen(1))
+	}
+	chat := func(model, prompt string) *wirepb.Submit {
+		return &wirepb.Submit{
+			RequestId: "r1", Attempt: 1, Organisation: "org", KeyId: "key", Service: "float", Profile: "clerk", Model: model,
+			DeadlineMs: 30_000, MaxOutputTokens: 50, PrefixHash: "p",
+			Http: &wirepb.HTTPRequest{Body: []byte(`{"messages":[{"role":"user","content":"` + prompt + `"}]}`)},
+		}
+	}
+
+	It("streams an answer and fills the status", func() {
+		Expect(h.do(chat("m", "x")).kind).To(Equal(errkind.ModelNotResident))
+		Expect(h.do(chat("none", "x")).kind).To(Equal(errkind.ModelUnknown))
+		load()
+		Expect(h.do(chat("m", "x"))).To(Equal(answerOf{status: 200, body: "blue lantern", tokens: 2}))
+		status := h.server.Status()
+		Expect(status.GetPrefixes()).To(ConsistOf("p"))
+		Expect(status.GetModelLoads()).To(HaveLen(1))
+		Expect(status.GetModelLoads()[0].GetTokens()).To(BeEquivalentTo(2))
+		Expect(status.GetMemoryFreeMb()).To(BeEquivalentTo(600))
+	})
+
+	It("loads an adapter before it hands a request over", func() {
+		load()
+		Expect(h.do(chat("m-a", "x")).kind).To(Equal(errkind.None))
+		Expect(h.server.Status().GetAdapters()).To(ConsistOf("m-a"))
+		Expect(h.server.Status().GetMemoryFreeMb()).To(BeEquivalentTo(580))
+	})
+
+	It("refuses orders that would overcommit memory and orders of an older planner", func() {
+		load()
+		Expect(order("load", "big", 1)).To(Equal(errkind.MemoryFull))
+		Expect(order("load", "m", 0)).To(Equal(errkind.BadRequest))
+	})
+
+	It("refuses a request whose KV cache cannot fit beside the models", func() {
+		load()
+		r := chat("m", "x")
+		r.MaxOutputTokens = 1 << 20
+		Expect(h.do(r).kind).To(Equal(errkind.MemoryFull))
+	})
+
+	It("unloads only when another copy stays and the table service is there", func() {
+		load()
+		Expect(order("unload", "m", 1)).To(Equal(errkind.BadRequest), "last copy")
+		other := &copies{store: h.store, timeout: h.server.copies.timeout, self: Copy{Address: "other"}}
+		Expect(other.add(context.Background(), "m")).To(Succeed())
+		h.store.setAway(true)
+		Expect(order("unload", "m", 1)).To(Equal(errkind.StoreUnavailable))
+		h.store.setAway(false)
+		Expect(resident()).To(ConsistOf("m"))
+		Expect(order("unload", "m", 1)).To(Equal(errkind.None))
+		Expect(row()).To(ConsistOf(other.self))
+		Expect(h.do(chat("m", "x")).kind).To(Equal(errkind.ModelNotResident))
+		Eventually(func() int64 { return h.server.Status().GetMemoryFreeMb() }).Should(BeEquivalentTo(1000))
+	})
+
+	It("keeps the memory of a lost load order reserved", func() {
+		e.mu.Lock()
+		e.loseNext = true
+		e.mu.Unlock()
+		Expect(order("load", "m", 1)).To(Equal(errkind.None))
+		Consistently(func() int64 { return h.server.Status().GetMemoryFreeMb() }, "100ms").Should(BeEquivalentTo(600))
+	})
+
+	It("corrects the copies row and the ramp when the engine restarts cold", func() {
+		load()
+		e.mu.Lock()
+		e.state = engine.State{Incarnation: "b", MemoryTotalMB: 1000}
+		e.mu.Unlock()
+		Eventually(row).Should(BeEmpty())
+		Expect(h.server.Status().GetBackendIncarnation()).To(Equal("b"))
+		Eventually(func() int64 { return h.server.Status().GetMemoryFreeMb() }).Should(BeEquivalentTo(1000))
+	})
+
+	It("ends a running stream of a withdrawn key as unknown, because it was handed over", func() {
+		load()
+		c := h.start(chat("m", "hold"))
+		c.firstChunk()
+		h.config.set(config.Key{ID: "key", Organisation: "org", Withdrawn: true})
+		a := c.finish()
+		Expect(a.kind).To(Equal(errkind.OutcomeUnknown))
+		Expect(a.refused).To(BeFalse())
+	})
+
+	It("does not take a broken stream for a whole answer", func() {
+		load()
+		a := h.do(chat("m", "cut"))
+		Expect(a.kind).To(Equal(errkind.OutcomeUnknown))
+		Expect(a.refused).To(BeFalse())
+	})
+})
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -76,6 +76,7 @@
 	loads       map[string]*modelLoad
 	incarnation string // of the backend server
 	unreachable int    // reads of the engine's state that failed in a row
+	ended       map[errkind.Kind]int64
 	draining    bool
 	refusing    bool
 	admitted    int           // conversations of admitted requests that have not ended
@@ -98,6 +99,7 @@
 		models:   make(map[string]*residency),
 		adapters: make(map[string]*adapter),
 		loads:    make(map[string]*modelLoad),
+		ended:    make(map[errkind.Kind]int64),
 		idle:     make(chan struct{}),
 	}
 	server.queue = admission.New(admission.Options{
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/pomelowheel/pomelowheel/internal/admission"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -53,6 +54,24 @@
 	}
 }
 
+// countEnd counts a conversation by the kind of its last frame.
+func (s *Server) countEnd(kind errkind.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended[kind]++
+}
+
+// Ended returns how many Submit conversations ended with each kind since the start, by the kind's code.
+func (s *Server) Ended() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[string]int64, len(s.ended))
+	for kind, n := range s.ended {
+		counts[kind.String()] = n
+	}
+	return counts
+}
+
 // Status returns the soft state that routing uses.
 func (s *Server) Status() *wirepb.Status {
 	snapshot := s.opts.Config.Snapshot()
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -209,6 +209,7 @@
 			Status: s.Status(), Replayed: o.replayed,
 		}}}
 	}
+	s.countEnd(kind)
 	err := t.stream.Send(frame)
 	s.log.Debug("request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "kind", kind.String(),
 		"handed_over", !o.notRun, "detail", detail, "send_error", err)
