Judge the life of an order by when the report was asked for

Cause: the ledger's property at 20,000 sequences found that memory was released when a late load order arrived between a report and its answer, and the order's life ended meanwhile; the engine reached 120 MB of 100 MB. Ruled out: a longer order life, which only makes the case rarer. Conclusion: the time at which the report was asked for decides.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -36,6 +36,7 @@
 	epoch       int64
 	clock       uint64 // logical time of orders and reports
 	incarnation string
+	askedAt     time.Time // when the last report was asked for
 }
 
 type entry struct {
@@ -232,15 +233,16 @@
 type Mark uint64
 
 // Begin returns the mark of a report that is about to be asked for. Reports are asked for one at a time.
-func (l *Ledger) Begin() Mark {
+func (l *Ledger) Begin(now time.Time) Mark {
 	l.clock++
+	l.askedAt = now
 	l.kvPeak = l.kv()
 	return Mark(l.clock)
 }
 
 // Observe takes the report asked for at mark. What the ledger doesn't know is counted; what the report no
 // longer shows is released if it can't come back.
-func (l *Ledger) Observe(now time.Time, mark Mark, r EngineState) {
+func (l *Ledger) Observe(mark Mark, r EngineState) {
 	if r.TotalMB > 0 {
 		l.total = min(l.opts.TotalMB, r.TotalMB)
 	}
@@ -248,8 +250,8 @@
 		l.restarted(r.Incarnation)
 	}
 	explained := l.kvPeak
-	explained += observe(l.models, r.Models, func(e *entry) bool { return l.modelGone(now, mark, e) })
-	explained += observe(l.adapters, r.Adapters, func(e *entry) bool { return l.adapterGone(now, mark, e) })
+	explained += observe(l.models, r.Models, func(e *entry) bool { return l.modelGone(mark, e) })
+	explained += observe(l.adapters, r.Adapters, func(e *entry) bool { return l.adapterGone(mark, e) })
 	l.unknown = max(r.UsedMB-explained, 0)
 	l.observeRuns(mark, r.Running)
 }
@@ -286,7 +288,7 @@
 }
 
 // modelGone reports whether a model that a report doesn't show can't be loaded by an order under way.
-func (l *Ledger) modelGone(now time.Time, mark Mark, e *entry) bool {
+func (l *Ledger) modelGone(mark Mark, e *entry) bool {
 	switch {
 	case e.changedAt >= uint64(mark):
 		return false
@@ -295,12 +297,16 @@
 	case l.opts.ChecksOrders:
 		return e.fenced > e.load
 	}
-	return now.Sub(e.loadSent) > l.opts.OrderLife
+	return l.expired(e)
 }
 
+// expired reports whether the last load order could not arrive any more when the report was asked for. The
+// time of its answer doesn't count, since an order may have arrived between the two.
+func (l *Ledger) expired(e *entry) bool { return l.askedAt.Sub(e.loadSent) > l.opts.OrderLife }
+
 // adapterGone is modelGone for adapters, whose orders carry no fencing number.
-func (l *Ledger) adapterGone(now time.Time, mark Mark, e *entry) bool {
-	return e.changedAt < uint64(mark) && (!e.ordered || now.Sub(e.loadSent) > l.opts.OrderLife)
+func (l *Ledger) adapterGone(mark Mark, e *entry) bool {
+	return e.changedAt < uint64(mark) && (!e.ordered || l.expired(e))
 }
 
 // observeRuns releases the KV cache of ended runs. A report counts the running requests without naming them,
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -26,13 +26,13 @@
 var _ = Describe("the ledger", func() {
 	newLedger := func(checks bool) *Ledger {
 		l := New(Options{TotalMB: 100, ChecksOrders: checks, OrderLife: life})
-		l.Observe(t0, l.Begin(), EngineState{Incarnation: "a", TotalMB: 100})
+		l.Observe(l.Begin(t0), EngineState{Incarnation: "a", TotalMB: 100})
 		return l
 	}
 
 	It("counts what the engine reports and the ledger does not know", func() {
 		l := newLedger(true)
-		l.Observe(t0, l.Begin(), EngineState{Incarnation: "a", UsedMB: 70, Models: map[string]int64{"m": 40}})
+		l.Observe(l.Begin(t0), EngineState{Incarnation: "a", UsedMB: 70, Models: map[string]int64{"m": 40}})
 		Expect(l.Free()).To(BeEquivalentTo(30))
 		_, err := l.Load(t0, "n", 31)
 		Expect(errkind.Of(err)).To(Equal(errkind.MemoryFull))
@@ -42,15 +42,15 @@
 		l := newLedger(true)
 		load, err := l.Load(t0, "m", 60)
 		Expect(err).NotTo(HaveOccurred())
-		l.Observe(t0, l.Begin(), EngineState{Incarnation: "a"})
+		l.Observe(l.Begin(t0), EngineState{Incarnation: "a"})
 		Expect(l.Free()).To(BeEquivalentTo(40))
 		unload := l.Unload("m")
 		Expect(unload).To(BeNumerically(">", load))
-		mark := l.Begin()
+		mark := l.Begin(t0)
 		l.UnloadTaken("m", unload)
-		l.Observe(t0, mark, EngineState{Incarnation: "a"})
+		l.Observe(mark, EngineState{Incarnation: "a"})
 		Expect(l.Free()).To(BeEquivalentTo(40), "the report was asked for before the order was taken")
-		l.Observe(t0, l.Begin(), EngineState{Incarnation: "a"})
+		l.Observe(l.Begin(t0), EngineState{Incarnation: "a"})
 		Expect(l.Free()).To(BeEquivalentTo(100))
 	})
 
@@ -59,22 +59,22 @@
 		_, err := l.Load(t0, "m", 60)
 		Expect(err).NotTo(HaveOccurred())
 		l.UnloadTaken("m", l.Unload("m"))
-		l.Observe(t0.Add(life), l.Begin(), EngineState{Incarnation: "a"})
+		l.Observe(l.Begin(t0.Add(life)), EngineState{Incarnation: "a"})
 		Expect(l.Free()).To(BeEquivalentTo(40))
-		l.Observe(t0.Add(life+1), l.Begin(), EngineState{Incarnation: "a"})
+		l.Observe(l.Begin(t0.Add(life+1)), EngineState{Incarnation: "a"})
 		Expect(l.Free()).To(BeEquivalentTo(100))
 	})
 
 	It("holds the KV cache of a cancelled request until a report shows that the engine stopped it", func() {
 		l := newLedger(true)
 		Expect(l.StartRun("r", 80)).To(Succeed())
-		mark := l.Begin()
+		mark := l.Begin(t0)
 		l.EndRun("r", false)
-		l.Observe(t0, mark, EngineState{Incarnation: "a"})
+		l.Observe(mark, EngineState{Incarnation: "a"})
 		Expect(errkind.Of(l.StartRun("s", 30))).To(Equal(errkind.MemoryFull))
-		l.Observe(t0, l.Begin(), EngineState{Incarnation: "a", Running: 1, UsedMB: 80})
+		l.Observe(l.Begin(t0), EngineState{Incarnation: "a", Running: 1, UsedMB: 80})
 		Expect(errkind.Of(l.StartRun("s", 30))).To(Equal(errkind.MemoryFull))
-		l.Observe(t0, l.Begin(), EngineState{Incarnation: "a"})
+		l.Observe(l.Begin(t0), EngineState{Incarnation: "a"})
 		Expect(l.StartRun("s", 30)).To(Succeed())
 	})
 
@@ -86,7 +86,7 @@
 		l.EndRun("cancelled", false)
 		for range 2 {
 			Expect(errkind.Of(l.StartRun("next", 60))).To(Equal(errkind.MemoryFull))
-			l.Observe(t0, l.Begin(), EngineState{Incarnation: "a", Running: 1})
+			l.Observe(l.Begin(t0), EngineState{Incarnation: "a", Running: 1})
 			l.SeenRun("live")
 		}
 		Expect(l.StartRun("next", 60)).To(Succeed())
@@ -189,12 +189,12 @@
 					}
 				}
 			case 4:
-				mark = l.Begin()
+				mark = l.Begin(now)
 				r := e.report()
 				report = &r
 			case 5:
 				if report != nil {
-					l.Observe(now, mark, *report)
+					l.Observe(mark, *report)
 					report = nil
 				}
 			case 6:
--- a/internal/sidecar/residency.go
+++ b/internal/sidecar/residency.go
@@ -83,9 +83,9 @@
 // syncEngine reads the engine's state once and sends the orders that are due.
 func (s *Server) syncEngine(ctx context.Context) {
 	s.mu.Lock()
-	mark := s.ledger.Begin()
-	s.mu.Unlock()
 	askedAt := time.Now()
+	mark := s.ledger.Begin(askedAt)
+	s.mu.Unlock()
 	state, err := s.engine.State(ctx)
 	if err != nil {
 		s.engineLost(err)
@@ -134,7 +134,7 @@
 		}
 	}
 	s.observeAdapters(snapshot, askedAt, state, report.Adapters)
-	s.ledger.Observe(time.Now(), mark, report)
+	s.ledger.Observe(mark, report)
 	s.dispatch()
 	return s.modelNames(snapshot)
 }
