Strengthen three tests that let a fault pass

Cause: with keep-alive on, without the check before hand-over, or with credit for idling, all tests passed. Conclusion: each of the three faults, put in on a scratch copy, now fails a test.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -73,6 +73,34 @@
 		Expect(served["new"]).To(BeNumerically("<=", 11))
 	})
 
+	It("gives no credit to an organisation that returns after idling", func() {
+		q := New(Options{Policy: Fair, MaxQueue: 200})
+		offer(q, newItem("old", 100), newItem("back", 500))
+		for range 2 {
+			item := q.Next(1, always)
+			q.Done(item, item.Tokens, 0)
+			offer(q, newItem("old", 100))
+		}
+		for range 60 {
+			offer(q, newItem("old", 100))
+		}
+		for range 40 {
+			q.Done(q.Next(1, always), 100, 0)
+		}
+		for range 40 {
+			offer(q, newItem("back", 100))
+		}
+		back := 0
+		for range 20 {
+			item := q.Next(1, always)
+			if item.Organisation == "back" {
+				back++
+			}
+			q.Done(item, 100, 0)
+		}
+		Expect(back).To(BeNumerically("<=", 11))
+	})
+
 	It("orders one organisation by deadline", func() {
 		q := New(Options{Policy: Fair, MaxQueue: 10})
 		late, early := newItem("a", 1), newItem("a", 1)
--- a/internal/plainservice/client_test.go
+++ b/internal/plainservice/client_test.go
@@ -105,6 +105,16 @@
 		Expect(executed.Load()).To(BeZero())
 	})
 
+	It("does not resend on a connection that a former call left open", func() {
+		// net/http takes a call with this header for idempotent and repeats it when a kept connection breaks.
+		header := http.Header{"Idempotency-Key": {"k"}}
+		client := New(server.URL, 50)
+		Expect(client.Do(context.Background(), Request{Method: "POST", Path: "/book", Headers: header}, got)).To(Succeed())
+		err := client.Do(context.Background(), Request{Method: "POST", Path: "/cut-before", Headers: header}, got)
+		Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+		Expect(executed.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("does not resend when the service closes each connection without an answer", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/sidecar/plain_test.go
+++ b/internal/sidecar/plain_test.go
@@ -162,6 +162,18 @@
 		Entry("draining", func() { go func() { _ = h.server.Drain(context.Background()) }() }, errkind.Draining),
 	)
 
+	It("checks again before hand-over, as the process may have been paused while the request was queued", func() {
+		running := h.start(call("/wait", "running"))
+		Eventually(arrived).Should(Receive())
+		queued := h.start(call("/book", "queued"))
+		Eventually(func() int64 { return h.server.Status().GetQueued() }).Should(BeEquivalentTo(1))
+		h.config.fail()
+		close(gate)
+		Expect(queued.finish()).To(Equal(answerOf{kind: errkind.ConfigStale, refused: true}))
+		Expect(running.finish().kind).To(Equal(errkind.None))
+		Expect(executed.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("refuses at once what the queue cannot hold", func() {
 		running := h.start(call("/wait", "running"))
 		Eventually(arrived).Should(Receive())
