Number model orders when they are sent, and read an answer to its end

Cause: an engine compares fencing numbers over all models, so a number taken earlier than it was sent could be refused as old; and a request's KV cache was released before the engine ended the response. Ruled out: one number for each model, because the engine's order is global. Conclusion: a refused number is followed by a higher one at the next read of the engine's state.

--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -158,6 +158,8 @@
 			if result.OutputTokens == 0 {
 				result.OutputTokens = counted
 			}
+			// The engine frees the request's memory before it ends the response.
+			_, _ = io.Copy(io.Discard, r)
 			return result, nil
 		}
 		chunk, err := result.add(data)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -49,6 +49,7 @@
 	MemoryUsedMB  int64        `json:"memory_used_mb"`
 	HighWaterMB   int64        `json:"high_water_mb"`
 	Running       int          `json:"running"`
+	Waiting       int          `json:"waiting"` // taken but not in the batch yet; may hold memory too
 	Models        []ModelState `json:"models"`
 	Adapters      []string     `json:"adapters"`
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -76,7 +76,7 @@
 	Incarnation string
 	TotalMB     int64
 	UsedMB      int64
-	Running     int
+	Running     int // running or waiting in the engine
 	Models      map[string]int64
 	Adapters    map[string]int64
 }
@@ -202,6 +202,13 @@
 	return nil
 }
 
+// fencingStep is how far the fencing number rises after the engine refused one as old, which happens when an
+// earlier process took its first number from a clock that was ahead: over an hour in microseconds.
+const fencingStep = 1 << 32
+
+// OrderRefused notes that the engine refused an order's fencing number as old.
+func (l *Ledger) OrderRefused() { l.fencing += fencingStep }
+
 // SeenRun notes that a part of the answer arrived, which shows that the engine runs the request.
 func (l *Ledger) SeenRun(id string) {
 	r, ok := l.running[id]
--- a/internal/sidecar/residency.go
+++ b/internal/sidecar/residency.go
@@ -31,8 +31,7 @@
 type residency struct {
 	state     string // as last reported; empty if not reported
 	memoryMB  int64
-	wanted    bool // a load order of the planner is not yet confirmed
-	fencing   uint64
+	wanted    bool      // a load order of the planner is not yet confirmed
 	sentAt    time.Time // zero if the load order is still to be sent
 	tries     int
 	unloadAt  time.Time // of the last unload order
@@ -120,7 +119,7 @@
 	}
 	s.ramp.Incarnation(state.Incarnation)
 	report := ledger.EngineState{
-		Incarnation: state.Incarnation, TotalMB: state.MemoryTotalMB, UsedMB: state.MemoryUsedMB, Running: state.Running,
+		Incarnation: state.Incarnation, TotalMB: state.MemoryTotalMB, UsedMB: state.MemoryUsedMB, Running: state.Running + state.Waiting,
 		Models: make(map[string]int64), Adapters: make(map[string]int64),
 	}
 	for _, r := range s.models {
@@ -128,7 +127,7 @@
 	}
 	for _, m := range state.Models {
 		r := s.residency(m.Name)
-		r.state, r.memoryMB = m.State, m.MemoryMB
+		r.state = m.State
 		if m.State != stateUnavailable {
 			report.Models[m.Name] = m.MemoryMB
 		}
@@ -216,27 +215,32 @@
 	return n
 }
 
-// sendLoad sends the load order. A repeat has a new fencing number and the same reservation.
+// sendLoad sends the load order with a new fencing number. The reservation is the one made when the
+// planner's order was taken.
 func (s *Server) sendLoad(ctx context.Context, name string, r *residency) {
 	s.mu.Lock()
-	var err error
-	if !r.sentAt.IsZero() {
-		r.fencing, err = s.ledger.Load(time.Now(), name, r.memoryMB)
-	}
+	now := time.Now()
+	fencing, err := s.ledger.Load(now, name, r.memoryMB)
 	r.tries++
-	r.sentAt = time.Now()
+	r.sentAt = now
 	if r.tries > maxLoadTries {
 		// An unload order ends the attempt: an engine that checks orders then refuses the late ones.
 		r.wanted, r.leaving = false, true
 		err = errkind.New(errkind.BackendFailed, "%d load orders had no effect", maxLoadTries)
 	}
-	fencing, mb := r.fencing, r.memoryMB
+	mb := r.memoryMB
 	s.mu.Unlock()
 	if err != nil {
 		s.log.Warn("placement", "model", name, "choice", "load not ordered", "reason", err.Error())
 		return
 	}
 	taken, err := s.engine.Load(ctx, name, fencing, mb)
+	if err == nil && !taken {
+		s.mu.Lock()
+		s.ledger.OrderRefused()
+		r.sentAt = time.Time{}
+		s.mu.Unlock()
+	}
 	s.log.Info("placement", "model", name, "choice", "load ordered", "fencing_number", fencing, "memory_mb", mb,
 		"taken", taken, "reason", "order of the planner", "error", err)
 }
@@ -262,11 +266,15 @@
 		s.dropAdapter(ctx, a)
 	}
 	taken, err := s.engine.Unload(ctx, name, fencing)
-	if taken {
-		s.mu.Lock()
+	s.mu.Lock()
+	switch {
+	case taken:
 		s.ledger.UnloadTaken(name, fencing)
-		s.mu.Unlock()
+	case err == nil:
+		s.ledger.OrderRefused()
+		r.unloadAt = time.Time{}
 	}
+	s.mu.Unlock()
 	s.log.Info("placement", "model", name, "choice", "unload ordered", "fencing_number", fencing, "taken", taken,
 		"reason", "order of the planner", "error", err)
 }
@@ -324,12 +332,11 @@
 	case ok && (r.wanted || r.state == stateReady):
 		return nil
 	}
-	fencing, err := s.ledger.Load(time.Now(), model.Name, model.MemoryMB)
-	if err != nil {
+	if _, err := s.ledger.Load(time.Now(), model.Name, model.MemoryMB); err != nil {
 		return err
 	}
 	r = s.residency(model.Name)
-	r.wanted, r.fencing, r.memoryMB, r.sentAt, r.tries = true, fencing, model.MemoryMB, time.Time{}, 0
+	r.wanted, r.memoryMB, r.sentAt, r.tries = true, model.MemoryMB, time.Time{}, 0
 	s.wake()
 	return nil
 }
