Send no last frame on a stream that broke within a frame

Cause: a cancelled write can end within a frame, and an End frame after it would be read as the rest of that frame. Also splits the ledger's property into steps. Conclusion: the gateway sees a closed stream without an explicit end, which is not a whole answer.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -150,83 +150,120 @@
 	return r
 }
 
+// memoryModel drives a ledger and a model engine by drawn steps.
+type memoryModel struct {
+	t      *rapid.T
+	checks bool
+	engine *modelEngine
+	ledger *Ledger
+	late   []order
+	mark   Mark
+	report *EngineState
+	now    time.Time
+	runs   int
+}
+
+// send executes an order, or keeps it to arrive late, or both.
+func (m *memoryModel) send(o order) bool {
+	o.sent = m.now
+	fate := rapid.IntRange(0, 2).Draw(m.t, "fate")
+	if fate > 0 {
+		m.late = append(m.late, o)
+	}
+	return fate < 2 && m.engine.execute(o)
+}
+
+func (m *memoryModel) load(model string) {
+	mb := 30 + 10*int64(model[1]-'0')
+	if fencing, err := m.ledger.Load(m.now, model, mb); err == nil {
+		m.send(order{load: true, model: model, fencing: fencing, mb: mb})
+	}
+}
+
+func (m *memoryModel) unload(model string) {
+	fencing := m.ledger.Unload(model)
+	if m.send(order{model: model, fencing: fencing}) {
+		m.ledger.UnloadTaken(model, fencing)
+	}
+}
+
+// deliverLate executes an order again or late. Without fencing, an order arrives only within its life.
+func (m *memoryModel) deliverLate() {
+	if len(m.late) == 0 {
+		return
+	}
+	o := m.late[rapid.IntRange(0, len(m.late)-1).Draw(m.t, "late")]
+	if m.checks || m.now.Sub(o.sent) < life {
+		m.engine.execute(o)
+	}
+}
+
+func (m *memoryModel) askReport() {
+	m.mark = m.ledger.Begin(m.now)
+	r := m.engine.report()
+	m.report = &r
+}
+
+func (m *memoryModel) takeReport() {
+	if m.report != nil {
+		m.ledger.Observe(m.mark, *m.report)
+		m.report = nil
+	}
+}
+
+func (m *memoryModel) startRun() {
+	m.runs++
+	id := fmt.Sprint(m.runs)
+	mb := rapid.Int64Range(1, 40).Draw(m.t, "kv")
+	if m.ledger.StartRun(id, mb) == nil {
+		m.engine.kv[id] = mb
+		m.engine.high = max(m.engine.high, m.engine.used())
+	}
+}
+
+// endRun ends one run; the engine may go on with one that was cut.
+func (m *memoryModel) endRun() {
+	for _, id := range slices.Sorted(maps.Keys(m.ledger.running)) {
+		m.ledger.SeenRun(id)
+		if rapid.Bool().Draw(m.t, "continues") {
+			continue
+		}
+		whole := rapid.Bool().Draw(m.t, "whole")
+		m.ledger.EndRun(id, whole)
+		if whole || rapid.Bool().Draw(m.t, "stopped") {
+			delete(m.engine.kv, id)
+		}
+		return
+	}
+}
+
+func (m *memoryModel) passTime() {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 6).Draw(m.t, "seconds")) * time.Second)
+	for id := range m.engine.kv {
+		if _, live := m.ledger.running[id]; !live {
+			delete(m.engine.kv, id)
+		}
+	}
+}
+
 // Guards against overcommitted memory when orders are lost, late or doubled.
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		checks := rapid.Bool().Draw(t, "checks")
-		e := &modelEngine{checks: checks, models: map[string]int64{}, kv: map[string]int64{}}
-		l := New(Options{TotalMB: 100, ChecksOrders: checks, OrderLife: life})
-		var late []order
-		var mark Mark
-		var report *EngineState
-		now, runs := t0, 0
-		send := func(o order) bool {
-			o.sent = now
-			fate := rapid.IntRange(0, 2).Draw(t, "fate")
-			if fate > 0 {
-				late = append(late, o)
-			}
-			return fate < 2 && e.execute(o)
+		m := &memoryModel{
+			t: t, checks: checks, now: t0,
+			engine: &modelEngine{checks: checks, models: map[string]int64{}, kv: map[string]int64{}},
+			ledger: New(Options{TotalMB: 100, ChecksOrders: checks, OrderLife: life}),
 		}
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			model := fmt.Sprint("m", rapid.IntRange(0, 3).Draw(t, "model"))
-			switch rapid.IntRange(0, 8).Draw(t, "action") {
-			case 0, 1:
-				mb := 30 + 10*int64(model[1]-'0')
-				if fencing, err := l.Load(now, model, mb); err == nil {
-					send(order{load: true, model: model, fencing: fencing, mb: mb})
-				}
-			case 2:
-				fencing := l.Unload(model)
-				if send(order{model: model, fencing: fencing}) {
-					l.UnloadTaken(model, fencing)
-				}
-			case 3:
-				if len(late) > 0 {
-					i := rapid.IntRange(0, len(late)-1).Draw(t, "late")
-					if checks || now.Sub(late[i].sent) < life {
-						e.execute(late[i])
-					}
-				}
-			case 4:
-				mark = l.Begin(now)
-				r := e.report()
-				report = &r
-			case 5:
-				if report != nil {
-					l.Observe(mark, *report)
-					report = nil
-				}
-			case 6:
-				runs++
-				id := fmt.Sprint(runs)
-				if mb := rapid.Int64Range(1, 40).Draw(t, "kv"); l.StartRun(id, mb) == nil {
-					e.kv[id] = mb
-					e.high = max(e.high, e.used())
-				}
-			case 7:
-				for _, id := range slices.Sorted(maps.Keys(l.running)) {
-					l.SeenRun(id)
-					if rapid.Bool().Draw(t, "continues") {
-						continue
-					}
-					whole := rapid.Bool().Draw(t, "whole")
-					l.EndRun(id, whole)
-					if whole || rapid.Bool().Draw(t, "stopped") {
-						delete(e.kv, id)
-					}
-					break
-				}
-			case 8:
-				now = now.Add(time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second)
-				for id := range e.kv {
-					if _, live := l.running[id]; !live {
-						delete(e.kv, id)
-					}
-				}
+			steps := []func(){
+				func() { m.load(model) }, func() { m.load(model) }, func() { m.unload(model) },
+				m.deliverLate, m.askReport, m.takeReport, m.startRun, m.endRun, m.passTime,
 			}
-			if e.high > 100 {
-				t.Fatalf("the engine's high-water mark is %d MB of 100 MB", e.high)
+			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "action")]()
+			if m.engine.high > 100 {
+				t.Fatalf("the engine's high-water mark is %d MB of 100 MB", m.engine.high)
 			}
 		}
 	})
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -32,6 +32,7 @@
 	started   bool // guarded by the server's lock
 	startedAt time.Time
 	sequence  uint64
+	broken    error // of the first chunk that could not be sent
 	tokens    int64
 }
 
@@ -179,17 +180,29 @@
 	delete(s.tasks, t.item)
 }
 
-// send sends the next chunk of the answer.
+// send sends the next chunk of the answer. After an error the stream may end within a frame, so nothing more
+// is sent on it.
 func (t *task) send(c *wirepb.Chunk) error {
+	if t.broken != nil {
+		return t.broken
+	}
 	t.sequence++
 	c.RequestId, c.Attempt, c.Sequence = t.submit.GetRequestId(), t.submit.GetAttempt(), t.sequence
-	return t.stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Chunk{Chunk: c}})
+	t.broken = t.stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Chunk{Chunk: c}})
+	return t.broken
 }
 
-// end sends the last frame.
+// end sends the last frame, unless the stream is broken.
 func (s *Server) end(t *task, o outcome) {
-	_ = t.stream.SetWriteDeadline(time.Now().Add(endTimeout))
 	kind := errkind.Of(o.err)
+	s.countEnd(kind)
+	if t.broken == nil {
+		s.sendEnd(t, o, kind)
+	}
+}
+
+func (s *Server) sendEnd(t *task, o outcome, kind errkind.Kind) {
+	_ = t.stream.SetWriteDeadline(time.Now().Add(endTimeout))
 	detail := ""
 	var typed *errkind.Error
 	if errors.As(o.err, &typed) {
@@ -209,7 +222,6 @@
 			Status: s.Status(), Replayed: o.replayed,
 		}}}
 	}
-	s.countEnd(kind)
 	err := t.stream.Send(frame)
 	s.log.Debug("request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "kind", kind.String(),
 		"handed_over", !o.notRun, "detail", detail, "send_error", err)
