--- /dev/null
+++ b/internal/callers/body.go
@@ -0,0 +1,163 @@
+package callers
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"time"
+	"unicode/utf8"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+const (
+	// bytesPerToken is the usual ratio for text, and is only used for estimates.
+	bytesPerToken = 4
+	// messageTokens is the overhead of one message in a prompt, tokens.
+	messageTokens = 4
+	// prefixBytes of the messages identify a prompt prefix.
+	prefixBytes = 1024
+	// maxTokenCount bounds every token count that a caller may write.
+	maxTokenCount = 1 << 24
+)
+
+// readBody reads the body within its size and time bounds.
+func (s *Server) readBody(x *exchange) ([]byte, error) {
+	_ = x.control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.opts.MaxBody))
+	// Without a deadline the server notices when the caller goes away while the request runs.
+	_ = x.control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.BodyTooLarge, "more than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "the body did not arrive whole and in time")
+	}
+	return body, nil
+}
+
+// chatRequest is the part of a chat-completions request that the gateway reads.
+type chatRequest struct {
+	model        string
+	stream       bool
+	includeUsage bool
+	maxTokens    int64 // 0 if the caller named none
+	promptTokens int64 // estimate
+	prefixHash   string
+	fields       map[string]json.RawMessage
+}
+
+// parseChat checks the body. The error is BadRequest and says which field is wrong.
+func parseChat(body []byte) (*chatRequest, error) {
+	if !utf8.Valid(body) {
+		return nil, errkind.New(errkind.BadRequest, "the body is not valid UTF-8")
+	}
+	c := new(chatRequest)
+	if err := json.Unmarshal(body, &c.fields); err != nil || c.fields == nil {
+		return nil, errkind.New(errkind.BadRequest, "the body is not a JSON object")
+	}
+	if err := c.read(); err != nil {
+		return nil, errkind.New(errkind.BadRequest, "%s", err)
+	}
+	return c, nil
+}
+
+func (c *chatRequest) read() error {
+	if err := c.field("model", &c.model, "a string"); err != nil {
+		return err
+	}
+	if c.model == "" {
+		return errors.New("model is missing")
+	}
+	if err := c.field("stream", &c.stream, "true or false"); err != nil {
+		return err
+	}
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if err := c.field("stream_options", &options, "an object"); err != nil {
+		return err
+	}
+	c.includeUsage = options.IncludeUsage
+	n := int64(1)
+	if err := c.field("n", &n, "a whole number"); err != nil {
+		return err
+	}
+	if n != 1 {
+		return errors.New("n must be 1")
+	}
+	if err := c.readMaxTokens(); err != nil {
+		return err
+	}
+	return c.readMessages()
+}
+
+func (c *chatRequest) field(name string, into any, what string) error {
+	raw, ok := c.fields[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("%s must be %s", name, what)
+	}
+	return nil
+}
+
+func (c *chatRequest) readMaxTokens() error {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		var count *int64
+		if err := c.field(name, &count, "a whole number"); err != nil {
+			return err
+		}
+		if count == nil {
+			continue
+		}
+		if *count < 1 || *count > maxTokenCount {
+			return fmt.Errorf("%s must be from 1 to %d", name, maxTokenCount)
+		}
+		c.maxTokens = *count
+	}
+	return nil
+}
+
+func (c *chatRequest) readMessages() error {
+	var messages []json.RawMessage
+	if err := c.field("messages", &messages, "a list of messages"); err != nil {
+		return err
+	}
+	if len(messages) == 0 {
+		return errors.New("messages is missing or empty")
+	}
+	for i, raw := range messages {
+		var m struct {
+			Role *string `json:"role"`
+		}
+		if err := json.Unmarshal(raw, &m); err != nil || m.Role == nil || *m.Role == "" {
+			return fmt.Errorf("messages[%d] must be an object with a role", i)
+		}
+	}
+	text := c.fields["messages"]
+	c.promptTokens = int64(len(text)/bytesPerToken + messageTokens*len(messages))
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.model))
+	_, _ = h.Write(text[:min(len(text), prefixBytes)])
+	c.prefixHash = fmt.Sprintf("%016x", h.Sum64())
+	return nil
+}
+
+// encode returns the body for the engine. It is written anew, so that a field that the caller gave twice
+// has one meaning, and it names the output tokens that were reserved.
+func (c *chatRequest) encode(maxTokens int64) ([]byte, error) {
+	c.fields["max_tokens"] = fmt.Appendf(nil, "%d", maxTokens)
+	delete(c.fields, "max_completion_tokens")
+	var b bytes.Buffer
+	if err := json.NewEncoder(&b).Encode(c.fields); err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "encode the body")
+	}
+	return bytes.TrimSpace(b.Bytes()), nil
+}
--- /dev/null
+++ b/internal/callers/refuse.go
@@ -0,0 +1,121 @@
+package callers
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/gateway"
+)
+
+func newRequestID() string { return uuid.NewString() }
+
+// apiError is the API's error form.
+type apiError struct {
+	Error apiErrorBody `json:"error"`
+}
+
+type apiErrorBody struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Code    string  `json:"code"`
+	Param   *string `json:"param"`
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// describe returns the table row of err and the API's error form of it.
+func describe(x *exchange, err error) (errkind.Answer, apiError) {
+	answer := errkind.Of(err).Answer()
+	message := answer.Text
+	var e *errkind.Error
+	if errors.As(err, &e) && e.Detail != "" && e.Detail != message {
+		message += ": " + e.Detail
+	}
+	if x.secret != "" {
+		message = strings.ReplaceAll(message, x.secret, "[key]")
+	}
+	return answer, apiError{Error: apiErrorBody{Message: message, Type: errorType(answer.HTTPStatus), Code: answer.Code}}
+}
+
+// retryAfterer is implemented by errors that know when a repeat may succeed.
+type retryAfterer interface {
+	RetryAfter() time.Duration
+}
+
+func retryAfter(answer errkind.Answer, result gateway.Result, err error) time.Duration {
+	if answer.RetryAfter == 0 {
+		return 0
+	}
+	var hint retryAfterer
+	if errors.As(err, &hint) && hint.RetryAfter() > 0 {
+		return hint.RetryAfter()
+	}
+	if result.RetryAfter > 0 {
+		return result.RetryAfter
+	}
+	return answer.RetryAfter
+}
+
+// ranOf returns what is known about the execution: the gateway's knowledge over all attempts where there
+// is some, else the table's row.
+func ranOf(answer errkind.Answer, result gateway.Result) errkind.Ran {
+	if result.Ran == "" {
+		return answer.Ran
+	}
+	if result.Ran == errkind.RanNo {
+		return answer.Ran
+	}
+	return result.Ran
+}
+
+// refuse answers with the table row of err.
+func (s *Server) refuse(x *exchange, result gateway.Result, err error) {
+	answer, body := describe(x, err)
+	s.note(x, result, err)
+	h := x.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Pomelo-Ran", string(ranOf(answer, result)))
+	if wait := retryAfter(answer, result, err); wait > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	_ = x.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	x.w.WriteHeader(answer.HTTPStatus)
+	_ = json.NewEncoder(x.w).Encode(body)
+}
+
+// note counts and logs an error answer.
+func (s *Server) note(x *exchange, result gateway.Result, err error) {
+	kind := errkind.Of(err)
+	s.opts.Gateway.Refused(kind)
+	text := err.Error()
+	if x.secret != "" {
+		text = strings.ReplaceAll(text, x.secret, "[key]")
+	}
+	level := slog.LevelDebug
+	if !kind.NotRun() && kind != errkind.CallerCancelled {
+		level = slog.LevelWarn
+	}
+	s.opts.Log.Log(x.r.Context(), level, "request failed", "request", x.id, "kind", kind.String(),
+		"ran", string(ranOf(kind.Answer(), result)), "attempts", result.Attempts, "error", text)
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"expvar"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+// Metrics holds the counters of a gateway. The names in Vars are documented there.
+type Metrics struct {
+	requests  expvar.Int
+	retries   expvar.Int
+	resumes   expvar.Int
+	decisions expvar.Int
+	refusals  expvar.Map
+}
+
+func newMetrics() *Metrics {
+	m := new(Metrics)
+	m.refusals.Init()
+	return m
+}
+
+// Refused counts an answer of an error kind to a caller.
+func (g *Gateway) Refused(k errkind.Kind) { g.metrics.refusals.Add(k.String(), 1) }
+
+// Vars returns the metrics of the gateway for expvar:
+//
+//	requests            requests that were admitted
+//	refusals            error answers to callers by kind
+//	retries             attempts after the first
+//	resumes             attempts that continued a broken stream
+//	in_flight           running requests
+//	routing_decisions   choices of a backend server
+//	config_version      head version of the configuration copy
+//	sidecars_known      sidecars with a status
+//	status_poll_failures, protocol_errors
+func (g *Gateway) Vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("requests", &g.metrics.requests)
+	m.Set("refusals", &g.metrics.refusals)
+	m.Set("retries", &g.metrics.retries)
+	m.Set("resumes", &g.metrics.resumes)
+	m.Set("routing_decisions", &g.metrics.decisions)
+	m.Set("in_flight", expvar.Func(func() any { return g.InFlight() }))
+	m.Set("config_version", expvar.Func(func() any { return g.opts.Config.Snapshot().Version() }))
+	m.Set("sidecars_known", expvar.Func(func() any { return g.opts.Sidecars.Known() }))
+	m.Set("status_poll_failures", expvar.Func(func() any { return g.opts.Sidecars.PollFailures() }))
+	m.Set("protocol_errors", expvar.Func(func() any { return g.opts.Sidecars.ProtocolErrors() }))
+	return m
+}
--- /dev/null
+++ b/internal/gateway/model.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/route"
+	"github.com/pomelowheel/pomelowheel/internal/wire"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// ModelCall is one call of a model. It carries no key.
+type ModelCall struct {
+	RequestID       string
+	Arrived         time.Time
+	Model           string
+	PromptTokens    int64 // estimate
+	MaxOutputTokens int64
+	Stream          bool
+	PrefixHash      string
+	HTTP            *wirepb.HTTPRequest
+}
+
+// TextSink takes generated text in order.
+type TextSink func(text string) error
+
+// OutputTokens returns the largest number of output tokens for a call that asks for asked tokens, or for
+// the default if asked is 0. The error is BadRequest if the profile allows fewer.
+func (p *Principal) OutputTokens(asked int64) (int64, error) {
+	limit := p.Profile.MaxOutputTokens
+	switch {
+	case asked < 0:
+		return 0, errkind.New(errkind.BadRequest, "a negative number of output tokens")
+	case asked > limit:
+		return 0, errkind.New(errkind.BadRequest, "%d output tokens exceed the %d that profile %s allows", asked, limit, p.Profile.Name)
+	case asked == 0:
+		return limit, nil
+	}
+	return asked, nil
+}
+
+// Model returns the configuration of a model of the principal's service, or ModelUnknown.
+func (p *Principal) Model(name string) (config.Model, error) {
+	m, ok := p.Snapshot.Model(name)
+	if !ok || m.Service != p.Service.Name {
+		return config.Model{}, errkind.New(errkind.ModelUnknown, "service %s has no model %q", p.Service.Name, name)
+	}
+	return m, nil
+}
+
+// RunModel runs a model call and passes its text to sink.
+func (g *Gateway) RunModel(ctx context.Context, p *Principal, call ModelCall, sink TextSink) (Result, error) {
+	model, err := p.Model(call.Model)
+	if err != nil {
+		return Result{Ran: errkind.RanNo}, err
+	}
+	ctx, end := g.begin(ctx, p, call.Arrived)
+	defer end()
+	g.metrics.requests.Add(1)
+	reserved := call.PromptTokens + call.MaxOutputTokens
+	reservation, err := g.reserve(ctx, p, call.RequestID, reserved)
+	if err != nil {
+		return Result{Ran: errkind.RanNo}, err
+	}
+	to := &modelReceiver{g: g, sink: sink}
+	d := &dispatch{
+		g: g, p: p, to: to,
+		submit: &wirepb.Submit{
+			RequestId: call.RequestID, Organisation: p.Organisation.Name, KeyId: p.KeyID,
+			ConfigVersion: p.Snapshot.Version(), Service: p.Service.Name, Profile: p.Profile.Name,
+			Model: model.Name, PromptTokens: call.PromptTokens, MaxOutputTokens: call.MaxOutputTokens,
+			Stream: call.Stream, Http: call.HTTP, PrefixHash: call.PrefixHash, Repeatable: true,
+		},
+		route: route.Request{
+			Service: p.Service.Name, Model: model.Name, Base: model.Base, DataCentre: g.opts.DataCentre,
+			PrefixHash: call.PrefixHash, OutCentres: g.out(p.Snapshot), Count: g.opts.ProbeCount,
+		},
+	}
+	err = d.run(ctx)
+	d.result.OutputTokens = to.tokens
+	if d.result.PromptTokens == 0 {
+		d.result.PromptTokens = call.PromptTokens
+	}
+	settle(reservation, reserved, d)
+	return d.result, err
+}
+
+func (g *Gateway) reserve(ctx context.Context, p *Principal, requestID string, tokens int64) (Reservation, error) {
+	if p.KeyID == "" {
+		return NoLimit{}, nil // an open route has no organisation to charge
+	}
+	return g.opts.Limiter.Reserve(ctx, requestID, p.Organisation, tokens)
+}
+
+// settle refunds what the request did not use. A request with an unknown outcome is charged in full,
+// because the tokens that it used cannot be known.
+func settle(r Reservation, reserved int64, d *dispatch) {
+	var unused int64
+	switch {
+	case d.ended:
+		unused = reserved - d.result.PromptTokens - d.result.OutputTokens
+	case d.result.Ran == errkind.RanNo:
+		unused = reserved
+	}
+	if unused > 0 {
+		r.Refund(unused)
+	}
+}
+
+// modelReceiver delivers generated text and remembers it, so that another replica can continue it.
+type modelReceiver struct {
+	g      *Gateway
+	sink   TextSink
+	tokens int64
+	text   strings.Builder
+}
+
+func (m *modelReceiver) chunk(c *wirepb.Chunk) error {
+	m.tokens += c.GetTokens()
+	m.text.WriteString(c.GetText())
+	if c.GetText() == "" {
+		return nil
+	}
+	return m.sink(c.GetText())
+}
+
+// resumeRoom is kept free in a frame for its other fields, bytes.
+const resumeRoom = 64 << 10
+
+func (m *modelReceiver) prepare(s *wirepb.Submit) bool {
+	if m.text.Len()+len(s.GetHttp().GetBody())+resumeRoom > wire.MaxFrameBytes {
+		return false
+	}
+	if m.tokens > 0 {
+		m.g.metrics.resumes.Add(1)
+	}
+	s.ResumeOffset = m.tokens
+	s.ResumeText = m.text.String()
+	return true
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/route"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// PlainCall is one call of a plain service. It carries no key.
+type PlainCall struct {
+	RequestID      string
+	Arrived        time.Time
+	IdempotencyKey string
+	HTTP           *wirepb.HTTPRequest
+}
+
+// PlainSink takes the response of a plain service.
+type PlainSink interface {
+	// Head takes the status and the header fields. It is called once, before Data.
+	Head(status int, headers []*wirepb.Header) error
+	// Data takes the next bytes of the body.
+	Data(b []byte) error
+}
+
+// RunPlain runs a call of a plain service and passes its response to sink.
+func (g *Gateway) RunPlain(ctx context.Context, p *Principal, call PlainCall, sink PlainSink) (Result, error) {
+	ctx, end := g.begin(ctx, p, call.Arrived)
+	defer end()
+	g.metrics.requests.Add(1)
+	d := &dispatch{
+		g: g, p: p, to: &plainReceiver{sink: sink},
+		submit: &wirepb.Submit{
+			RequestId: call.RequestID, Organisation: p.Organisation.Name, KeyId: p.KeyID,
+			ConfigVersion: p.Snapshot.Version(), Service: p.Service.Name, Profile: p.Profile.Name,
+			Http: call.HTTP, IdempotencyKey: call.IdempotencyKey,
+			Repeatable: p.Service.Repeatable(call.HTTP.GetMethod()),
+		},
+		route: route.Request{
+			Service: p.Service.Name, Plain: true, DataCentre: g.opts.DataCentre,
+			OutCentres: g.out(p.Snapshot), Count: g.opts.ProbeCount,
+		},
+	}
+	err := d.run(ctx)
+	return d.result, err
+}
+
+type plainReceiver struct {
+	sink    PlainSink
+	started bool
+}
+
+func (r *plainReceiver) chunk(c *wirepb.Chunk) error {
+	if !r.started {
+		r.started = true
+		if err := r.sink.Head(int(c.GetHttpStatus()), c.GetHeaders()); err != nil {
+			return err
+		}
+	}
+	if len(c.GetData()) == 0 {
+		return nil
+	}
+	return r.sink.Data(c.GetData())
+}
+
+// prepare refuses another attempt once a part of the response went to the caller, because the bytes of
+// two executions cannot be joined.
+func (r *plainReceiver) prepare(*wirepb.Submit) bool { return !r.started }
--- /dev/null
+++ b/internal/sidecars/poll.go
@@ -0,0 +1,126 @@
+package sidecars
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+const (
+	// dropAfter failed polls in a row the session is closed. Its conversations then break and may
+	// resume elsewhere, which is how a dead or frozen host is noticed without keep-alive.
+	dropAfter = 3
+	// forgetAfter is the time without an answer after which an unlisted sidecar is forgotten.
+	forgetAfter = time.Minute
+	// maxPolls bounds the polls at once.
+	maxPolls = 64
+)
+
+type pollState struct {
+	failures int
+	running  bool
+	last     time.Time // last answer, or first sight
+}
+
+// Run polls the status of every known sidecar until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	slots := make(chan struct{}, maxPolls)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ticker := time.NewTicker(c.opts.StatusInterval)
+	defer ticker.Stop()
+	for {
+		for _, address := range c.due() {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			wg.Go(func() {
+				defer func() { <-slots }()
+				c.poll(ctx, address)
+			})
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// due returns the sidecars to poll now and forgets those that left the lists and do not answer.
+func (c *Client) due() []string {
+	listed := make(map[string]bool)
+	for _, a := range c.opts.Static {
+		listed[a] = true
+	}
+	if c.opts.HostList != nil {
+		for _, a := range c.opts.HostList.Sidecars() {
+			listed[a] = true
+		}
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a := range listed {
+		if c.polling[a] == nil {
+			c.polling[a] = &pollState{last: now}
+		}
+	}
+	var addresses []string
+	for a, s := range c.polling {
+		if !listed[a] && now.Sub(s.last) > forgetAfter {
+			delete(c.polling, a)
+			delete(c.statuses, a)
+			c.table.Remove(a)
+			continue
+		}
+		r, known := c.table.Get(a)
+		// A status that came with a reply makes the poll of this round unnecessary.
+		if s.running || (known && now.Sub(r.At) < c.opts.StatusInterval/2) {
+			continue
+		}
+		s.running = true
+		addresses = append(addresses, a)
+	}
+	return addresses
+}
+
+func (c *Client) poll(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StatusInterval)
+	defer cancel()
+	at := time.Now()
+	reply, err := c.Ask(ctx, address, &wirepb.Envelope{Message: &wirepb.Envelope_StatusRequest{
+		StatusRequest: &wirepb.StatusRequest{Identity: c.opts.Identity}}})
+	if err == nil && reply.GetStatus() != nil {
+		c.Update(address, reply.GetStatus(), at)
+		c.polled(address, true)
+		return
+	}
+	c.pollFailures.Add(1)
+	c.opts.Log.Debug("status poll failed", "sidecar", address, "error", err)
+	if c.polled(address, false) {
+		c.opts.Pool.Drop(address)
+	}
+}
+
+// polled records the outcome of a poll and reports whether the session is to be dropped.
+func (c *Client) polled(address string, ok bool) (drop bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.polling[address]
+	if s == nil {
+		return false
+	}
+	s.running = false
+	if ok {
+		s.failures = 0
+		s.last = time.Now()
+		return false
+	}
+	s.failures++
+	return s.failures%dropAfter == 0
+}
