--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -64,8 +64,8 @@
 }
 
 func retryAfter(answer errkind.Answer, result gateway.Result, err error) time.Duration {
-	if answer.RetryAfter == 0 {
-		return 0
+	if answer.RetryAfter == 0 || (answer.Ran == errkind.RanNo && ranOf(answer, result) != errkind.RanNo) {
+		return 0 // no repeat is advised to a caller whose request may have run
 	}
 	var hint retryAfterer
 	if errors.As(err, &hint) && hint.RetryAfter() > 0 {
@@ -77,15 +77,12 @@
 	return answer.RetryAfter
 }
 
-// ranOf returns what is known about the execution: the gateway's knowledge over all attempts where there
-// is some, else the table's row.
+// ranOf returns what is known about the execution. The gateway's knowledge over all attempts outweighs
+// the table's row: the last of several attempts may have been refused after an earlier one ran.
 func ranOf(answer errkind.Answer, result gateway.Result) errkind.Ran {
 	if result.Ran == "" {
 		return answer.Ran
 	}
-	if result.Ran == errkind.RanNo {
-		return answer.Ran
-	}
 	return result.Ran
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -44,6 +44,7 @@
 	to     receiver
 	result Result
 	ended  bool // an End frame closed the request, so its token count is known
+	handed bool // the last attempt was handed to the backend server, whatever kind its error has
 }
 
 // run makes attempts within the retry budget, the attempt limit and the deadline of ctx.
@@ -100,6 +101,9 @@
 	if kind.NotRun() {
 		answer := kind.Answer()
 		another := answer.Retry == errkind.RetryAnother || kind == errkind.ConfigStale || kind == errkind.NotReady
+		if d.handed && !d.submit.GetRepeatable() {
+			return false
+		}
 		return another && d.to.prepare(d.submit)
 	}
 	switch kind {
@@ -121,6 +125,7 @@
 	}
 	d.submit.Attempt = uint32(d.result.Attempts)
 	d.submit.DeadlineMs = left
+	d.handed = false
 	v, err := d.g.opts.Sidecars.Submit(ctx, address, d.submit)
 	if err != nil {
 		if !errkind.Of(err).NotRun() {
@@ -144,7 +149,7 @@
 
 // ran records what is known about the request over all attempts: yes outweighs unknown, and unknown no.
 func (d *dispatch) ran(r errkind.Ran) {
-	if r == errkind.RanYes || d.result.Ran == errkind.RanNo {
+	if r == errkind.RanYes || (r == errkind.RanUnknown && d.result.Ran == errkind.RanNo) {
 		d.result.Ran = r
 	}
 }
@@ -173,6 +178,9 @@
 func (d *dispatch) end(m *wirepb.End) error {
 	kind := errkind.Kind(m.GetKind())
 	if kind != errkind.None {
+		// End comes only after hand-over, so the request may have run even if the table says otherwise.
+		d.handed = true
+		d.ran(errkind.RanUnknown)
 		d.ran(kind.Answer().Ran)
 		return errkind.New(kind, "%s", m.GetDetail())
 	}
