--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -110,6 +110,16 @@
 		Expect(w.attempts.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("tries another replica when one cannot be reached", func() {
+		w := start(usual, 3, 1, answerWhole)
+		w.client.Update("127.0.0.1:1", &wirepb.Status{Identity: &wirepb.Identity{DataCentre: "gulberg"}, Kind: "model",
+			Service: "brush-assistant", Ready: true, Limit: 160, Resident: []string{"colour-7b"}}, time.Now())
+		for range 8 {
+			_, body := w.do(bg, "POST", chatPath, wholeBody)
+			Expect(body).To(ContainSubstring("red lantern"))
+		}
+	})
+
 	It("makes no retry without a budget", func() {
 		profile := usual
 		profile.RetryBudget = 0
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
@@ -33,6 +34,7 @@
 //	in_flight           running requests
 //	routing_decisions   choices of a backend server
 //	config_version      head version of the configuration copy
+//	config_age_ms       time since the copy was confirmed, if the source knows it
 //	sidecars_known      sidecars with a status
 //	status_poll_failures, protocol_errors
 func (g *Gateway) Vars() *expvar.Map {
@@ -44,6 +46,9 @@
 	m.Set("routing_decisions", &g.metrics.decisions)
 	m.Set("in_flight", expvar.Func(func() any { return g.InFlight() }))
 	m.Set("config_version", expvar.Func(func() any { return g.opts.Config.Snapshot().Version() }))
+	if aged, ok := g.opts.Config.(interface{ Age() time.Duration }); ok {
+		m.Set("config_age_ms", expvar.Func(func() any { return aged.Age().Milliseconds() }))
+	}
 	m.Set("sidecars_known", expvar.Func(func() any { return g.opts.Sidecars.Known() }))
 	m.Set("status_poll_failures", expvar.Func(func() any { return g.opts.Sidecars.PollFailures() }))
 	m.Set("protocol_errors", expvar.Func(func() any { return g.opts.Sidecars.ProtocolErrors() }))
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -24,6 +24,11 @@
 	maxScan = 16
 	// sampleSize random replicas leave a small chance that all of them are loaded.
 	sampleSize = 8
+	// sampleNear of them are in the same data centre if it has so many.
+	sampleNear = 3
+	// sampleTries bounds the search for them. With 7 data centres of equal size, 40 tries meet 3 near
+	// replicas in 9 of 10 cases or more.
+	sampleTries = 40
 	// affinitySize positions of a long list depend only on the prefix, so that every gateway sends a
 	// prefix to the same few replicas.
 	affinitySize = 2
@@ -118,7 +123,9 @@
 			continue
 		}
 		if p == PolicyRoundRobin {
-			t.addNext(now, r, l)
+			if len(t.scratch) == 0 {
+				t.addNext(now, r, l)
+			}
 		} else {
 			t.add(now, r, l, p, rng)
 		}
@@ -155,17 +162,11 @@
 			h = h>>32 | h<<32
 		}
 	}
-	before := len(t.scratch)
-	for range 2 * sampleSize {
-		t.consider(now, r, l.entries[rng.IntN(len(l.entries))])
-		if len(t.scratch)-before >= sampleSize {
-			return
-		}
-	}
-	if len(t.scratch) > before {
+	if t.sample(now, r, l, rng) {
 		return
 	}
 	// The sample met only replicas that cannot take the request, so look at all of them.
+	before := len(t.scratch)
 	for _, e := range l.entries {
 		t.consider(now, r, e)
 		if len(t.scratch)-before >= sampleSize {
@@ -174,6 +175,32 @@
 	}
 }
 
+// sample considers random replicas, and then only those of the same data centre until there are enough
+// of them. It reports whether it found a candidate.
+func (t *Table) sample(now time.Time, r Request, l *list, rng Rand) bool {
+	found, near := 0, 0
+	for range sampleTries {
+		e := l.entries[rng.IntN(len(l.entries))]
+		same := e.DataCentre == r.DataCentre
+		if found >= sampleSize && !same {
+			continue
+		}
+		before := len(t.scratch)
+		t.consider(now, r, e)
+		if len(t.scratch) == before {
+			continue
+		}
+		found++
+		if same {
+			near++
+		}
+		if found >= sampleSize && near >= sampleNear {
+			break
+		}
+	}
+	return found > 0
+}
+
 func (t *Table) addNext(now time.Time, r Request, l *list) {
 	n := len(l.entries)
 	for i := range n {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// Expire makes the figures of a replica stale, so that it is no candidate until it is heard from again.
+func (t *Table) Expire(address string) {
+	if e, ok := t.byAddress[address]; ok {
+		e.At = time.Time{}
+	}
+}
+
 // Start counts a request sent to the replica, Done its end.
 func (t *Table) Start(address string) {
 	if e, ok := t.byAddress[address]; ok {
--- a/internal/sidecars/client.go
+++ b/internal/sidecars/client.go
@@ -116,6 +116,13 @@
 	c.table.Start(address)
 }
 
+// expire keeps a sidecar that cannot be reached out of routing until it answers a poll.
+func (c *Client) expire(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Expire(address)
+}
+
 func (c *Client) done(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -23,7 +23,7 @@
 }
 
 // Certificates holds a certificate that is read again when its files change, so that a renewal needs no
-// restart. A new pair that does not load is ignored until its files change again.
+// restart. A new pair that does not load is left aside and tried again at the next look.
 type Certificates struct {
 	files TLSFiles
 	now   func() time.Time
