--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -110,6 +111,14 @@
 		Expect(w.attempts.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("names the request after the caller's ID, with a part that makes it unique", func() {
+		w := start(usual, 3, 1, answerWhole)
+		r, _ := w.do(bg, "POST", chatPath, wholeBody, "X-Request-Id", "crew-4")
+		Expect(r.Header.Get("X-Request-Id")).To(MatchRegexp(`^crew-4-[0-9a-f]{8}$`))
+		r, _ = w.do(bg, "POST", chatPath, wholeBody, "X-Request-Id", testKey)
+		Expect(r.Header.Get("X-Request-Id")).NotTo(ContainSubstring("lantern"))
+	})
+
 	It("tries another replica when one cannot be reached", func() {
 		w := start(usual, 3, 1, answerWhole)
 		w.client.Update("127.0.0.1:1", &wirepb.Status{Identity: &wirepb.Identity{DataCentre: "gulberg"}, Kind: "model",
@@ -120,6 +129,16 @@
 		}
 	})
 
+	It("advises the wait that the limit's holder gave", func() {
+		w := start(usual, 3, 1, answerWhole)
+		w.limiter.refusal = &gateway.RetryError{Err: errkind.New(errkind.RateLimited, "empty"), After: 6100 * time.Millisecond}
+		r, body := w.do(bg, "POST", chatPath, wholeBody)
+		Expect(r.StatusCode).To(Equal(429))
+		Expect(code(body)).To(Equal("rate_limited"))
+		Expect(r.Header.Get("Retry-After")).To(Equal("7"))
+		Expect(w.attempts.Load()).To(BeZero())
+	})
+
 	It("makes no retry without a budget", func() {
 		profile := usual
 		profile.RetryBudget = 0
--- a/internal/callers/fake_sidecar_test.go
+++ b/internal/callers/fake_sidecar_test.go
@@ -95,9 +95,15 @@
 	return b.text.String()
 }
 
-type countingLimiter struct{ reserved, refunded atomic.Int64 }
+type countingLimiter struct {
+	reserved, refunded atomic.Int64
+	refusal            error
+}
 
 func (l *countingLimiter) Reserve(_ context.Context, _ string, _ config.Organisation, n int64) (gateway.Reservation, error) {
+	if l.refusal != nil {
+		return nil, l.refusal
+	}
 	l.reserved.Add(n)
 	return l, nil
 }
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -16,7 +16,27 @@
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 )
 
-func newRequestID() string { return uuid.NewString() }
+const (
+	maxCallerID = 64
+	uniqueBytes = 8 // of the random part of a request ID, in hex
+)
+
+// newRequestID returns an ID that no other request has. It begins with the caller's own ID if that is
+// short and plain, so that the caller finds the request in the logs.
+func newRequestID(r *http.Request) string {
+	callerID := r.Header.Get("X-Request-Id")
+	unique := uuid.NewString()
+	if callerID == "" || len(callerID) > maxCallerID || carries(callerID, secrets(r)) {
+		return unique
+	}
+	for _, c := range callerID {
+		letter := (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+		if !letter && c != '-' && c != '_' && c != '.' {
+			return unique
+		}
+	}
+	return callerID + "-" + unique[:uniqueBytes]
+}
 
 // apiError is the API's error form.
 type apiError struct {
@@ -58,18 +78,13 @@
 	return answer, apiError{Error: apiErrorBody{Message: message, Type: errorType(answer.HTTPStatus), Code: answer.Code}}
 }
 
-// retryAfterer is implemented by errors that know when a repeat may succeed.
-type retryAfterer interface {
-	RetryAfter() time.Duration
-}
-
 func retryAfter(answer errkind.Answer, result gateway.Result, err error) time.Duration {
 	if answer.RetryAfter == 0 || (answer.Ran == errkind.RanNo && ranOf(answer, result) != errkind.RanNo) {
 		return 0 // no repeat is advised to a caller whose request may have run
 	}
-	var hint retryAfterer
-	if errors.As(err, &hint) && hint.RetryAfter() > 0 {
-		return hint.RetryAfter()
+	var hint *gateway.RetryError
+	if errors.As(err, &hint) && hint.After > 0 {
+		return hint.After
 	}
 	if result.RetryAfter > 0 {
 		return result.RetryAfter
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -91,7 +91,7 @@
 
 func newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	x := &exchange{
-		w: w, r: r, id: newRequestID(), arrived: time.Now(),
+		w: w, r: r, id: newRequestID(r), arrived: time.Now(),
 		secret: bearer(r.Header), control: http.NewResponseController(w),
 	}
 	w.Header().Set("X-Request-Id", x.id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,9 +24,22 @@
 	Confirm(ctx context.Context) error
 }
 
+// RetryError is an error that knows when the same request is likely to succeed.
+type RetryError struct {
+	Err   error
+	After time.Duration
+}
+
+// Error implements error.
+func (e *RetryError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error with its kind.
+func (e *RetryError) Unwrap() error { return e.Err }
+
 // Limiter reserves tokens of an organisation.
 type Limiter interface {
-	// Reserve takes tokens. The error has kind RateLimited, RequestTooLarge or LimitsUnavailable.
+	// Reserve takes tokens. The error has kind RateLimited, RequestTooLarge or LimitsUnavailable; a
+	// RetryError around it sets Retry-After.
 	Reserve(ctx context.Context, requestID string, org config.Organisation, tokens int64) (Reservation, error)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -46,8 +46,14 @@
 	m.Set("routing_decisions", &g.metrics.decisions)
 	m.Set("in_flight", expvar.Func(func() any { return g.InFlight() }))
 	m.Set("config_version", expvar.Func(func() any { return g.opts.Config.Snapshot().Version() }))
-	if aged, ok := g.opts.Config.(interface{ Age() time.Duration }); ok {
-		m.Set("config_age_ms", expvar.Func(func() any { return aged.Age().Milliseconds() }))
+	if aged, ok := g.opts.Config.(interface{ ConfirmedAge() (time.Duration, bool) }); ok {
+		m.Set("config_age_ms", expvar.Func(func() any {
+			age, known := aged.ConfirmedAge()
+			if !known {
+				return nil
+			}
+			return age.Milliseconds()
+		}))
 	}
 	m.Set("sidecars_known", expvar.Func(func() any { return g.opts.Sidecars.Known() }))
 	m.Set("status_poll_failures", expvar.Func(func() any { return g.opts.Sidecars.PollFailures() }))
