Bound the body of refused requests, confirm the configuration again before dispatch, fuzz chat bodies

Cause: after a refusal before the body was read, the server waited without a bound for the rest of it; and a body may take so long to arrive that the configuration copy is no longer confirmed.

Ruled out: reading the body before the key check, since strangers could then hold request slots.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -25,9 +25,8 @@
 	maxTokenCount = 1 << 24
 )
 
-// readBody reads the body within its size and time bounds.
+// readBody reads the body within its size bound and within the time bound that newExchange set.
 func (s *Server) readBody(x *exchange) ([]byte, error) {
-	_ = x.control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.opts.MaxBody))
 	// Without a deadline the server notices when the caller goes away while the request runs.
 	_ = x.control.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/internal/callers/body_test.go
@@ -0,0 +1,36 @@
+package callers
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+// Guards against bodies that stop the process, get past the token bound, or mean something else to the
+// engine than to the gateway.
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":3,"stream":true}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user"}],"max_tokens":3,"max_tokens":1e9,"n":2}`))
+	f.Add([]byte(`{"model":null,"messages":[null],"max_completion_tokens":null,"stream_options":[]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := parseChat(body)
+		if err != nil {
+			if errkind.Of(err) != errkind.BadRequest {
+				t.Fatalf("kind %s", errkind.Of(err))
+			}
+			return
+		}
+		if c.maxTokens < 0 || c.maxTokens > maxTokenCount || c.promptTokens <= 0 {
+			t.Fatalf("tokens %d, prompt %d", c.maxTokens, c.promptTokens)
+		}
+		encoded, err := c.encode(7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := parseChat(encoded)
+		if err != nil || again.model != c.model || again.stream != c.stream || again.maxTokens != 7 || !json.Valid(encoded) {
+			t.Fatalf("%s became %s: %v", body, encoded, err)
+		}
+	})
+}
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -369,6 +371,19 @@
 		Entry("parent segment", "bad_request", "GET", "/services/lantern-ledger/%2e%2e/admin", ""),
 	)
 
+	It("holds no connection for a body that a refused caller does not send", func() {
+		w := start(usual, 1, 1, answerWhole)
+		conn, err := net.Dial("tcp", w.edge.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		_ = conn.SetReadDeadline(time.Now().Add(20 * bodyTimeout))
+		answer, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(ContainSubstring("key_missing"))
+	})
+
 	It("answers every kind that a sidecar may give by the table", func() {
 		for _, k := range errkind.All() {
 			w := newWorld(usual, 1, 1, func(t *talk) { t.refuse(k) })
--- a/internal/callers/fake_sidecar_test.go
+++ b/internal/callers/fake_sidecar_test.go
@@ -24,6 +24,8 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
+const bodyTimeout = 2 * time.Second
+
 const testKey = "pk-lantern-0123456789abcdef"
 
 // talk is one conversation as the fake sidecar sees it.
@@ -159,7 +161,7 @@
 	w.gateway = gateway.New(gateway.Options{DataCentre: "gulberg", Config: w, Limiter: w.limiter, Sidecars: w.client,
 		Policy: route.PolicyLoad, MaxAttempts: maxAttempts, Log: log})
 	w.server = callers.New(callers.Options{Gateway: w.gateway, DefaultService: "brush-assistant", MaxBody: 4096,
-		MaxHeader: 4096, BodyTimeout: 10 * time.Second, MaxConcurrency: 8, Log: log})
+		MaxHeader: 4096, BodyTimeout: bodyTimeout, MaxConcurrency: 8, Log: log})
 	w.edge = httptest.NewServer(w.server.Handler())
 	w.closers = append(w.closers, pool.Close)
 	return w
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -89,19 +89,22 @@
 	control *http.ResponseController
 }
 
-func newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	x := &exchange{
 		w: w, r: r, id: newRequestID(r), arrived: time.Now(),
 		secret: bearer(r.Header), control: http.NewResponseController(w),
 	}
 	w.Header().Set("X-Request-Id", x.id)
+	// The bound also holds for a body that is never asked for: after a refusal the server reads the rest of
+	// it to reuse the connection.
+	_ = x.control.SetReadDeadline(x.arrived.Add(s.opts.BodyTimeout))
 	return x
 }
 
 // bounded runs h within the concurrency bound.
 func (s *Server) bounded(h func(x *exchange)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := newExchange(w, r)
+		x := s.newExchange(w, r)
 		select {
 		case s.slots <- struct{}{}:
 			defer func() { <-s.slots }()
@@ -114,7 +117,7 @@
 
 func (s *Server) refusal(k errkind.Kind) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.refuse(newExchange(w, r), gateway.Result{Ran: errkind.RanNo}, errkind.New(k, "%s", k.Answer().Text))
+		s.refuse(s.newExchange(w, r), gateway.Result{Ran: errkind.RanNo}, errkind.New(k, "%s", k.Answer().Text))
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,8 +193,13 @@
 // defaultDeadline bounds a request whose profile has none.
 const defaultDeadline = time.Minute
 
-// begin registers a running request and bounds it by the profile's deadline, counted from arrival.
-func (g *Gateway) begin(ctx context.Context, p *Principal, arrived time.Time) (context.Context, func()) {
+// begin registers a running request and bounds it by the profile's deadline, counted from arrival. It
+// confirms the configuration again, because the body may have taken long to arrive or the process may
+// have been paused since Admit.
+func (g *Gateway) begin(ctx context.Context, p *Principal, arrived time.Time) (context.Context, func(), error) {
+	if err := g.opts.Config.Confirm(ctx); err != nil {
+		return nil, nil, err
+	}
 	limit := p.Profile.Deadline()
 	if limit <= 0 {
 		limit = defaultDeadline
@@ -216,7 +221,7 @@
 		g.mu.Lock()
 		delete(g.active, a)
 		g.mu.Unlock()
-	}
+	}, nil
 }
 
 // cause returns the error that ended ctx. A context that ended without a kind was ended by the caller.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,10 @@
 package gateway_test
 
 import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +12,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
 func TestGateway(t *testing.T) {
@@ -25,6 +31,34 @@
 	})
 })
 
+var _ = Describe("the peer listener", func() {
+	It("answers frames that have a handler and closes the stream of others", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		log := slog.New(slog.DiscardHandler)
+		handlers := gateway.PeerHandlers{Config: func(_ context.Context, r *wirepb.ConfigRequest) *wirepb.ConfigDelta {
+			return &wirepb.ConfigDelta{Version: r.GetSince() + 1}
+		}}
+		server := transport.NewServer(listener, nil, handlers.Handler(log), log)
+		go func() { _ = server.Serve(context.Background()) }()
+		DeferCleanup(server.Close)
+		pool := transport.NewPool(nil)
+		DeferCleanup(pool.Close)
+		s, err := pool.Open(context.Background(), server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		for since := range int64(2) {
+			Expect(s.Send(&wirepb.Envelope{Message: &wirepb.Envelope_ConfigRequest{
+				ConfigRequest: &wirepb.ConfigRequest{Since: since}}})).To(Succeed())
+			e, err := s.Recv()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.GetConfigDelta().GetVersion()).To(Equal(since + 1))
+		}
+		Expect(s.Send(&wirepb.Envelope{Message: &wirepb.Envelope_LimitBorrow{LimitBorrow: &wirepb.LimitBorrow{}}})).To(Succeed())
+		_, err = s.Recv()
+		Expect(err).To(MatchError(io.EOF))
+	})
+})
+
 // Guards against retries that multiply the load of an overloaded fleet.
 func TestBudgetBoundsRetries(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -57,7 +57,10 @@
 	if err != nil {
 		return Result{Ran: errkind.RanNo}, err
 	}
-	ctx, end := g.begin(ctx, p, call.Arrived)
+	ctx, end, err := g.begin(ctx, p, call.Arrived)
+	if err != nil {
+		return Result{Ran: errkind.RanNo}, err
+	}
 	defer end()
 	g.metrics.requests.Add(1)
 	reserved := call.PromptTokens + call.MaxOutputTokens
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/route"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -26,7 +27,10 @@
 
 // RunPlain runs a call of a plain service and passes its response to sink.
 func (g *Gateway) RunPlain(ctx context.Context, p *Principal, call PlainCall, sink PlainSink) (Result, error) {
-	ctx, end := g.begin(ctx, p, call.Arrived)
+	ctx, end, err := g.begin(ctx, p, call.Arrived)
+	if err != nil {
+		return Result{Ran: errkind.RanNo}, err
+	}
 	defer end()
 	g.metrics.requests.Add(1)
 	d := &dispatch{
@@ -42,7 +46,7 @@
 			OutCentres: g.out(p.Snapshot), Count: g.opts.ProbeCount,
 		},
 	}
-	err := d.run(ctx)
+	err = d.run(ctx)
 	return d.result, err
 }
 
