Close callers' connections after their answer while the gateway leaves; take peer names from DNS names only

Cause: a caller on a kept connection stayed on a leaving gateway until the connection was cut. The common name of a certificate is no identity by current practice, and the sidecar ignores it.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -95,6 +95,10 @@
 		secret: bearer(r.Header), control: http.NewResponseController(w),
 	}
 	w.Header().Set("X-Request-Id", x.id)
+	if s.leaving.Load() {
+		// Callers move to other gateways by their own next connection, not by a connection that is cut.
+		w.Header().Set("Connection", "close")
+	}
 	// The bound also holds for a body that is never asked for: after a refusal the server reads the rest of
 	// it to reuse the connection.
 	_ = x.control.SetReadDeadline(x.arrived.Add(s.opts.BodyTimeout))
@@ -146,7 +150,8 @@
 	return err
 }
 
-// Leave makes /readyz answer that the gateway is not ready. Requests are still served.
+// Leave makes /readyz answer that the gateway is not ready. Requests are still served, and each answer
+// closes its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
 // Shutdown stops accepting, closes idle connections and waits for running requests until ctx ends.
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -19,7 +19,7 @@
 	CertFile string
 	KeyFile  string
 	CAFile   string   // CA of the peers; empty on the edge towards callers
-	Allowed  []string // names of which a peer's certificate carries at least one
+	Allowed  []string // DNS names of which a peer's certificate carries at least one
 }
 
 // Certificates holds a certificate that is read again when its files change, so that a renewal needs no
@@ -156,11 +156,10 @@
 	if err != nil {
 		return fmt.Errorf("verify the peer: %w", err)
 	}
-	names := append([]string{leaf.Subject.CommonName}, leaf.DNSNames...)
-	for _, name := range names {
-		if name != "" && slices.Contains(c.files.Allowed, name) {
+	for _, name := range leaf.DNSNames {
+		if slices.Contains(c.files.Allowed, name) {
 			return nil
 		}
 	}
-	return fmt.Errorf("the peer's certificate names %q are not allowed", names)
+	return fmt.Errorf("the peer's certificate names %q are not allowed", leaf.DNSNames)
 }
