--- a/internal/sidecars/conversation.go
+++ b/internal/sidecars/conversation.go
@@ -36,7 +36,9 @@
 func (c *Client) Submit(ctx context.Context, address string, s *wirepb.Submit) (*Conversation, error) {
 	stream, err := c.opts.Pool.Open(ctx, address)
 	if err != nil {
-		c.expire(address)
+		if ctx.Err() == nil {
+			c.expire(address)
+		}
 		return nil, errkind.Wrap(errkind.BackendUnreachable, err, "no stream to the sidecar")
 	}
 	v := &Conversation{
