--- /dev/null
+++ b/internal/tablestore/contract_test.go
@@ -0,0 +1,167 @@
+package tablestore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/platform"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+)
+
+func TestTableStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tablestore")
+}
+
+// subject is a store with its fault injection.
+type subject struct {
+	store tablestore.Store
+	away  func(bool)
+	lose  func(int)
+}
+
+func memorySubject() subject {
+	m := tablestore.NewMemory()
+	return subject{store: m, away: m.SetAway, lose: m.LoseAnswers}
+}
+
+func dynamoSubject() subject {
+	p := platform.New(platform.Options{PageSize: 2})
+	server := httptest.NewServer(p)
+	DeferCleanup(server.Close)
+	return subject{
+		store: tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
+			Endpoint: server.URL, Region: "local", Table: "test", Timeout: 5 * time.Second,
+		}),
+		away: func(b bool) { p.Apply(platform.Control{Away: &b}) },
+		lose: func(n int) { p.Apply(platform.Control{LoseAnswers: &n}) },
+	}
+}
+
+func key(sort string) tablestore.Key { return tablestore.Key{Partition: "p", Sort: sort} }
+
+func put(sort string, version int64, value string) tablestore.Op {
+	return tablestore.Op{Key: key(sort), IfVersion: version, Value: []byte(value)}
+}
+
+var _ = Describe("store contract", func() {
+	for name, build := range map[string]func() subject{"memory": memorySubject, "dynamodb": dynamoSubject} {
+		Context(name, func() { contract(build) })
+	}
+})
+
+func contract(build func() subject) {
+	var s subject
+	ctx := context.Background()
+	BeforeEach(func() { s = build() })
+
+	It("creates, replaces and deletes under preconditions", func() {
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
+		Expect(s.store.Write(ctx, "c2", put("a", 1, "2"))).To(Succeed())
+		row, err := s.store.Get(ctx, key("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row).To(Equal(tablestore.Row{Key: key("a"), Version: 2, Value: []byte("2")}))
+		Expect(s.store.Write(ctx, "c3", tablestore.Op{Key: key("a"), IfVersion: 2, Delete: true})).To(Succeed())
+		_, err = s.store.Get(ctx, key("a"))
+		Expect(err).To(MatchError(tablestore.ErrNotFound))
+	})
+
+	It("writes all ops or none and names the rows that failed", func() {
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
+		err := s.store.Write(ctx, "c2", put("b", tablestore.Absent, "1"),
+			tablestore.Op{Key: key("a"), IfVersion: 7, Check: true})
+		var failed *tablestore.PreconditionError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Keys).To(ConsistOf(key("a")))
+		_, err = s.store.Get(ctx, key("b"))
+		Expect(err).To(MatchError(tablestore.ErrNotFound))
+	})
+
+	It("has no second effect when a write is repeated", func() {
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
+		row, err := s.store.Get(ctx, key("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Version).To(Equal(int64(1)))
+	})
+
+	It("refuses a change ID that was used for other ops", func() {
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
+		Expect(s.store.Write(ctx, "c1", put("b", tablestore.Absent, "1"))).NotTo(Succeed())
+	})
+
+	It("reads a partition in order, in bounded pages", func() {
+		for i := range 7 {
+			Expect(s.store.Write(ctx, fmt.Sprint("c", i), put(fmt.Sprint(6-i), tablestore.Any, "x"))).To(Succeed())
+		}
+		rows, err := s.store.Query(ctx, "p", "1", 4)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sorts(rows)).To(Equal([]string{"2", "3", "4", "5"}))
+		rows, err = s.store.Query(ctx, "p", "", 100)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(HaveLen(7))
+	})
+
+	It("says unavailable while the service is away and writes nothing", func() {
+		s.away(true)
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(MatchError(tablestore.ErrUnavailable))
+		_, err := s.store.Get(ctx, key("a"))
+		Expect(err).To(MatchError(tablestore.ErrUnavailable))
+		_, err = s.store.Query(ctx, "p", "", 1)
+		Expect(err).To(MatchError(tablestore.ErrUnavailable))
+		s.away(false)
+		_, err = s.store.Get(ctx, key("a"))
+		Expect(err).To(MatchError(tablestore.ErrNotFound))
+	})
+
+	It("says unknown when the answer of an applied write is lost, and a repeat succeeds", func() {
+		s.lose(1)
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(MatchError(tablestore.ErrUnknown))
+		row, err := s.store.Get(ctx, key("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Version).To(Equal(int64(1)))
+		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
+	})
+}
+
+func sorts(rows []tablestore.Row) []string {
+	var out []string
+	for _, r := range rows {
+		out = append(out, r.Key.Sort)
+	}
+	return out
+}
+
+var _ = Describe("dynamodb transport errors", func() {
+	write := func(d *tablestore.DynamoDB) error {
+		return d.Write(context.Background(), "c", put("a", tablestore.Absent, "1"))
+	}
+
+	// Guards against taking a refused connection for a write that may have happened.
+	It("says unavailable when nothing listens", func() {
+		server := httptest.NewServer(nil)
+		server.Close()
+		Expect(write(tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
+			Endpoint: server.URL, Region: "local", Table: "t",
+		}))).To(MatchError(tablestore.ErrUnavailable))
+	})
+
+	// Guards against taking a timeout after sending for a write that did not happen.
+	It("says unknown when the answer does not come in time", func() {
+		hang := true
+		p := platform.New(platform.Options{})
+		p.Apply(platform.Control{Hang: &hang})
+		server := httptest.NewServer(p)
+		DeferCleanup(server.Close)
+		Expect(write(tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
+			Endpoint: server.URL, Region: "local", Table: "t", Timeout: 50 * time.Millisecond,
+		}))).To(MatchError(tablestore.ErrUnknown))
+	})
+})
