--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -169,7 +169,8 @@
 	Author   string    `json:"author"`
 	Reason   string    `json:"reason"`
 	Action   string    `json:"action"`
-	Affects  string    `json:"affects"` // what the change affects, as shown before acting
-	At       time.Time `json:"at"`      // the operator's clock; for reading only
+	Affects  string    `json:"affects"`         // what the change affects, as shown before acting
+	At       time.Time `json:"at"`              // the operator's clock; for reading only
+	Force    bool      `json:"force,omitempty"` // allows a region without a data centre in service
 	Entities []Entity  `json:"entities"`
 }
