--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -35,9 +35,23 @@
 	if err := Validate(current, change.Entities, change.Force); err != nil {
 		return 0, err
 	}
+	change.Before = replaced(current, change.Entities)
 	return l.write(ctx, change, current.Version())
 }
 
+// replaced returns the entities as current holds them. One that does not exist has version 0.
+func replaced(current *Snapshot, entities []Entity) []Entity {
+	before := make([]Entity, len(entities))
+	for i, e := range entities {
+		held, ok := current.Entity(e.ID())
+		if !ok {
+			held = Entity{Kind: e.Kind, Name: e.Name, Deleted: true}
+		}
+		before[i] = held
+	}
+	return before
+}
+
 // Check does everything that Accept does except the write. It returns the configuration as it would be.
 func (l *Log) Check(ctx context.Context, change Change) (*Snapshot, error) {
 	current, err := l.Load(ctx)
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -173,4 +173,5 @@
 	At       time.Time `json:"at"`              // the operator's clock; for reading only
 	Force    bool      `json:"force,omitempty"` // allows a region without a data centre in service
 	Entities []Entity  `json:"entities"`
+	Before   []Entity  `json:"before,omitempty"` // what Entities replaced, in the same order; filled by Accept
 }
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -30,7 +30,7 @@
 	// hedgeDelay is the time after which more than one peer is asked.
 	hedgeDelay = 250 * time.Millisecond
 	maxPeers   = 3
-	jitter      = 0.1 // part of the poll interval by which a poll is early or late
+	jitter     = 0.1 // part of the poll interval by which a poll is early or late
 )
 
 // AskFunc asks the peer at address for the changes after a version.
--- /dev/null
+++ b/internal/operator/explain.go
@@ -0,0 +1,129 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+const (
+	maxLineBytes    = 1 << 20
+	maxExplainLines = 10000
+)
+
+// LogLine is one log line about a request.
+type LogLine struct {
+	File string    `json:"file"`
+	Line int       `json:"line"`
+	At   time.Time `json:"at"` // zero if the line has no time
+	Text string    `json:"text"`
+}
+
+func runExplain(ctx context.Context, inv *invocation) error {
+	if len(inv.args) != 1 || inv.args[0] == "" || len(inv.opts.logs) == 0 {
+		return usagef("one request ID and -logs are expected")
+	}
+	found := []LogLine{}
+	for _, path := range inv.opts.logs {
+		lines, err := explainFile(ctx, path, inv.args[0])
+		if err != nil {
+			return err
+		}
+		found = append(found, lines...)
+	}
+	slices.SortStableFunc(found, func(a, b LogLine) int { return a.At.Compare(b.At) })
+	if len(found) == 0 {
+		return &notFoundError{fmt.Sprintf("a line about request %q", inv.args[0])}
+	}
+	for _, l := range found {
+		inv.out.linef("%s:%d: %s", l.File, l.Line, l.Text)
+	}
+	return inv.out.document(found)
+}
+
+func explainFile(ctx context.Context, path, requestID string) ([]LogLine, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	defer func() { _ = file.Close() }()
+	lines, err := ExplainLines(ctx, file, requestID)
+	for i := range lines {
+		lines[i].File = path
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	return lines, nil
+}
+
+// ExplainLines returns the lines of r that carry requestID as a whole word. Lines over 1 MiB are an error.
+func ExplainLines(ctx context.Context, r io.Reader, requestID string) ([]LogLine, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	var found []LogLine
+	for number := 1; scanner.Scan(); number++ {
+		if ctx.Err() != nil {
+			return found, ctx.Err()
+		}
+		text := scanner.Text()
+		if !hasWord(text, requestID) {
+			continue
+		}
+		if len(found) == maxExplainLines {
+			return found, errors.New("too many lines about one request")
+		}
+		found = append(found, LogLine{Line: number, At: lineTime(text), Text: text})
+	}
+	return found, scanner.Err()
+}
+
+// hasWord reports whether word stands in text with no letter, digit, '-' or '_' next to it.
+func hasWord(text, word string) bool {
+	if word == "" {
+		return false
+	}
+	for from := 0; ; {
+		i := strings.Index(text[from:], word)
+		if i < 0 {
+			return false
+		}
+		start, end := from+i, from+i+len(word)
+		before, _ := utf8.DecodeLastRuneInString(text[:start])
+		after, _ := utf8.DecodeRuneInString(text[end:])
+		if (start == 0 || !wordRune(before)) && (end == len(text) || !wordRune(after)) {
+			return true
+		}
+		from = start + 1
+	}
+}
+
+func wordRune(r rune) bool {
+	return r == '-' || r == '_' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+}
+
+// lineTime returns the time attribute of a line in the text or JSON form of log/slog, zero if it has none.
+func lineTime(text string) time.Time {
+	var at string
+	if strings.HasPrefix(text, "{") {
+		var line struct{ Time string }
+		if json.Unmarshal([]byte(text), &line) == nil {
+			at = line.Time
+		}
+	} else if _, rest, ok := strings.Cut(text, "time="); ok {
+		at, _, _ = strings.Cut(rest, " ")
+	}
+	t, err := time.Parse(time.RFC3339Nano, at)
+	if err != nil {
+		return time.Time{}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,256 @@
+// Package operator implements the subcommands of pomeloctl, the operators' command line.
+package operator
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+)
+
+// Exit codes of pomeloctl.
+const (
+	ExitAccepted    = 0 // done or accepted
+	ExitNotAccepted = 1 // not accepted, or not found
+	ExitUsage       = 2 // wrong arguments
+	ExitUnknown     = 3 // the outcome is unknown: ask again with the same change ID
+	ExitUnavailable = 4 // the table service is unavailable; nothing was accepted
+)
+
+const exitHelp = `Exit codes:
+  0  accepted, or done
+  1  not accepted, or not found
+  2  wrong arguments
+  3  unknown: ask again with this change ID
+  4  table service unavailable, nothing was accepted
+`
+
+// Env is what a command uses of its surroundings.
+type Env struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(string) string
+	Now    func() time.Time
+	Random io.Reader        // source of keys and change IDs, crypto/rand in the binary
+	Store  tablestore.Store // replaces the client of the table service, for tests
+}
+
+// usageError says that the arguments are wrong.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+func usagef(format string, args ...any) error { return &usageError{fmt.Sprintf(format, args...)} }
+
+// command is one subcommand. Its name has one word, or two such as "profile change".
+type command struct {
+	name  string
+	args  string
+	help  string
+	acts  bool // takes the flags of a change
+	flags func(*flag.FlagSet, *options)
+	run   func(context.Context, *invocation) error
+}
+
+// options holds the values of all flags.
+type options struct {
+	endpoint, region, table string
+	timeout                 time.Duration
+	output                  string
+	hosts, peers            string
+	tlsCert, tlsKey, tlsCA  string
+
+	reason, author, changeID string
+	propose, force, withdraw bool
+	wait                     time.Duration
+	at                       int64
+	file                     string
+	keyID                    string
+	count                    int
+	logs                     listFlag
+}
+
+// listFlag collects the values of a flag that may be given several times or with commas.
+type listFlag []string
+
+// String implements flag.Value.
+func (l *listFlag) String() string { return strings.Join(*l, ",") }
+
+// Set implements flag.Value.
+func (l *listFlag) Set(value string) error {
+	*l = append(*l, splitList(value)...)
+	return nil
+}
+
+func splitList(text string) []string {
+	var parts []string
+	for _, p := range strings.Split(text, ",") {
+		if p = strings.TrimSpace(p); p != "" {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
+
+// invocation is one run of a command.
+type invocation struct {
+	env  Env
+	opts options
+	args []string
+	log  *config.Log
+	out  *printer
+}
+
+// Run runs the command in args and returns its exit code.
+func Run(ctx context.Context, args []string, env Env) int {
+	cmd, rest, err := find(args)
+	if err != nil {
+		printOverview(env.Stderr)
+		fmt.Fprintln(env.Stderr, "pomeloctl:", err)
+		return ExitUsage
+	}
+	if cmd == nil {
+		printOverview(env.Stdout)
+		return ExitAccepted
+	}
+	inv := &invocation{env: env}
+	flags := inv.flagSet(cmd)
+	if inv.args, err = parse(flags, rest); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitAccepted
+		}
+		fmt.Fprintln(env.Stderr, "pomeloctl:", err)
+		return ExitUsage
+	}
+	if inv.opts.output != "text" && inv.opts.output != "json" {
+		fmt.Fprintln(env.Stderr, "pomeloctl: -o must be text or json")
+		return ExitUsage
+	}
+	inv.out = &printer{w: env.Stdout, json: inv.opts.output == "json"}
+	inv.log = config.NewLog(inv.store())
+	return inv.finish(cmd, cmd.run(ctx, inv))
+}
+
+// find returns the command that args start with and the remaining arguments. Both are nil for help.
+func find(args []string) (*command, []string, error) {
+	if len(args) == 0 {
+		return nil, nil, usagef("a command is missing")
+	}
+	switch args[0] {
+	case "help", "-h", "-help", "--help":
+		return nil, nil, nil
+	}
+	group := false
+	for _, cmd := range commands() {
+		words := strings.Fields(cmd.name)
+		if words[0] != args[0] {
+			continue
+		}
+		if len(words) == 1 {
+			return &cmd, args[1:], nil
+		}
+		group = true
+		if len(args) > 1 && words[1] == args[1] {
+			return &cmd, args[2:], nil
+		}
+	}
+	if group {
+		return nil, nil, usagef("%s needs one of: %s", args[0], strings.Join(subcommands(args[0]), ", "))
+	}
+	return nil, nil, usagef("unknown command %q", args[0])
+}
+
+func subcommands(group string) []string {
+	var names []string
+	for _, cmd := range commands() {
+		if words := strings.Fields(cmd.name); len(words) == 2 && words[0] == group {
+			names = append(names, words[1])
+		}
+	}
+	return names
+}
+
+func printOverview(w io.Writer) {
+	fmt.Fprintln(w, "usage: pomeloctl COMMAND [flags] [arguments]")
+	fmt.Fprintln(w, "\nCommands (pomeloctl COMMAND -h for details):")
+	for _, cmd := range commands() {
+		fmt.Fprintf(w, "  %-42s %s\n", strings.TrimSpace(cmd.name+" "+cmd.args), cmd.help)
+	}
+	fmt.Fprint(w, "\n", exitHelp)
+}
+
+func (inv *invocation) flagSet(cmd *command) *flag.FlagSet {
+	flags := flag.NewFlagSet(cmd.name, flag.ContinueOnError)
+	flags.SetOutput(inv.env.Stderr)
+	flags.Usage = func() {
+		fmt.Fprintf(inv.env.Stderr, "usage: pomeloctl %s [flags] %s\n%s\n\nFlags:\n", cmd.name, cmd.args, cmd.help)
+		flags.PrintDefaults()
+		fmt.Fprint(inv.env.Stderr, "\n", exitHelp)
+	}
+	o := &inv.opts
+	flags.StringVar(&o.endpoint, "endpoint", inv.fromEnv("POMELO_TABLE_ENDPOINT", "http://127.0.0.1:8100"),
+		"`URL` of the table service ($POMELO_TABLE_ENDPOINT)")
+	flags.StringVar(&o.region, "region", "local", "region of the table service")
+	flags.StringVar(&o.table, "table", "pomelowheel", "name of the table")
+	flags.DurationVar(&o.timeout, "timeout", 2*time.Second, "timeout of one call")
+	flags.StringVar(&o.output, "o", "text", "output `format`: text or json")
+	flags.StringVar(&o.hosts, "hosts", inv.fromEnv("POMELO_HOST_LIST", ""), "`URL` of the host list ($POMELO_HOST_LIST)")
+	flags.StringVar(&o.peers, "peers", "", "`addresses` of gateways and sidecars (IP:port, with commas)")
+	flags.StringVar(&o.tlsCert, "tls-cert", "", "`file` with the certificate shown to gateways and sidecars")
+	flags.StringVar(&o.tlsKey, "tls-key", "", "`file` with its key")
+	flags.StringVar(&o.tlsCA, "tls-ca", "", "`file` with the CA of gateways and sidecars")
+	if cmd.acts {
+		flags.StringVar(&o.reason, "reason", "", "why the change is made (required to act)")
+		flags.StringVar(&o.author, "author", inv.fromEnv("POMELO_AUTHOR", ""), "who makes it (required to act; $POMELO_AUTHOR)")
+		flags.StringVar(&o.changeID, "change-id", "", "`ID` of the change; generated if empty. Repeat it to ask again")
+		flags.BoolVar(&o.propose, "propose", false, "only print what would be affected")
+		flags.BoolVar(&o.force, "force", false, "allow a region without a data centre in service")
+		flags.DurationVar(&o.wait, "wait", 0, "`time` to wait until the change is in force everywhere")
+		flags.Int64Var(&o.at, "at", -1, "configuration `version` that was looked at; refuse if the entity changed since")
+	}
+	if cmd.flags != nil {
+		cmd.flags(flags, o)
+	}
+	return flags
+}
+
+func (inv *invocation) fromEnv(name, otherwise string) string {
+	if inv.env.Getenv != nil {
+		if v := inv.env.Getenv(name); v != "" {
+			return v
+		}
+	}
+	return otherwise
+}
+
+// parse accepts flags before, between and after the arguments.
+func parse(flags *flag.FlagSet, args []string) ([]string, error) {
+	var positional []string
+	for {
+		if err := flags.Parse(args); err != nil {
+			return nil, err
+		}
+		if flags.NArg() == 0 {
+			return positional, nil
+		}
+		positional = append(positional, flags.Arg(0))
+		args = flags.Args()[1:]
+	}
+}
+
+func (inv *invocation) store() tablestore.Store {
+	if inv.env.Store != nil {
+		return inv.env.Store
+	}
+	return tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
+		Endpoint: inv.opts.endpoint, Region: inv.opts.region, Table: inv.opts.table, Timeout: inv.opts.timeout,
+		AccessKeyID:     inv.fromEnv("AWS_ACCESS_KEY_ID", ""),
+		SecretAccessKey: inv.fromEnv("AWS_SECRET_ACCESS_KEY", ""),
+	})
+}
