--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -27,6 +27,8 @@
 	// askTimeout bounds one round of confirmation, and peerTimeout one peer's answer in it.
 	askTimeout  = 3 * time.Second
 	peerTimeout = time.Second
+	// storeTimeout bounds the reads of one poll, which may outlast a round.
+	storeTimeout = 6 * time.Second
 	// hedgeDelay is the time after which more than one peer is asked.
 	hedgeDelay = 250 * time.Millisecond
 	maxPeers   = 3
@@ -197,6 +199,7 @@
 		FreshFor:   c.opts.FreshFor,
 		Asked:      a.asked,
 		HasStore:   c.opts.Store != nil,
+		StoreHeard: a.store,
 		PeersKnown: a.known,
 		PeersHeard: a.heard,
 		PeersAway:  a.away,
--- a/internal/configsync/decide.go
+++ b/internal/configsync/decide.go
@@ -28,6 +28,7 @@
 
 	Asked      bool // the table service and peers were asked; the fields below are their answers
 	HasStore   bool // the process has a client of the table service
+	StoreHeard bool // the table service answered
 	PeersKnown int
 	PeersHeard int  // peers that answered
 	PeersAway  int  // peers that answered and cannot reach the table service
@@ -48,6 +49,8 @@
 		return Ask
 	case !v.HasConfig:
 		return NotReady
+	case v.StoreHeard:
+		return Refuse // the answer came too late to be fresh, so there is no outage
 	case v.PeersAway > 0:
 		return Continue
 	case v.HasStore && v.PeersKnown == 0:
--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -14,6 +14,7 @@
 // answers collects what one round of asking found out.
 type answers struct {
 	asked bool
+	store bool
 	known int
 	heard int
 	away  int
@@ -31,9 +32,12 @@
 		d := c.refresh(askCtx, started)
 		cancel()
 		stopped := c.opts.Now().Sub(started) > 2*askTimeout
-		if again || !stopped || d == Use || d == Continue || ctx.Err() != nil {
+		if !stopped || d == Use || ctx.Err() != nil {
 			return d
 		}
+		if again {
+			return max(d, Refuse)
+		}
 	}
 }
 
@@ -48,7 +52,7 @@
 	answered := false
 	select {
 	case storeErr = <-storeDone:
-		answered = true
+		answered, a.store = true, storeErr == nil
 	case <-timer.C:
 	}
 	if !answered || storeErr != nil {
@@ -61,6 +65,7 @@
 	if !answered && (d == Refuse || d == NotReady) {
 		select {
 		case storeErr = <-storeDone:
+			a.store = storeErr == nil
 		case <-ctx.Done():
 			storeErr = ctx.Err()
 		}
@@ -82,7 +87,7 @@
 		return done
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 		defer cancel()
 		done <- c.askStore(ctx)
 	}()
--- /dev/null
+++ b/internal/fake/platform/platform_test.go
@@ -0,0 +1,70 @@
+package platform_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/platform"
+)
+
+func TestPlatform(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fake platform")
+}
+
+func do(s http.Handler, method, path, target, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("X-Amz-Target", "DynamoDB_20120810."+target)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+var _ = Describe("fake platform", func() {
+	It("limits the loads of weights by rate", func() {
+		now := time.Now()
+		s := platform.New(platform.Options{WeightRate: 2, Now: func() time.Time { return now }})
+		var codes []int
+		for range 3 {
+			codes = append(codes, do(s, "GET", "/weights/a/b", "", "").Code)
+		}
+		now = now.Add(500 * time.Millisecond)
+		codes = append(codes, do(s, "GET", "/weights/a/b", "", "").Code)
+		Expect(codes).To(Equal([]int{200, 200, 429, 200}))
+		Expect(s.Stats()).To(Equal(platform.Stats{WeightLoads: 3, WeightRefused: 1}))
+	})
+
+	It("refuses an unknown control field, so that a mistyped fault does not pass unnoticed", func() {
+		Expect(do(platform.New(platform.Options{}), "POST", "/control", "", `{"awya":true}`).Code).To(Equal(400))
+	})
+
+	// Guards against conditions that the stand-in would take as true because it does not know them.
+	DescribeTable("refuses requests outside its subset", func(target, body string) {
+		Expect(do(platform.New(platform.Options{}), "POST", "/", target, body).Code).To(Equal(400))
+	},
+		Entry("operation", "DeleteTable", `{}`),
+		Entry("condition", "TransactWriteItems",
+			`{"TransactItems":[{"Put":{"Item":{"pk":{"S":"a"},"sk":{"S":"b"}},"ConditionExpression":"size(pk) > 1"}}]}`),
+		Entry("key", "GetItem", `{"Key":{"pk":{"S":"a"}}}`),
+		Entry("two operations on one item", "TransactWriteItems", fmt.Sprintf(`{"TransactItems":[%[1]s,%[1]s]}`,
+			`{"Put":{"Item":{"pk":{"S":"a"},"sk":{"S":"b"}}}}`)),
+		Entry("query", "Query", `{"KeyConditionExpression":"sk = :x"}`),
+		Entry("form", "GetItem", `[`),
+	)
+
+	It("writes an item and counts calls", func() {
+		s := platform.New(platform.Options{})
+		put := `{"TransactItems":[{"Put":{"Item":{"pk":{"S":"a"},"sk":{"S":"b"},"version":{"N":"1"}}}}]}`
+		Expect(do(s, "POST", "/", "TransactWriteItems", put).Code).To(Equal(200))
+		got := do(s, "POST", "/", "GetItem", `{"Key":{"pk":{"S":"a"},"sk":{"S":"b"}}}`)
+		Expect(got.Body.String()).To(MatchJSON(`{"Item":{"pk":{"S":"a"},"sk":{"S":"b"},"version":{"N":"1"}}}`))
+		Expect(s.Stats()).To(Equal(platform.Stats{Reads: 1, Writes: 1, WritesApplied: 1}))
+	})
+})
--- a/internal/operator/act.go
+++ b/internal/operator/act.go
@@ -38,7 +38,8 @@
 	if strings.TrimSpace(inv.opts.reason) == "" || strings.TrimSpace(inv.opts.author) == "" {
 		return usagef("-reason and -author are required to act")
 	}
-	if inv.opts.changeID == "" {
+	inv.idGiven = inv.opts.changeID != ""
+	if !inv.idGiven {
 		id, err := inv.randomHex(changeIDBytes)
 		if err != nil {
 			return err
@@ -55,8 +56,12 @@
 		return 0, false, nil
 	}
 	version, err := inv.log.Find(ctx, inv.opts.changeID)
-	if errors.Is(err, tablestore.ErrNotFound) {
+	switch {
+	case errors.Is(err, tablestore.ErrNotFound):
 		return 0, false, nil
+	case errors.Is(err, tablestore.ErrUnavailable) && inv.idGiven:
+		// An earlier run may have been accepted under this ID.
+		return 0, false, &config.UnknownError{ChangeID: inv.opts.changeID}
 	}
 	return version, err == nil, err
 }
@@ -100,6 +105,7 @@
 	inv.out.linef("affects: %s", impact)
 	version, err = inv.log.Accept(ctx, change)
 	if plan.key != "" && (err == nil || errors.Is(err, tablestore.ErrUnknown)) {
+		inv.keyID, inv.key = plan.keyID, plan.key
 		inv.out.linef("key ID: %s\nkey (shown once): %s", plan.keyID, plan.key)
 	}
 	if err != nil {
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -50,13 +50,13 @@
 				inv.opts.propose = true
 				return inv.edit(ctx, kind, "propose")
 			}},
-		{word + " approve", "NAME field=value ...", "add a new " + word, true, file,
+		{word + " approve", "NAME field=value ...", "add one new " + word, true, file,
 			func(ctx context.Context, inv *invocation) error { return inv.edit(ctx, kind, "approve") }},
-		{word + " set", "NAME field=value ...", "add or replace a " + word + " as a whole", true, file,
+		{word + " set", "NAME field=value ...", "add or replace one " + word + " as a whole", true, file,
 			func(ctx context.Context, inv *invocation) error { return inv.edit(ctx, kind, "set") }},
-		{word + " change", "NAME field=value ...", "change fields of a " + word, true, file,
+		{word + " change", "NAME field=value ...", "change fields of one " + word, true, file,
 			func(ctx context.Context, inv *invocation) error { return inv.edit(ctx, kind, "change") }},
-		{word + " withdraw", "NAME", "remove a " + word, true, nil,
+		{word + " withdraw", "NAME", "remove one " + word, true, nil,
 			func(ctx context.Context, inv *invocation) error { return inv.edit(ctx, kind, "withdraw") }},
 	}
 }
--- a/internal/operator/init.go
+++ b/internal/operator/init.go
@@ -71,6 +71,10 @@
 		}
 		accepted, err := inv.log.Accept(ctx, change)
 		if err != nil {
+			if i > 0 {
+				fmt.Fprintf(inv.env.Stderr, "%d of %d parts are accepted; repeat with -change-id %s to continue\n",
+					i, parts, inv.opts.changeID)
+			}
 			return 0, err
 		}
 		version = accepted
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -105,6 +105,9 @@
 	args []string
 	log  *config.Log
 	out  *printer
+
+	idGiven    bool   // the change ID came from the operator, so an earlier run may have used it
+	keyID, key string // a key that may be in force, to be shown once
 }
 
 // Run runs the command in args and returns its exit code.
--- a/internal/operator/outcome.go
+++ b/internal/operator/outcome.go
@@ -76,7 +76,7 @@
 		fmt.Fprintf(inv.env.Stderr, "pomeloctl: %v\nusage: pomeloctl %s [flags] %s\n", err, cmd.name, cmd.args)
 		return code
 	}
-	r := result{Outcome: outcome, ChangeID: inv.opts.changeID, Error: err.Error()}
+	r := result{Outcome: outcome, ChangeID: inv.opts.changeID, Error: err.Error(), KeyID: inv.keyID, Key: inv.key}
 	var conflict *config.ConflictError
 	var validation *config.ValidationError
 	switch {
@@ -93,7 +93,7 @@
 		fmt.Fprintf(inv.env.Stderr, "UNKNOWN: the table service did not say whether the change was accepted.\n"+
 			"Ask again with the same arguments and -change-id %s; it is accepted at most once.\n", inv.opts.changeID)
 	case code == ExitUnavailable && cmd.acts:
-		fmt.Fprintf(inv.env.Stderr, "NOT ACCEPTED: the table service is unavailable; nothing was written: %v\n", err)
+		fmt.Fprintf(inv.env.Stderr, "NOT ACCEPTED: the table service is unavailable: %v\n", err)
 	case code == ExitUnavailable:
 		fmt.Fprintf(inv.env.Stderr, "the table service is unavailable: %v\n", err)
 	case cmd.acts:
