End the background read of the table service with its duty

TestRunInForceWithinBound failed now and then with a goroutine left behind: the read of the table service was detached from the context of the poll. It now ends with the duty that started it and still outlasts one round.

--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -28,9 +28,7 @@
 func (c *Copy) round(ctx context.Context) Decision {
 	for again := false; ; again = true {
 		started := c.opts.Now()
-		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
-		d := c.refresh(askCtx, started)
-		cancel()
+		d := c.refresh(ctx, started)
 		stopped := c.opts.Now().Sub(started) > 2*askTimeout
 		if !stopped || d == Use || ctx.Err() != nil {
 			return d
@@ -45,6 +43,8 @@
 func (c *Copy) refresh(ctx context.Context, started time.Time) Decision {
 	a := answers{asked: true}
 	storeDone := c.startStore(ctx)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	timer := time.NewTimer(peerTimeout)
 	defer timer.Stop()
 	// A slow table service does not hold back the question to peers.
@@ -87,7 +87,7 @@
 		return done
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		done <- c.askStore(ctx)
 	}()
