--- /dev/null
+++ b/cmd/pomelo-gateway/process.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/callers"
+	"github.com/pomelowheel/pomelowheel/internal/configsync"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
+	"github.com/pomelowheel/pomelowheel/internal/gateway"
+	"github.com/pomelowheel/pomelowheel/internal/hostlist"
+	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/route"
+	"github.com/pomelowheel/pomelowheel/internal/settings"
+	"github.com/pomelowheel/pomelowheel/internal/sidecars"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// keyWatchInterval is the time between two looks for withdrawn keys of running requests.
+const keyWatchInterval = 250 * time.Millisecond
+
+// parts holds what is started and stopped together.
+type parts struct {
+	settings *settings.Gateway
+	log      *slog.Logger
+	identity *wirepb.Identity
+	pool     *transport.Pool
+	store    tablestore.Store
+	hosts    *hostlist.List
+	config   *configsync.Copy
+	sidecars *sidecars.Client
+	gateway  *gateway.Gateway
+	callers  *callers.Server
+	peers    *transport.Server
+	edge     net.Listener
+}
+
+func run(s *settings.Gateway, log *slog.Logger) error {
+	p := &parts{settings: s, log: log}
+	if err := p.build(); err != nil {
+		return err
+	}
+	defer p.pool.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group := duty.NewGroup(ctx, log)
+	group.Go("configuration", p.config.Run)
+	if s.HostList.URL != "" {
+		group.Go("host list", p.hosts.Run)
+	}
+	group.Go("sidecar status", p.sidecars.Run)
+	group.Go("key watch", func(ctx context.Context) error { return p.gateway.WatchKeys(ctx, keyWatchInterval) })
+	group.Go("idle sessions", func(ctx context.Context) error { return process.CloseIdle(ctx, p.pool) })
+	group.Go("peers", p.peers.Serve)
+	group.Go("callers", func(context.Context) error { return p.callers.Serve(p.edge) })
+	log.Info("gateway started", "callers", p.edge.Addr().String(), "peers", p.identity.GetAddress())
+	err := p.leaveOnSignal(group.Context())
+	cancel()
+	return errors.Join(err, group.Wait())
+}
+
+func (p *parts) build() error {
+	s := p.settings
+	peerCertificates, err := transport.LoadCertificates(transport.TLSFiles(s.Peers.TLS))
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	edgeCertificates, err := transport.LoadCertificates(transport.TLSFiles(s.Callers.TLS))
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	peerListener, err := net.Listen("tcp", s.Peers.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	if p.edge, err = net.Listen("tcp", s.Callers.Listen); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	p.identity = process.NewIdentity(s.Process, "gateway", peerListener.Addr().String())
+	p.pool = transport.NewPool(peerCertificates.Peers())
+	p.store = process.NewTableStore(s.TableService)
+	p.hosts = hostlist.New(hostlist.Options{URL: s.HostList.URL, Interval: s.HostList.Interval.D(), Log: p.log})
+	p.config = configsync.New(configsync.Options{
+		Store: p.store, Peers: p.otherGateways, Pool: p.pool, Identity: p.identity,
+		PollInterval: s.ConfigSync.PollInterval.D(), FreshFor: s.ConfigSync.FreshFor.D(), Log: p.log,
+	})
+	p.buildRequestPath(edgeCertificates)
+	handlers := gateway.PeerHandlers{
+		Config: func(_ context.Context, r *wirepb.ConfigRequest) *wirepb.ConfigDelta { return p.config.ServeConfig(r) },
+	}
+	p.peers = transport.NewServer(peerListener, peerCertificates.Peers(), handlers.Handler(p.log), p.log)
+	return nil
+}
+
+func (p *parts) buildRequestPath(edge *transport.Certificates) {
+	s := p.settings
+	p.sidecars = sidecars.New(sidecars.Options{
+		Pool: p.pool, Static: s.Peers.Sidecars, HostList: p.hosts, Policy: route.Policy(s.Routing.Policy), Log: p.log,
+		StatusInterval: s.Routing.StatusInterval.D(), StatusMaxAge: s.Routing.StatusMaxAge.D(), Identity: p.identity,
+	})
+	p.gateway = gateway.New(gateway.Options{
+		DataCentre: s.Process.DataCentre, Config: p.config, Limiter: gateway.NoLimit{}, Sidecars: p.sidecars,
+		Policy: route.Policy(s.Routing.Policy), ProbeCount: s.Routing.ProbeCount,
+		ProbeTimeout: s.Routing.ProbeTimeout.D(), MaxAttempts: s.Routing.MaxAttempts, Log: p.log,
+	})
+	p.callers = callers.New(callers.Options{
+		Gateway: p.gateway, DefaultService: s.Callers.DefaultService, MaxBody: int64(s.Callers.MaxBody),
+		MaxHeader: int64(s.Callers.MaxHeader), HeaderTimeout: s.Callers.HeaderTimeout.D(),
+		BodyTimeout: s.Callers.BodyTimeout.D(), MaxConcurrency: s.Callers.MaxConcurrency,
+		TLS: edge.Edge(), Log: p.log,
+	})
+	vars := p.gateway.Vars()
+	vars.Set("pool_sessions", expvar.Func(func() any { return p.pool.Len() }))
+	expvar.Publish("gateway", vars)
+}
+
+// otherGateways returns the peers listed in the settings and by the platform, without this process.
+func (p *parts) otherGateways() []string {
+	addresses := slices.Concat(p.settings.Peers.Gateways, p.hosts.Gateways())
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool { return a == p.identity.GetAddress() })
+}
+
+// leaveOnSignal returns when a signal has shut the callers' edge down, when a second signal ends the wait,
+// or when a duty failed.
+func (p *parts) leaveOnSignal(ctx context.Context) error {
+	first, second, stop := process.Signals(ctx)
+	defer stop()
+	<-first.Done()
+	if ctx.Err() != nil {
+		_ = p.callers.Close()
+		return nil
+	}
+	return p.shutdown(second)
+}
+
+// shutdown makes the process not ready, waits until balancers notice, refuses new work and waits for
+// running requests.
+func (p *parts) shutdown(ctx context.Context) error {
+	p.log.Info("gateway is leaving")
+	p.callers.Leave()
+	select {
+	case <-time.After(p.settings.Shutdown.NoticeDelay.D()):
+	case <-ctx.Done():
+	}
+	p.gateway.Drain()
+	ctx, cancel := context.WithTimeout(ctx, p.settings.Shutdown.Grace.D())
+	defer cancel()
+	if err := p.callers.Shutdown(ctx); err != nil {
+		_ = p.callers.Close()
+		return fmt.Errorf("running requests did not end: %w", err)
+	}
+	return nil
+}
--- a/examples/demo/demo_test.go
+++ b/examples/demo/demo_test.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"encoding/json"
 	"os"
 	"testing"
 
@@ -9,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/operator"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 )
 
@@ -29,10 +29,12 @@
 	})
 
 	It("has a bundle whose keys and references resolve", func() {
-		raw, err := os.ReadFile("bundle.json")
+		raw, err := os.ReadFile("bundle.yml")
+		Expect(err).NotTo(HaveOccurred())
+		bundle, err := operator.ParseBundle(raw)
+		Expect(err).NotTo(HaveOccurred())
+		entities, err := bundle.Entities()
 		Expect(err).NotTo(HaveOccurred())
-		var entities []config.Entity
-		Expect(json.Unmarshal(raw, &entities)).To(Succeed())
 		for i := range entities {
 			entities[i].Version = 1
 		}
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -128,6 +128,6 @@
 	if !kind.NotRun() && kind != errkind.CallerCancelled {
 		level = slog.LevelWarn
 	}
-	s.opts.Log.Log(x.r.Context(), level, "request failed", "request", x.id, "kind", kind.String(),
+	s.opts.Log.Log(x.r.Context(), level, "request failed", "request_id", x.id, "kind", kind.String(),
 		"ran", string(ranOf(kind.Answer(), result)), "attempts", result.Attempts, "error", text)
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -202,7 +202,7 @@
 	g.metrics.decisions.Add(1)
 	chosen := decision.Chosen()
 	g.opts.Log.LogAttrs(ctx, slog.LevelInfo, "routing decision",
-		slog.String("request", d.submit.GetRequestId()),
+		slog.String("request_id", d.submit.GetRequestId()),
 		slog.String("organisation", d.p.Organisation.Name),
 		slog.String("profile", d.p.Profile.Name),
 		slog.String("model", d.submit.GetModel()),
