--- /dev/null
+++ b/internal/limitholder/client.go
@@ -0,0 +1,141 @@
+package limitholder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// maxRefundsUnderWay bounds the refunds that a gateway sends at a time. One more is dropped, which the
+// organisation's rate makes up for.
+const maxRefundsUnderWay = 64
+
+// Reservation is a charge of an organisation's limit.
+type Reservation interface {
+	// Refund returns unused tokens. It does not wait for the holder. Only the first call counts.
+	Refund(unused int64)
+}
+
+// RateLimitError is a refusal by the limit. It unwraps to an errkind.Error.
+type RateLimitError struct {
+	Err        *errkind.Error
+	RetryAfter time.Duration // after which the same request is likely to be granted
+}
+
+// Error implements error.
+func (e *RateLimitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error with its kind.
+func (e *RateLimitError) Unwrap() error { return e.Err }
+
+// Client charges the limits of organisations in the gateway's request path.
+type Client struct {
+	holder  *Holder
+	refunds chan struct{}
+}
+
+// NewClient returns a client beside the holder of the same gateway.
+func NewClient(h *Holder) *Client {
+	return &Client{holder: h, refunds: make(chan struct{}, maxRefundsUnderWay)}
+}
+
+// Reserve charges tokens at the holder in this process, else at the data centre's holder, else at one of
+// another data centre. It fails with a RateLimitError of kind RateLimited, or with kind RequestTooLarge or
+// LimitsUnavailable.
+func (c *Client) Reserve(ctx context.Context, requestID string, org config.Organisation, tokens int64) (Reservation, error) {
+	if tokens > org.Burst {
+		return nil, errkind.New(errkind.RequestTooLarge, "%d tokens, burst %d", tokens, org.Burst)
+	}
+	h := c.holder
+	partition := Partition(org.Name, h.opts.Partitions)
+	if h.Holds(partition) {
+		sentAt := h.opts.Now()
+		grant := h.reserve(ctx, org, tokens)
+		if errkind.Kind(grant.GetKind()) != errkind.LimitsUnavailable {
+			return c.result(grant, sentAt, "", org)
+		}
+	}
+	request := &wirepb.LimitReserve{RequestId: requestID, Organisation: org.Name, Tokens: tokens}
+	message := &wirepb.Envelope{Message: &wirepb.Envelope_LimitReserve{LimitReserve: request}}
+	for _, address := range h.holders(partition, true) {
+		sentAt := h.opts.Now()
+		grant := c.call(ctx, address, message).GetLimitGrant()
+		if grant == nil || errkind.Kind(grant.GetKind()) == errkind.LimitsUnavailable {
+			continue
+		}
+		return c.result(grant, sentAt, address, org)
+	}
+	h.Refresh()
+	h.metrics.refusals.Add(errkind.LimitsUnavailable.String(), 1)
+	return nil, errkind.New(errkind.LimitsUnavailable, "no holder of partition %d answered", partition)
+}
+
+// call returns nil if there was no answer. A charge whose answer was lost stays charged.
+func (c *Client) call(ctx context.Context, address string, message *wirepb.Envelope) *wirepb.Envelope {
+	ctx, cancel := context.WithTimeout(ctx, c.holder.opts.CallTimeout)
+	defer cancel()
+	reply, err := c.holder.call(ctx, address, message)
+	if err != nil {
+		c.holder.opts.Log.Debug("limit holder did not answer", "address", address, "error", err)
+		return nil
+	}
+	return reply
+}
+
+// result turns an answer into a reservation or an error. A grant that is no longer valid is refused: the
+// process may have been paused since it asked.
+func (c *Client) result(grant *wirepb.LimitGrant, sentAt time.Duration, address string, org config.Organisation) (Reservation, error) {
+	kind := errkind.Kind(grant.GetKind())
+	switch kind {
+	case errkind.None:
+	case errkind.RateLimited:
+		wait := time.Duration(grant.GetRetryAfterMs()) * time.Millisecond
+		return nil, &RateLimitError{Err: errkind.New(kind, "organisation %s", org.Name), RetryAfter: wait}
+	default:
+		return nil, errkind.New(kind, "%s", grant.GetDetail())
+	}
+	r := &reservation{client: c, address: address, organisation: org.Name, grant: grant}
+	valid := time.Duration(grant.GetValidMs()) * time.Millisecond
+	if c.holder.opts.Now() >= sentAt+valid {
+		c.holder.metrics.grantsExpired.Add(1)
+		return nil, errkind.New(errkind.LimitsUnavailable, "the grant came after %v", valid)
+	}
+	return r, nil
+}
+
+type reservation struct {
+	client       *Client
+	address      string // empty for the holder in this process
+	organisation string
+	grant        *wirepb.LimitGrant
+}
+
+// Refund implements Reservation.
+func (r *reservation) Refund(unused int64) {
+	if unused <= 0 {
+		return
+	}
+	h := r.client.holder
+	m := &wirepb.LimitRefund{
+		ReservationId: r.grant.GetReservationId(), Organisation: r.organisation,
+		Epoch: r.grant.GetEpoch(), Unused: unused,
+	}
+	if r.address == "" {
+		h.refund(m)
+		return
+	}
+	select {
+	case r.client.refunds <- struct{}{}:
+	default:
+		h.metrics.refundsDropped.Add(1)
+		return
+	}
+	go func() {
+		defer func() { <-r.client.refunds }()
+		message := &wirepb.Envelope{Message: &wirepb.Envelope_LimitRefund{LimitRefund: m}}
+		r.client.call(context.Background(), r.address, message)
+	}()
+}
