--- a/internal/limitholder/holder_test.go
+++ b/internal/limitholder/holder_test.go
@@ -236,13 +236,15 @@
 		f.cut["b1"], f.cut["c1"] = true, true
 		Expect(a.Round(context.Background())).To(Succeed())
 		Expect(a.Holds(0)).To(BeTrue(), "a new incarnation at the same address need not wait")
-		a.refund(&wirepb.LimitRefund{ReservationId: old.grant.ReservationId, Organisation: "north", Epoch: old.grant.Epoch, Unused: 300})
 		f.now += 6*time.Second - 1
 		Expect(kindOf(f.reserve(a, 1))).To(Equal(errkind.RateLimited))
 		f.now += time.Second + 1
 		_, err = f.reserve(a, 10)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(kindOf(f.reserve(a, 1))).To(Equal(errkind.RateLimited))
+		// The reservations of both epochs have the same number.
+		a.refund(&wirepb.LimitRefund{ReservationId: old.grant.ReservationId, Organisation: "north", Epoch: old.grant.Epoch, Unused: 300})
+		Expect(kindOf(f.reserve(a, 1))).To(Equal(errkind.RateLimited))
 	})
 
 	It("guards against a data centre that is added with a full share while the others still have theirs", func() {
--- /dev/null
+++ b/internal/placement/static.go
@@ -0,0 +1,34 @@
+package placement
+
+import "slices"
+
+// Static returns the baseline of a placement that ignores demand: whole rounds over the models, one more
+// copy of each in a round, servers in turn, until no server has room for the next copy. The result maps a
+// server to its models.
+func Static(servers []Server, models []Model) map[string][]string {
+	free := make([]int64, len(servers))
+	for i, s := range servers {
+		free[i] = s.MemoryMB
+	}
+	placed := make(map[string][]string, len(servers))
+	next := 0
+	for round := 0; round < len(servers); round++ {
+		added := false
+		for _, m := range models {
+			for tried := range servers {
+				i := (next + tried) % len(servers)
+				if free[i] < m.MemoryMB || slices.Contains(placed[servers[i].ID], m.Name) {
+					continue
+				}
+				free[i] -= m.MemoryMB
+				placed[servers[i].ID] = append(placed[servers[i].ID], m.Name)
+				next, added = i+1, true
+				break
+			}
+		}
+		if !added {
+			break
+		}
+	}
+	return placed
+}
