Add the planner

It keeps the lease row, turns the sidecars' status into the input of a plan and sends the proposals as orders with the lease's epoch. Orders without a reply stay under way until status shows them or they expire, so a lost one neither repeats nor frees its slot early.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,7 @@
 	Loading    []string // ordered and not yet resident
 	Unloading  []string // ordered and not yet gone; a subset of Resident
 	Usable     bool     // ready, not draining, its data centre in service, its status fresh
+	Closed     bool     // gets no orders now, but its copies count
 }
 
 // Model is a model with the copies that its demand asks for.
@@ -173,7 +174,7 @@
 
 // allowed reports whether a copy at the server would meet the need, memory aside.
 func (p *plan) allowed(n need, s *serverState) bool {
-	if !s.Usable || s.holds(n.model.Name) {
+	if !s.Usable || s.Closed || s.holds(n.model.Name) {
 		return false
 	}
 	if n.class == ClassSpread && n.model.byDataCentre[s.DataCentre] > 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -80,6 +80,18 @@
 		Expect(actions(Plan(in))).To(Equal([]string{"unload xa s1 spread", "unload x s1 spread"}))
 	})
 
+	It("guards against a second unload of a copy that is on its way out, and orders for a closed server", func() {
+		in := Input{
+			Servers: []Server{server("s1", "a", "x", "y"), server("s2", "b", "x", "y"), server("s3", "a", "x")},
+			Models:  []Model{x, y, {Name: "z", MemoryMB: 90}}, WeightsPart: 1, Loads: 1,
+		}
+		in.Servers[0].Unloading = []string{"x"}
+		in.Servers[1].Closed, in.Servers[2].Closed = true, true
+		Expect(actions(Plan(in))).To(Equal([]string{"unload y s1 surplus"}))
+		in.Servers[0].Closed = true
+		Expect(Plan(in)).To(BeEmpty())
+	})
+
 	It("guards against weights that leave no memory for the cache", func() {
 		in := Input{Servers: []Server{server("s1", "a", "x")}, Models: []Model{x, y}, WeightsPart: 0.7, Loads: 5}
 		Expect(Plan(in)).To(BeEmpty())
@@ -137,6 +149,9 @@
 		if !x.Usable {
 			s.t.Fatalf("order for a server that is not usable: %+v", p)
 		}
+		if slices.Contains(append(slices.Clone(x.Loading), x.Unloading...), p.Model) {
+			s.t.Fatalf("second order for a change under way: %+v", p)
+		}
 		if p.Action == Unload {
 			x.Unloading = append(x.Unloading, p.Model)
 			if s.resident(p.Model) == 0 {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -82,7 +82,7 @@
 	names := make(map[string]bool)
 	for _, s := range in.Servers {
 		p.servers = append(p.servers, p.addServer(s))
-		if s.Usable {
+		if s.Usable && !s.Closed {
 			names[s.DataCentre] = true
 		}
 	}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,229 @@
+package planner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+func TestPlanner(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "planner")
+}
+
+// oneRow is a table service that holds only the lease row.
+type oneRow struct {
+	row  tablestore.Row
+	fail error // of the next calls; with ErrUnknown the write takes effect
+}
+
+func (s *oneRow) Get(context.Context, tablestore.Key) (tablestore.Row, error) {
+	if s.fail != nil && s.fail != tablestore.ErrUnknown {
+		return tablestore.Row{}, s.fail
+	}
+	if s.row.Version == 0 {
+		return tablestore.Row{}, tablestore.ErrNotFound
+	}
+	return s.row, nil
+}
+
+func (s *oneRow) Query(context.Context, string, string, int) ([]tablestore.Row, error) {
+	panic("unused")
+}
+
+func (s *oneRow) Write(_ context.Context, _ string, ops ...tablestore.Op) error {
+	if ops[0].IfVersion != s.row.Version {
+		return &tablestore.PreconditionError{Keys: []tablestore.Key{ops[0].Key}}
+	}
+	s.row = tablestore.Row{Key: ops[0].Key, Version: s.row.Version + 1, Value: ops[0].Value}
+	return s.fail
+}
+
+// testSidecars obey orders at once, refuse older epochs, and can lose orders or replies.
+type testSidecars struct {
+	mu        sync.Mutex
+	epoch     int64
+	statuses  []SidecarStatus
+	orders    []string
+	refusals  int
+	loseReply bool
+	loseOrder bool
+}
+
+func (s *testSidecars) Statuses() []SidecarStatus { return s.statuses }
+
+func (s *testSidecars) Order(_ context.Context, address string, o *wirepb.ModelOrder) (*wirepb.OrderReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders = append(s.orders, fmt.Sprintf("%d %s %s %s", o.PlannerEpoch, o.Action, o.Model, address))
+	if s.loseOrder {
+		return nil, errors.New("order lost")
+	}
+	if o.PlannerEpoch < s.epoch {
+		s.refusals++
+		return &wirepb.OrderReply{Kind: int32(errkind.ProtocolError), Detail: "older epoch"}, nil
+	}
+	s.epoch = o.PlannerEpoch
+	i := slices.IndexFunc(s.statuses, func(x SidecarStatus) bool { return x.Address == address })
+	st := s.statuses[i].Status
+	if o.Action == "load" {
+		st.Resident = append(st.Resident, o.Model)
+		st.MemoryFreeMb -= 40
+	}
+	if s.loseReply {
+		return nil, errors.New("reply lost")
+	}
+	return &wirepb.OrderReply{}, nil
+}
+
+func (s *testSidecars) add(address, dc string, resident ...string) {
+	s.statuses = append(s.statuses, SidecarStatus{Address: address, Status: &wirepb.Status{
+		Identity: &wirepb.Identity{DataCentre: dc, Incarnation: "i1"}, Kind: "model", Ready: true,
+		Resident: resident, MemoryTotalMb: 100, MemoryFreeMb: 100 - 40*int64(len(resident)),
+	}})
+}
+
+var _ = Describe("a planner", func() {
+	var store *oneRow
+	var sidecars *testSidecars
+	var snapshot *config.Snapshot
+	var copies map[string][]string
+	var now time.Duration
+	ctx := context.Background()
+
+	start := func(address, incarnation string, offset time.Duration) *Planner {
+		return New(Options{
+			Address: address, Incarnation: incarnation, Interval: 2 * time.Second, LeaseTerm: 20 * time.Second,
+			LoadRate: 1.5, LoadSlots: 2, Store: store, Sidecars: sidecars, WeightsPart: 1,
+			Snapshot: func() *config.Snapshot { return snapshot },
+			Copies:   func(context.Context) (map[string][]string, error) { return copies, nil },
+			Log:      slog.New(slog.DiscardHandler),
+			Now:      func() time.Duration { return now + offset },
+		})
+	}
+	rounds := func(p *Planner, n int) {
+		for range n {
+			_ = p.Round(ctx)
+			now += 2 * time.Second
+		}
+	}
+
+	BeforeEach(func() {
+		store, sidecars, now, copies = new(oneRow), new(testSidecars), 0, nil
+		snapshot = new(config.Snapshot)
+		for i, v := range []any{
+			config.DataCentre{Name: "a"}, config.DataCentre{Name: "b"},
+			config.Model{Name: "x", MemoryMB: 40, MinCopies: 2}, config.Model{Name: "y", MemoryMB: 40, MinCopies: 2},
+		} {
+			e, err := config.NewEntity(v)
+			Expect(err).NotTo(HaveOccurred())
+			e.Version = int64(i + 1)
+			snapshot, err = snapshot.Apply(e.Version, []config.Entity{e})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		sidecars.add("s1", "a", "x")
+		sidecars.add("s2", "b")
+	})
+
+	It("guards against orders of a paused planner being carried out after another took over", func() {
+		p1, p2 := start("g1", "i1", 0), start("g2", "i1", time.Hour)
+		rounds(p1, 1)
+		rounds(p2, 1)
+		now += 22 * time.Second // p1 is paused
+		rounds(p2, 2)
+		Expect(sidecars.epoch).To(BeEquivalentTo(2))
+		p1.lease.sentAt = now // the pause began after the check of the lease
+		sidecars.statuses[0].Status.Resident = nil
+		sidecars.statuses[0].Status.MemoryFreeMb = 100
+		rounds(p1, 1)
+		Expect(sidecars.refusals).To(BeNumerically(">", 0))
+		Expect(sidecars.orders).To(ContainElement(HavePrefix("1 load")))
+	})
+
+	It("guards against loads faster than the weight store allows, and an order that is repeated while under way", func() {
+		sidecars.loseOrder = true
+		p := start("g1", "i1", 0)
+		_ = p.Round(ctx)
+		Expect(sidecars.orders).To(BeEmpty(), "no load is due before the rate allows one")
+		now += time.Second
+		_ = p.Round(ctx)
+		Expect(sidecars.orders).To(HaveLen(1))
+		rounds(p, 50)
+		Expect(sidecars.orders).To(HaveLen(2), "two slots, and lost orders hold them until they expire")
+		rounds(p, 15)
+		Expect(len(sidecars.orders)).To(BeNumerically(">", 2))
+	})
+
+	It("guards against a placement that stalls when replies are lost", func() {
+		sidecars.loseReply = true
+		rounds(start("g1", "i1", 0), 10)
+		for _, x := range sidecars.statuses {
+			Expect(x.Status.Resident).To(ConsistOf("x", "y"))
+		}
+	})
+
+	It("guards against planning without a lease while the table service is away", func() {
+		p := start("g1", "i1", 0)
+		rounds(p, 1)
+		store.fail = tablestore.ErrUnavailable
+		rounds(p, 12)
+		sent := len(sidecars.orders)
+		sidecars.statuses[0].Status.Resident = nil
+		rounds(p, 5)
+		Expect(sidecars.orders).To(HaveLen(sent))
+	})
+
+	It("guards against a lost answer that leaves the lease without a planner, and a wait after a hand-back", func() {
+		p1, p2 := start("g1", "i1", 0), start("g2", "i1", 0)
+		store.fail = tablestore.ErrUnknown
+		rounds(p1, 1)
+		store.fail = nil
+		rounds(p1, 1)
+		Expect(p1.lease.valid(now)).To(BeTrue())
+		rounds(p2, 1)
+		Expect(p2.lease.held).To(BeFalse())
+		Expect(p1.handBack(ctx)).To(Succeed())
+		rounds(p2, 1)
+		Expect(p2.lease.row.Epoch).To(BeEquivalentTo(2))
+	})
+
+	It("guards against a new planner that loads what is resident at sidecars it has not heard from", func() {
+		sidecars.statuses = sidecars.statuses[1:]
+		copies = map[string][]string{"x": {"s1", "s3"}, "y": {"s1", "s3"}}
+		p := start("g1", "i1", 0)
+		rounds(p, 5)
+		Expect(sidecars.orders).To(BeEmpty())
+		rounds(p, 3)
+		Expect(sidecars.orders).To(HaveLen(2))
+	})
+
+	It("guards against demand that does not reach the plan, and a restarted sidecar counted as demand", func() {
+		p := start("g1", "i1", 0)
+		for i := range 30 {
+			load := &wirepb.ModelLoad{Model: "x", Tokens: int64(i) * 1000}
+			if i > 20 {
+				sidecars.statuses[0].Status.Identity.Incarnation = "i2"
+				load.Tokens = 1 << 40
+			}
+			sidecars.statuses[0].Status.ModelLoads = []*wirepb.ModelLoad{load}
+			rounds(p, 1)
+			if i == 20 {
+				Expect(p.state.demand.Rate("x")).To(BeNumerically("~", 500, 200))
+			}
+		}
+		Expect(p.state.demand.Rate("x")).To(BeNumerically("<", 500))
+	})
+})
