Keep the limit's bound while data centres are added and removed

The rapid property over all windows now adds and removes data centres. Time that passed before a change counts with the smaller of the old and new values: otherwise a holder paused during the change accrues at its old rate while the new data centre already has its share. A lease row carries the configuration version of the data centres, so a removal and its reversal are not taken for no change, and a removed data centre hands its rows back.

--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -49,6 +49,9 @@
 	Rate        float64 // tokens a second over all holders
 	Burst       int64   // tokens over all holders
 	DataCentres int
+	// Membership is the configuration version of the last change of the data centres. It restarts the wait
+	// before a share grows, also when a change and its reversal are seen as one.
+	Membership int64
 }
 
 // Share is the part of one organisation's bucket at one holder. It is not safe for concurrent use.
@@ -124,20 +127,25 @@
 }
 
 // SetBase changes the organisation's bucket. Rate and burst apply at once. More data centres shrink the
-// share at once; fewer let it grow after GrowthDelay.
+// share at once; fewer let it grow after GrowthDelay. Time that passed before the call counts with the
+// smaller of the old and the new values, so that a holder that was paused during the change gains nothing.
 func (s *Share) SetBase(now time.Duration, base Base) {
 	if base == s.target() {
 		return
 	}
-	s.Advance(now)
 	s.cancelGrowth()
-	if base.DataCentres < s.base.DataCentres {
-		s.schedule(event{at: s.now + s.opts.GrowthDelay(), kind: growth, dataCentres: base.DataCentres})
-		base.DataCentres = s.base.DataCentres
-	}
+	count := base.DataCentres
+	base.DataCentres = max(count, s.base.DataCentres)
+	oldRate, oldCapacity := s.baseRate, s.baseCapacity
 	s.base = base
 	s.applyBase()
+	s.baseRate, s.baseCapacity = min(oldRate, s.baseRate), min(oldCapacity, s.baseCapacity)
 	s.clip()
+	s.Advance(now)
+	s.applyBase()
+	if count < base.DataCentres {
+		s.schedule(event{at: s.now + s.opts.GrowthDelay(), kind: growth, dataCentres: count})
+	}
 }
 
 // target returns the base that applies when a pending growth has taken place.
--- a/internal/limit/window_test.go
+++ b/internal/limit/window_test.go
@@ -12,7 +12,7 @@
 type world struct {
 	t       *rapid.T
 	now     time.Duration
-	base    Base
+	base    Base // as configured
 	holders []*worldHolder
 	replies []reply
 	charges []*charge
@@ -25,6 +25,8 @@
 	frozenUntil time.Duration
 	incarnation int
 	open        []*charge
+	known       Base          // configuration that the holder has seen
+	learnsAt    time.Duration // when it sees a change at the latest
 }
 
 type reply struct {
@@ -50,10 +52,10 @@
 func (w *world) step() {
 	w.now += time.Duration(rapid.SampledFrom([]int{0, 1, 50, 700, 3000, 7000}).Draw(w.t, "ms")) * time.Millisecond
 	i, h := w.pick("holder")
-	if w.now < h.frozenUntil {
+	if !w.running(i) {
 		return
 	}
-	switch rapid.IntRange(0, 11).Draw(w.t, "action") {
+	switch rapid.IntRange(0, 12).Draw(w.t, "action") {
 	case 0:
 		w.reserve(h)
 	case 1, 2, 3:
@@ -67,6 +69,8 @@
 	case 10:
 		w.restart(h)
 	case 11:
+		w.change()
+	case 12:
 		h.frozenUntil = w.now + time.Duration(rapid.IntRange(0, 20).Draw(w.t, "freeze"))*time.Second
 	}
 }
@@ -78,8 +82,8 @@
 
 // spend charges all that every running holder has, the worst case for the bound.
 func (w *world) spend() {
-	for _, h := range w.holders {
-		if w.now >= h.frozenUntil {
+	for i, h := range w.holders {
+		if w.running(i) {
 			w.charge(h, h.share.Level(w.clock(h)))
 		}
 	}
@@ -116,7 +120,7 @@
 	sentAt := w.clock(h)
 	w.now += time.Duration(rapid.IntRange(0, 1500).Draw(w.t, "way")) * time.Millisecond
 	j, lender := w.pick("lender")
-	if j == i || w.now < lender.frozenUntil {
+	if j == i || !w.running(j) {
 		return
 	}
 	w.loans++
@@ -141,18 +145,59 @@
 	r := w.replies[i]
 	w.replies = append(w.replies[:i], w.replies[i+1:]...)
 	h := w.holders[r.to]
-	if h.incarnation == r.incarnation && w.now >= h.frozenUntil {
+	if w.running(r.to) && h.incarnation == r.incarnation {
 		h.share.Borrow(w.clock(h), r.sentAt, 2*time.Second, r.loan)
 	}
 }
 
-// restart replaces a holder by a new process on another clock.
+// running reports whether holder i may act. It first shows it the configuration, at the latest when the
+// change has to be in force and at random before.
+func (w *world) running(i int) bool {
+	h := w.holders[i]
+	if w.now < h.frozenUntil {
+		return false
+	}
+	if h.known != w.base && (w.now >= h.learnsAt || rapid.Bool().Draw(w.t, "learns")) {
+		member := i < h.known.DataCentres
+		h.known = w.base
+		switch {
+		case i >= w.base.DataCentres:
+		case member:
+			h.share.SetBase(w.clock(h), w.base)
+		default:
+			w.restart(h)
+		}
+	}
+	return i < h.known.DataCentres
+}
+
+// change adds the next data centre or removes the last one.
+func (w *world) change() {
+	n := w.base.DataCentres + rapid.SampledFrom([]int{-1, 1}).Draw(w.t, "change")
+	if n < 1 || n > len(w.holders) {
+		return
+	}
+	for _, h := range w.holders {
+		if h.known == w.base {
+			h.learnsAt = w.now + testOptions.Propagation
+		}
+	}
+	w.base.DataCentres = n
+	w.base.Membership++
+}
+
+// restart replaces a holder by a new process on another clock. One that knows another configuration than
+// its predecessor waits until the change has settled.
 func (w *world) restart(h *worldHolder) {
 	h.incarnation++
 	h.open = nil
 	h.offset = time.Duration(rapid.IntRange(0, 1000).Draw(w.t, "offset")) * time.Second
+	quarantine := testOptions.Quarantine()
+	if w.base.Membership > 0 {
+		quarantine = testOptions.GrowthDelay()
+	}
 	now := w.clock(h)
-	h.share = NewQuarantined(now, now+testOptions.Quarantine(), testOptions, w.base)
+	h.share = NewQuarantined(now, now+quarantine, testOptions, h.known)
 }
 
 // check compares the net charges of every window with burst + rate × window, in exact integers.
@@ -171,14 +216,16 @@
 }
 
 // TestEveryWindow guards against an organisation above its rate and burst over all holders: loans lost,
-// late and doubled, refunds, crashes, restarts, freezes and clocks that differ.
+// late and doubled, refunds, crashes, restarts, freezes, clocks that differ, and data centres that are
+// added and removed.
 func TestEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 5).Draw(t, "holders")
+		n := rapid.IntRange(1, 4).Draw(t, "holders")
 		w := &world{t: t, base: Base{Rate: rapid.SampledFrom([]float64{0, 10, 100}).Draw(t, "rate"), Burst: 600, DataCentres: n}}
-		for range n {
+		for range n + 1 { // the last one is of a data centre that may be added
 			offset := time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second
-			w.holders = append(w.holders, &worldHolder{offset: offset, share: NewFull(offset, testOptions, w.base)})
+			h := &worldHolder{offset: offset, known: w.base, share: NewFull(offset, testOptions, w.base)}
+			w.holders = append(w.holders, h)
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			w.step()
--- a/internal/limitholder/borrow.go
+++ b/internal/limitholder/borrow.go
@@ -18,8 +18,8 @@
 func (h *Holder) borrow(ctx context.Context, org config.Organisation, tokens int64) bool {
 	h.mu.Lock()
 	now := h.opts.Now()
-	l := h.leaseOf(org.Name)
-	if !l.valid(now) {
+	l, ok := h.usable(org.Name, now)
+	if !ok {
 		h.mu.Unlock()
 		return false
 	}
--- a/internal/limitholder/holder.go
+++ b/internal/limitholder/holder.go
@@ -29,6 +29,7 @@
 	writes  int64               // for change IDs
 	loans   int64               // for loan IDs
 	closing bool
+	members membership               // of the snapshot seen last
 	avoided map[string]time.Duration // until when an address that did not answer is tried last
 }
 
@@ -216,12 +217,7 @@
 		if !l.held {
 			continue
 		}
-		row := l.row
-		row.Renewal++
-		row.Returned = true
-		l.pending = &pendingWrite{row: row, ifVersion: l.version, sentAt: h.opts.Now(), reason: "shutdown"}
-		l.drop()
-		h.opts.Log.Info("limit lease handed back", "partition", l.number, "epoch", row.Epoch)
+		l.pending = h.planReturn(l, h.opts.Now(), "shutdown")
 		due = append(due, l)
 	}
 	h.mu.Unlock()
--- a/internal/limitholder/holder_test.go
+++ b/internal/limitholder/holder_test.go
@@ -109,6 +109,11 @@
 	}
 }
 
+func (f *fleet) remove(kind config.Kind, name string) {
+	e := config.Entity{Kind: kind, Name: name, Version: f.snapshot.Version() + 1, Deleted: true}
+	f.snapshot, _ = f.snapshot.Apply(e.Version, []config.Entity{e})
+}
+
 // Call implements Caller.
 func (f *fleet) Call(ctx context.Context, address string, m *wirepb.Envelope) (*wirepb.Envelope, error) {
 	if f.cut[address] || f.gateways[address] == nil {
--- a/internal/limitholder/lease.go
+++ b/internal/limitholder/lease.go
@@ -25,6 +25,7 @@
 	TermMS      int64    `json:"term_ms"`
 	Returned    bool     `json:"returned,omitempty"` // handed back
 	DataCentres []string `json:"data_centres"`       // that the holder's fraction counts
+	Membership  int64    `json:"membership"`         // configuration version of DataCentres
 }
 
 func (r leaseRow) term() time.Duration { return time.Duration(r.TermMS) * time.Millisecond }
@@ -92,7 +93,7 @@
 	claimableSince time.Duration
 	removedSince   time.Duration
 	removed        bool
-	configured     []string // data centres in the configuration at the last round
+	configured     int64 // membership in the configuration at the last round
 	changedSince   time.Duration
 }
 
@@ -159,8 +160,14 @@
 		return l.pending
 	}
 	row := rows[place{h.opts.DataCentre, l.number}]
-	if l.held {
+	member := slices.Contains(h.membership().names, h.opts.DataCentre)
+	switch {
+	case l.held && member:
 		return h.planRenewal(l, now)
+	case l.held:
+		return h.planReturn(l, now, "data centre removed")
+	case !member || h.closing:
+		return nil
 	}
 	reason := h.claimReason(l, row, now)
 	if reason != l.claimable {
@@ -177,9 +184,10 @@
 }
 
 func (h *Holder) newRow(epoch, renewal int64) leaseRow {
+	members := h.membership()
 	return leaseRow{
 		Address: h.opts.Address, Incarnation: h.opts.Incarnation, Epoch: epoch, Renewal: renewal,
-		TermMS: h.opts.LeaseTerm.Milliseconds(), DataCentres: dataCentreNames(h.opts.Snapshot()),
+		TermMS: h.opts.LeaseTerm.Milliseconds(), DataCentres: members.names, Membership: members.version,
 	}
 }
 
@@ -187,13 +195,13 @@
 // changed its fraction: a successor relies on the row to choose its quarantine.
 func (h *Holder) planRenewal(l *lease, now time.Duration) *pendingWrite {
 	next := h.newRow(l.row.Epoch, l.row.Renewal+1)
-	if !slices.Equal(next.DataCentres, l.configured) {
-		l.configured, l.changedSince = next.DataCentres, now
+	if next.Membership != l.configured {
+		l.configured, l.changedSince = next.Membership, now
 	}
-	changed := !slices.Equal(next.DataCentres, l.row.DataCentres)
+	changed := next.Membership != l.row.Membership
 	settled := changed && now >= l.changedSince+h.opts.Limit.GrowthDelay()
 	if !settled {
-		next.DataCentres = l.row.DataCentres
+		next.DataCentres, next.Membership = l.row.DataCentres, l.row.Membership
 	}
 	if !settled && !l.renewalDue(now) {
 		return nil
@@ -201,11 +209,18 @@
 	return &pendingWrite{row: next, ifVersion: l.version, sentAt: now, reason: "renewal"}
 }
 
+// planReturn stops granting and returns the write that hands the row back.
+func (h *Holder) planReturn(l *lease, now time.Duration, reason string) *pendingWrite {
+	row := l.row
+	row.Renewal++
+	row.Returned = true
+	l.drop()
+	h.opts.Log.Info("limit lease handed back", "partition", l.number, "epoch", row.Epoch, "reason", reason)
+	return &pendingWrite{row: row, ifVersion: l.version, sentAt: now, reason: reason}
+}
+
 // claimReason says why this gateway may take the row over, or returns an empty string.
 func (h *Holder) claimReason(l *lease, row storedRow, now time.Duration) string {
-	if h.closing {
-		return ""
-	}
 	removed := row.version != 0 && h.opts.Removed(row.Address)
 	if removed != l.removed {
 		l.removed, l.removedSince = removed, now
@@ -226,12 +241,14 @@
 }
 
 // quarantineFor returns how long a new holder has no rate and capacity of its own. A new row needs none
-// if the holders of the other data centres count the same data centres; if any counts others, its
-// fraction may still be too large until the configuration has reached it and its loans have ended.
+// if the holders of the other data centres count the same data centres; if any row is of another
+// configuration, its holder's fraction may still be too large until the configuration has reached it and
+// its loans have ended.
 func (h *Holder) quarantineFor(l *lease, rows map[place]storedRow) time.Duration {
-	names := dataCentreNames(h.opts.Snapshot())
+	version := h.membership().version
 	for p, row := range rows {
-		if p.partition == l.number && !slices.Equal(row.DataCentres, names) {
+		granting := !row.Returned || p.dataCentre == h.opts.DataCentre
+		if p.partition == l.number && granting && row.Membership != version {
 			return h.opts.Limit.GrowthDelay()
 		}
 	}
--- a/internal/limitholder/lease_test.go
+++ b/internal/limitholder/lease_test.go
@@ -87,8 +87,7 @@
 	if err := h.Round(ctx); err != nil {
 		t.Fatal(err)
 	}
-	remove := config.Entity{Kind: config.KindDataCentre, Name: "b", Version: f.snapshot.Version() + 1, Deleted: true}
-	f.snapshot, _ = f.snapshot.Apply(remove.Version, []config.Entity{remove})
+	f.remove(config.KindDataCentre, "b")
 	_ = h.Round(ctx)
 	f.now += 40 * time.Minute // a renewal is due at the first round that knows of the change
 	_ = h.Round(ctx)
@@ -102,3 +101,27 @@
 		t.Fatalf("row names %d data centres at once", n)
 	}
 }
+
+// TestRemovedDataCentre guards against grants of a removed data centre, and against a short quarantine
+// when it is added again before the others have learnt of either change.
+func TestRemovedDataCentre(t *testing.T) {
+	f := newFleet("a", "b")
+	a, b := f.start("a", "a1", "i1", 0), f.start("b", "b1", "i1", 0)
+	ctx := context.Background()
+	if err := errors.Join(a.Round(ctx), b.Round(ctx)); err != nil {
+		t.Fatal(err)
+	}
+	f.remove(config.KindDataCentre, "b")
+	if _, err := f.reserve(b, 1); err != nil {
+		t.Fatalf("not served by the other data centre: %v", err)
+	}
+	if b.metrics.grants.Value() != 0 {
+		t.Fatal("granted by a removed data centre")
+	}
+	_ = b.Round(ctx)
+	f.set(config.DataCentre{Name: "b"})
+	_ = b.Round(ctx)
+	if l := b.leases[0]; !l.held || l.quarantine != fleetLimit.GrowthDelay() {
+		t.Fatalf("held %t with a quarantine of %v", l.held, l.quarantine)
+	}
+}
--- a/internal/limitholder/metrics.go
+++ b/internal/limitholder/metrics.go
@@ -35,11 +35,10 @@
 // stranded counts the shares of all data centres that no gateway was seen to hold at the last read. Their
 // part of the organisations' rates cannot be used until a gateway takes them over.
 func (h *Holder) stranded() int {
-	names := dataCentreNames(h.opts.Snapshot())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := 0
-	for _, dc := range names {
+	for _, dc := range h.membership().names {
 		for i := range h.opts.Partitions {
 			row, ok := h.rows[place{dc, i}]
 			if !ok || row.Returned || (row.Address != h.opts.Address && h.opts.Removed(row.Address)) {
--- a/internal/limitholder/options.go
+++ b/internal/limitholder/options.go
@@ -92,12 +92,39 @@
 	return place
 }
 
-// dataCentreNames returns the names of all data centres, also those that are out: a data centre that is
-// out keeps its share, which its holder lends, because a holder that is cut off may not know it is out.
-func dataCentreNames(s *config.Snapshot) []string {
-	var names []string
+// membership is the set of data centres that share the limits: all of them, also those that are out. A
+// data centre that is out keeps its share, which its holder lends, because a holder that is cut off may
+// not know that it is out.
+type membership struct {
+	snapshot *config.Snapshot
+	names    []string
+	version  int64 // configuration version of the last change of a data centre
+}
+
+func membershipOf(s *config.Snapshot) membership {
+	m := membership{snapshot: s}
 	for _, dc := range s.DataCentres() {
-		names = append(names, dc.Name)
+		m.names = append(m.names, dc.Name)
 	}
-	return names
+	for _, e := range s.Since(0) {
+		if e.Kind == config.KindDataCentre {
+			m.version = max(m.version, e.Version)
+		}
+	}
+	return m
+}
+
+// membership returns the data centres in the current configuration. The caller holds mu.
+func (h *Holder) membership() membership {
+	if s := h.opts.Snapshot(); s != h.members.snapshot {
+		h.members = membershipOf(s)
+	}
+	return h.members
+}
+
+// usable returns the lease of an organisation's partition and whether it may be used at now. A data
+// centre that was removed has no share. The caller holds mu.
+func (h *Holder) usable(organisation string, now time.Duration) (*lease, bool) {
+	l := h.leases[Partition(organisation, h.opts.Partitions)]
+	return l, l.valid(now) && slices.Contains(h.membership().names, h.opts.DataCentre)
 }
--- a/internal/limitholder/serve.go
+++ b/internal/limitholder/serve.go
@@ -66,8 +66,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
-	l := h.leaseOf(org.Name)
-	if !l.valid(now) {
+	l, ok := h.usable(org.Name, now)
+	if !ok {
 		return h.refuse(errkind.LimitsUnavailable, 0, "no valid lease"), 0
 	}
 	r, wait := h.shareOf(l, org, now).share.Reserve(now, tokens)
@@ -88,18 +88,18 @@
 	return &wirepb.LimitGrant{Kind: int32(kind), RetryAfterMs: ms, Detail: detail}
 }
 
-func (h *Holder) leaseOf(organisation string) *lease {
-	return h.leases[Partition(organisation, h.opts.Partitions)]
-}
-
 // shareOf returns the share of an organisation under a valid lease. A share that is created later than
 // its lease has the level that it would have reached since then.
 func (h *Holder) shareOf(l *lease, org config.Organisation, now time.Duration) *orgShare {
-	base := limit.Base{Rate: org.Rate, Burst: org.Burst, DataCentres: len(h.opts.Snapshot().DataCentres())}
+	members := h.membership()
+	base := limit.Base{
+		Rate: org.Rate, Burst: org.Burst, DataCentres: len(members.names), Membership: members.version,
+	}
 	o, ok := l.shares[org.Name]
 	if !ok {
 		first := base
 		first.DataCentres = max(base.DataCentres, len(l.row.DataCentres))
+		first.Membership = l.row.Membership
 		o = new(orgShare)
 		if l.quarantine == 0 {
 			o.share = limit.NewFull(now, h.opts.Limit, first)
@@ -121,9 +121,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
-	l := h.leaseOf(m.GetOrganisation())
-	o, ok := l.shares[m.GetOrganisation()]
-	if !ok || !l.valid(now) || m.GetEpoch() != l.row.Epoch {
+	l, ok := h.usable(m.GetOrganisation(), now)
+	o := l.shares[m.GetOrganisation()]
+	if !ok || o == nil || m.GetEpoch() != l.row.Epoch {
 		h.metrics.refundsDropped.Add(1)
 		return
 	}
@@ -139,8 +139,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
-	l := h.leaseOf(org.Name)
-	if !l.valid(now) {
+	l, ok := h.usable(org.Name, now)
+	if !ok {
 		return new(wirepb.LimitLoan)
 	}
 	h.loans++
