Attach organisation limits and the planner to the gateway

Cause: the request path granted every reservation, although the limit holder and the planner were there.

Ruled out: a second view of the fleet for the planner; it uses the routing client's statuses with age.

Before: limits.enabled had no effect.

--- /dev/null
+++ b/cmd/pomelo-gateway/duties.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/gateway"
+	"github.com/pomelowheel/pomelowheel/internal/limit"
+	"github.com/pomelowheel/pomelowheel/internal/limitholder"
+	"github.com/pomelowheel/pomelowheel/internal/planner"
+	"github.com/pomelowheel/pomelowheel/internal/sidecar"
+	"github.com/pomelowheel/pomelowheel/internal/sidecars"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+const (
+	// loanMargin covers a difference in clock speed of 10% over the longest loan, and late grants.
+	loanMargin = time.Second
+	// configPropagation is the time within which a change is in force everywhere at full size.
+	configPropagation = 16 * time.Second
+	// copiesPage is the number of copies rows read at once.
+	copiesPage = 200
+)
+
+// limiter adapts the limit holder's client to the request path.
+type limiter struct{ client *limitholder.Client }
+
+// Reserve implements gateway.Limiter.
+func (l limiter) Reserve(
+	ctx context.Context, requestID string, org config.Organisation, tokens int64,
+) (gateway.Reservation, error) {
+	reservation, err := l.client.Reserve(ctx, requestID, org, tokens)
+	var limited *limitholder.RateLimitError
+	if errors.As(err, &limited) {
+		return nil, &gateway.RetryError{Err: limited.Err, After: limited.RetryAfter}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return reservation, nil
+}
+
+func (p *parts) buildLimits() gateway.Limiter {
+	s := p.settings
+	if !s.Limits.Enabled {
+		return gateway.NoLimit{}
+	}
+	p.limits = limitholder.New(limitholder.Options{
+		Address: p.identity.GetAddress(), DataCentre: s.Process.DataCentre, Incarnation: p.identity.GetIncarnation(),
+		Partitions: s.Limits.Partitions, LeaseTerm: s.Limits.LeaseTerm.D(), StoreTimeout: s.TableService.Timeout.D(),
+		Limit: limit.Options{
+			LongestLoan: s.Limits.LoanTerm.D(), Margin: loanMargin, Propagation: configPropagation,
+		},
+		Store: p.store, Caller: limitholder.PoolCaller{Pool: p.pool}, Snapshot: p.config.Snapshot,
+		Gateways: p.gatewaysHere, Removed: p.hosts.Removed, Log: p.log,
+	})
+	return limiter{limitholder.NewClient(p.limits)}
+}
+
+// gatewaysHere returns the gateways of this data centre, this process included.
+func (p *parts) gatewaysHere() []string {
+	here := []string{p.identity.GetAddress()}
+	for _, address := range p.hosts.Gateways() {
+		host, ok := p.hosts.Host(address)
+		if ok && host.DataCentre == p.settings.Process.DataCentre && !slices.Contains(here, address) {
+			here = append(here, address)
+		}
+	}
+	return here
+}
+
+// limitHandlers returns the frames that the limit holder answers to other gateways.
+func (p *parts) limitHandlers(h *gateway.PeerHandlers) {
+	if p.limits == nil {
+		return
+	}
+	h.LimitReserve = func(ctx context.Context, r *wirepb.LimitReserve) *wirepb.LimitGrant {
+		return p.limits.Serve(ctx, &wirepb.Envelope{Message: &wirepb.Envelope_LimitReserve{LimitReserve: r}}).GetLimitGrant()
+	}
+	h.LimitRefund = func(ctx context.Context, r *wirepb.LimitRefund) {
+		p.limits.Serve(ctx, &wirepb.Envelope{Message: &wirepb.Envelope_LimitRefund{LimitRefund: r}})
+	}
+	h.LimitBorrow = func(ctx context.Context, r *wirepb.LimitBorrow) *wirepb.LimitLoan {
+		return p.limits.Serve(ctx, &wirepb.Envelope{Message: &wirepb.Envelope_LimitBorrow{LimitBorrow: r}}).GetLimitLoan()
+	}
+}
+
+// fleet is the planner's view of the sidecars.
+type fleet struct{ client *sidecars.Client }
+
+// Statuses implements planner.Sidecars.
+func (f fleet) Statuses() []planner.SidecarStatus {
+	var statuses []planner.SidecarStatus
+	for address, status := range f.client.Statuses() {
+		if age, ok := f.client.Age(address); ok {
+			statuses = append(statuses, planner.SidecarStatus{Address: address, Status: status, Age: age})
+		}
+	}
+	return statuses
+}
+
+// Order implements planner.Sidecars.
+func (f fleet) Order(ctx context.Context, address string, order *wirepb.ModelOrder) (*wirepb.OrderReply, error) {
+	reply, err := f.client.Ask(ctx, address, &wirepb.Envelope{Message: &wirepb.Envelope_ModelOrder{ModelOrder: order}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetOrderReply() == nil {
+		return nil, errkind.New(errkind.ProtocolError, "sidecar %s answered an order with another message", address)
+	}
+	return reply.GetOrderReply(), nil
+}
+
+func (p *parts) newPlanner() *planner.Planner {
+	s := p.settings
+	return planner.New(planner.Options{
+		Address: p.identity.GetAddress(), Incarnation: p.identity.GetIncarnation(),
+		Interval: s.Planner.Interval.D(), LeaseTerm: s.Planner.LeaseTerm.D(),
+		LoadRate: s.Planner.LoadRate, LoadSlots: s.Planner.LoadSlots, StatusMaxAge: s.Routing.StatusMaxAge.D(),
+		StoreTimeout: s.TableService.Timeout.D(), Store: p.store, Sidecars: fleet{p.sidecars},
+		Snapshot: p.config.Snapshot, Copies: p.readCopies, Log: p.log,
+	})
+}
+
+// readCopies reads the rows that name the sidecars of each model.
+func (p *parts) readCopies(ctx context.Context) (map[string][]string, error) {
+	copies := make(map[string][]string)
+	after := ""
+	for {
+		rows, err := p.store.Query(ctx, sidecar.CopiesKey("").Partition, after, copiesPage)
+		if err != nil {
+			return nil, fmt.Errorf("read copies: %w", err)
+		}
+		for _, row := range rows {
+			if err := addCopies(copies, row); err != nil {
+				return nil, err
+			}
+			after = row.Key.Sort
+		}
+		if len(rows) < copiesPage {
+			return copies, nil
+		}
+	}
+}
+
+func addCopies(copies map[string][]string, row tablestore.Row) error {
+	var value sidecar.CopiesRow
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return fmt.Errorf("decode %s: %w", row.Key, err)
+	}
+	for _, c := range value.Copies {
+		copies[row.Key.Sort] = append(copies[row.Key.Sort], c.Address)
+	}
+	return nil
+}
--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -15,6 +15,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/hostlist"
+	"github.com/pomelowheel/pomelowheel/internal/limitholder"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/internal/route"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
@@ -36,6 +37,7 @@
 	store    tablestore.Store
 	hosts    *hostlist.List
 	config   *configsync.Copy
+	limits   *limitholder.Holder // nil if limits are switched off
 	sidecars *sidecars.Client
 	gateway  *gateway.Gateway
 	callers  *callers.Server
@@ -56,6 +58,12 @@
 	if s.HostList.URL != "" {
 		group.Go("host list", p.hosts.Run)
 	}
+	if p.limits != nil {
+		group.Go("limit leases", p.limits.Run)
+	}
+	if s.Planner.Enabled {
+		group.Go("planner", p.newPlanner().Run)
+	}
 	group.Go("sidecar status", p.sidecars.Run)
 	group.Go("key watch", func(ctx context.Context) error { return p.gateway.WatchKeys(ctx, keyWatchInterval) })
 	group.Go("idle sessions", func(ctx context.Context) error { return process.CloseIdle(ctx, p.pool) })
@@ -92,22 +100,23 @@
 		Store: p.store, Peers: p.otherGateways, Pool: p.pool, Identity: p.identity,
 		PollInterval: s.ConfigSync.PollInterval.D(), FreshFor: s.ConfigSync.FreshFor.D(), Log: p.log,
 	})
-	p.buildRequestPath(edgeCertificates)
+	p.buildRequestPath(edgeCertificates, p.buildLimits())
 	handlers := gateway.PeerHandlers{
 		Config: func(_ context.Context, r *wirepb.ConfigRequest) *wirepb.ConfigDelta { return p.config.ServeConfig(r) },
 	}
+	p.limitHandlers(&handlers)
 	p.peers = transport.NewServer(peerListener, peerCertificates.Peers(), handlers.Handler(p.log), p.log)
 	return nil
 }
 
-func (p *parts) buildRequestPath(edge *transport.Certificates) {
+func (p *parts) buildRequestPath(edge *transport.Certificates, limits gateway.Limiter) {
 	s := p.settings
 	p.sidecars = sidecars.New(sidecars.Options{
 		Pool: p.pool, Static: s.Peers.Sidecars, HostList: p.hosts, Policy: route.Policy(s.Routing.Policy), Log: p.log,
 		StatusInterval: s.Routing.StatusInterval.D(), StatusMaxAge: s.Routing.StatusMaxAge.D(), Identity: p.identity,
 	})
 	p.gateway = gateway.New(gateway.Options{
-		DataCentre: s.Process.DataCentre, Config: p.config, Limiter: gateway.NoLimit{}, Sidecars: p.sidecars,
+		DataCentre: s.Process.DataCentre, Config: p.config, Limiter: limits, Sidecars: p.sidecars,
 		Policy: route.Policy(s.Routing.Policy), ProbeCount: s.Routing.ProbeCount,
 		ProbeTimeout: s.Routing.ProbeTimeout.D(), MaxAttempts: s.Routing.MaxAttempts, Log: p.log,
 	})
@@ -120,6 +129,9 @@
 	vars := p.gateway.Vars()
 	vars.Set("pool_sessions", expvar.Func(func() any { return p.pool.Len() }))
 	expvar.Publish("gateway", vars)
+	if p.limits != nil {
+		expvar.Publish("limits", p.limits.Vars())
+	}
 }
 
 // otherGateways returns the peers listed in the settings and by the platform, without this process.
--- /dev/null
+++ b/internal/sidecars/age.go
@@ -0,0 +1,11 @@
+package sidecars
+
+import "time"
+
+// Age returns the age of the last status of the sidecar at address, and false if there is none.
+func (c *Client) Age(address string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.table.Get(address)
+	return time.Since(r.At), ok
+}
