--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -209,7 +209,7 @@
 			return 0, l.lost(ctx, change)
 		}
 		unknown = true
-		if !pause(ctx, wait) {
+		if !l.pause(ctx, wait) {
 			break
 		}
 		wait *= 2
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -62,10 +62,19 @@
 func (e *UnknownError) Unwrap() error { return tablestore.ErrUnknown }
 
 // Log is the change log in the table service. It may be used from several goroutines.
-type Log struct{ store tablestore.Store }
+type Log struct {
+	store tablestore.Store
+	pause func(ctx context.Context, d time.Duration) bool
+}
 
 // NewLog returns the change log in store.
-func NewLog(store tablestore.Store) *Log { return &Log{store: store} }
+func NewLog(store tablestore.Store) *Log { return &Log{store: store, pause: pause} }
+
+// WithPause returns a log on the same store whose waits between attempts to resolve a lost answer are done by
+// f, which reports false when the context ended.
+func (l *Log) WithPause(f func(ctx context.Context, d time.Duration) bool) *Log {
+	return &Log{store: l.store, pause: f}
+}
 
 func changeKey(version int64) tablestore.Key {
 	return tablestore.Key{Partition: partitionConfig, Sort: fmt.Sprintf("%s%012d", prefixChange, version)}
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -29,6 +29,8 @@
 	peerTimeout = time.Second
 	// storeTimeout bounds the reads of one poll, which may outlast a round.
 	storeTimeout = 6 * time.Second
+	// refuseHold is the time for which a refusal stands without another round.
+	refuseHold = 200 * time.Millisecond
 	// hedgeDelay is the time after which more than one peer is asked.
 	hedgeDelay = 250 * time.Millisecond
 	maxPeers   = 3
@@ -59,13 +61,17 @@
 	snapshot atomic.Pointer[config.Snapshot]
 	flight   singleflight.Group
 
-	mu          sync.Mutex
+	applyMu     sync.Mutex // orders snapshots and guards subscribers
+	subscribers []func(*config.Snapshot)
+
+	mu          sync.Mutex // guards the fields below
 	confirmed   bool
 	confirmedAt time.Time // when the read that confirmed the copy was sent, or earlier
 	awayUntil   time.Time // end of the validity of a Continue decision
 	storeAway   bool
 	storeReadAt time.Time // when the last read that succeeded was sent
-	subscribers []func(*config.Snapshot)
+	refused     Decision  // the last round's, until refuseUntil
+	refuseUntil time.Time
 }
 
 // New returns an empty copy. It becomes usable by Run or by the first Confirm.
@@ -122,8 +128,8 @@
 // Subscribe calls f for each new snapshot, in the order of versions and never concurrently. f must not block and
 // must not call Subscribe.
 func (c *Copy) Subscribe(f func(*config.Snapshot)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
 	c.subscribers = append(c.subscribers, f)
 }
 
@@ -134,6 +140,9 @@
 	if d := Decide(c.view(answers{})); d != Ask {
 		return decisionError(d)
 	}
+	if d, ok := c.recentRefusal(); ok {
+		return decisionError(d)
+	}
 	ch := c.flight.DoChan("ask", func() (any, error) {
 		return c.round(context.WithoutCancel(ctx)), nil
 	})
@@ -145,6 +154,14 @@
 	}
 }
 
+// recentRefusal returns the refusal of a round that ended just now, so that requests that arrive while
+// nothing is reachable do not each start a round.
+func (c *Copy) recentRefusal() (Decision, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused, c.opts.Now().Before(c.refuseUntil)
+}
+
 func decisionError(d Decision) error {
 	switch d {
 	case Use, Continue:
@@ -209,8 +226,8 @@
 
 // apply merges entities and tells the subscribers. The copy never goes back to an older version.
 func (c *Copy) apply(version int64, entities []config.Entity) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
 	old := c.snapshot.Load()
 	next, err := old.Apply(version, entities)
 	if err != nil {
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -169,6 +169,8 @@
 		f.clock.advance(9 * time.Second)
 		Expect(kind(g1)).To(Equal(errkind.ConfigStale)) // g2 has not noticed the outage yet
 		Expect(g2.Confirm(ctx)).To(Succeed())           // g1 has
+		Expect(kind(g1)).To(Equal(errkind.ConfigStale)) // a refusal stands for a moment
+		f.clock.advance(time.Second)
 		Expect(g1.Confirm(ctx)).To(Succeed())
 		f.cut["g1"] = true
 		f.clock.advance(9 * time.Second)
@@ -207,6 +209,7 @@
 		f.cut["g"] = true
 		Expect(kind(s2)).To(Equal(errkind.ConfigStale))
 		Expect(kind(s1)).To(Equal(errkind.ConfigStale))
+		f.clock.advance(time.Second)
 		Expect(kind(s2)).To(Equal(errkind.ConfigStale))
 	})
 
@@ -260,6 +263,35 @@
 		Expect(kind(c)).To(Equal(errkind.NotReady))
 	})
 
+	// Guards against a table service that gets a read for each request that is refused.
+	It("does not ask again for each request while nothing is reachable", func() {
+		f.accept()
+		g := f.add("g", f.store, "x")
+		f.cut["x"] = true
+		Expect(g.Confirm(ctx)).To(Succeed())
+		f.store.SetAway(true)
+		f.clock.advance(time.Minute)
+		Expect(kind(g)).To(Equal(errkind.ConfigStale))
+		calls := f.store.Calls()
+		for range 100 {
+			Expect(kind(g)).To(Equal(errkind.ConfigStale))
+		}
+		Expect(f.store.Calls()).To(Equal(calls))
+	})
+
+	// Guards against a deadlock between the copy and a subscriber that asks it something.
+	It("lets a subscriber use the copy", func() {
+		f.accept()
+		g := f.add("g", f.store)
+		var seen []int64
+		g.Subscribe(func(s *config.Snapshot) {
+			_, _ = g.ConfirmedAge()
+			seen = append(seen, s.Version(), g.ServeConfig(&wirepb.ConfigRequest{}).GetVersion())
+		})
+		Expect(g.Confirm(ctx)).To(Succeed())
+		Expect(seen).To(Equal([]int64{1, 1}))
+	})
+
 	It("pulls from a peer over a session", func() {
 		f.accept()
 		g := f.add("g", f.store)
--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -74,7 +74,7 @@
 	if storeErr != nil && c.log != nil {
 		c.opts.Log.Debug("table service not read", "error", storeErr)
 	}
-	c.setAwayUntil(d, started)
+	c.conclude(d, started)
 	return d
 }
 
@@ -101,14 +101,17 @@
 	c.storeAway = c.log != nil && c.storeReadAt.Before(started)
 }
 
-// setAwayUntil lets a Continue decision stand for half the freshness bound. A peer's report of the outage
+// conclude records the decision of a round. It lets a Continue decision stand for half the freshness bound. A peer's report of the outage
 // is up to a poll interval old itself; the two together stay within the bound of a withdrawal.
-func (c *Copy) setAwayUntil(d Decision, started time.Time) {
+func (c *Copy) conclude(d Decision, started time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awayUntil = time.Time{}
-	if d == Continue {
+	c.awayUntil, c.refuseUntil = time.Time{}, time.Time{}
+	switch d {
+	case Continue:
 		c.awayUntil = started.Add(c.opts.FreshFor / 2)
+	case Refuse, NotReady:
+		c.refused, c.refuseUntil = d, c.opts.Now().Add(refuseHold)
 	}
 }
 
--- a/internal/configsync/serve.go
+++ b/internal/configsync/serve.go
@@ -17,16 +17,19 @@
 
 // ServeConfig answers a peer with the changes after the version that it holds.
 func (c *Copy) ServeConfig(r *wirepb.ConfigRequest) *wirepb.ConfigDelta {
+	// The age is read first: the snapshot is then at least as new as the one that was confirmed.
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	snapshot := c.snapshot.Load()
+	age, ok := c.age()
+	away := c.storeAway
+	c.mu.Unlock()
+	snapshot := c.Snapshot()
 	delta := &wirepb.ConfigDelta{
 		Version:        snapshot.Version(),
 		ConfirmedAgeMs: neverConfirmed,
-		StoreAway:      c.storeAway,
+		StoreAway:      away,
 		Entities:       toWire(snapshot.Since(r.GetSince())),
 	}
-	if age, ok := c.age(); ok {
+	if ok {
 		// Rounded up, so that the sum over several hops is never too small.
 		delta.ConfirmedAgeMs = int64((age + time.Millisecond - 1) / time.Millisecond)
 	}
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -221,6 +222,18 @@
 	return found
 }
 
+// All returns every listed host in order of address.
+func (l *List) All() []Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]Host, 0, len(l.hosts))
+	for _, h := range l.hosts {
+		all = append(all, h.Host)
+	}
+	slices.SortFunc(all, func(a, b Host) int { return strings.Compare(a.Address, b.Address) })
+	return all
+}
+
 // Host returns the entry of the host at address.
 func (l *List) Host(address string) (Host, bool) {
 	l.mu.Lock()
--- a/internal/tablestore/contract_test.go
+++ b/internal/tablestore/contract_test.go
@@ -53,11 +53,12 @@
 
 var _ = Describe("store contract", func() {
 	for name, build := range map[string]func() subject{"memory": memorySubject, "dynamodb": dynamoSubject} {
-		Context(name, func() { contract(build) })
+		Context(name, func() { contractWrites(build) })
+		Context(name, func() { contractReadsAndFaults(build) })
 	}
 })
 
-func contract(build func() subject) {
+func contractWrites(build func() subject) {
 	var s subject
 	ctx := context.Background()
 	BeforeEach(func() { s = build() })
@@ -96,6 +97,12 @@
 		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
 		Expect(s.store.Write(ctx, "c1", put("b", tablestore.Absent, "1"))).NotTo(Succeed())
 	})
+}
+
+func contractReadsAndFaults(build func() subject) {
+	var s subject
+	ctx := context.Background()
+	BeforeEach(func() { s = build() })
 
 	It("reads a partition in order, in bounded pages", func() {
 		for i := range 7 {
--- a/internal/tablestore/dynamodb.go
+++ b/internal/tablestore/dynamodb.go
@@ -26,6 +26,8 @@
 	attrVersion   = "version"
 	attrValue     = "value"
 
+	idleConnections = 32
+
 	// tokenLength is the longest client request token that the protocol allows.
 	tokenLength = 36
 	// MaxOps is the largest number of ops in one write that the protocol allows.
@@ -63,7 +65,9 @@
 		opts.Timeout = time.Second
 	}
 	if opts.Client == nil {
-		opts.Client = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		t := http.DefaultTransport.(*http.Transport).Clone()
+		t.MaxIdleConnsPerHost = idleConnections
+		opts.Client = &http.Client{Transport: t}
 	}
 	o := dynamodb.Options{
 		BaseEndpoint: aws.String(opts.Endpoint),
