--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -248,6 +248,8 @@
 		f.clock.advance(9 * time.Second)
 		_ = g.Confirm(ctx)
 		Expect(g.Version()).To(Equal(int64(2)))
+		age, _ := g.ConfirmedAge()
+		Expect(age).To(Equal(9 * time.Second)) // such an answer confirms nothing
 	})
 
 	It("refuses an entity newer than its delta", func() {
