--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -252,6 +252,22 @@
 		Expect(age).To(Equal(9 * time.Second)) // such an answer confirms nothing
 	})
 
+	// Guards against a peer that is behind and vouches for a copy that it does not hold.
+	It("takes no confirmation from a peer with an older version", func() {
+		f.accept()
+		f.accept()
+		g := configsync.New(configsync.Options{
+			Store: f.store, Peers: func() []string { return []string{"behind"} }, Now: f.clock.Now,
+			Ask: func(context.Context, string, *wirepb.ConfigRequest) (*wirepb.ConfigDelta, error) {
+				return &wirepb.ConfigDelta{Version: 1}, nil
+			},
+		})
+		Expect(g.Confirm(ctx)).To(Succeed())
+		f.store.SetAway(true)
+		f.clock.advance(9 * time.Second)
+		Expect(kind(g)).To(Equal(errkind.ConfigStale))
+	})
+
 	It("refuses an entity newer than its delta", func() {
 		f.accept()
 		g := f.add("g", f.store)
--- a/internal/fake/platform/platform_test.go
+++ b/internal/fake/platform/platform_test.go
@@ -68,3 +68,16 @@
 		Expect(s.Stats()).To(Equal(platform.Stats{Reads: 1, Writes: 1, WritesApplied: 1}))
 	})
 })
+
+// Guards against a request that makes the stand-in panic.
+func FuzzTable(f *testing.F) {
+	f.Add("GetItem", `{"Key":{"pk":{"S":"a"},"sk":{"S":"b"}}}`)
+	f.Add("Query", `{"KeyConditionExpression":"pk = :pk","ExpressionAttributeValues":{":pk":{"S":"a"}},"Limit":-1}`)
+	f.Add("TransactWriteItems", `{"TransactItems":[{"Delete":{"Key":{"pk":{"S":"a"},"sk":{"S":"b"}}}},{}]}`)
+	f.Fuzz(func(t *testing.T, target, body string) {
+		s := platform.New(platform.Options{})
+		if code := do(s, "POST", "/", target, body).Code; code != 200 && code != 400 {
+			t.Fatalf("status %d", code)
+		}
+	})
+}
--- a/internal/fake/platform/weights.go
+++ b/internal/fake/platform/weights.go
@@ -9,7 +9,7 @@
 	"github.com/gorilla/mux"
 )
 
-// weights limits loads by a bucket of one second's rate and by slots.
+// weights limits loads by slots and by a bucket that holds one second's rate, or a load for each slot.
 type weights struct {
 	rate  float64
 	slots int
@@ -28,7 +28,7 @@
 		return false
 	}
 	if w.rate > 0 {
-		now, burst := w.now(), max(1, w.rate)
+		now, burst := w.now(), max(1, w.rate, float64(w.slots))
 		if w.last.IsZero() {
 			w.level = burst
 		} else {
--- a/internal/tablestore/contract_test.go
+++ b/internal/tablestore/contract_test.go
@@ -39,6 +39,7 @@
 	return subject{
 		store: tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
 			Endpoint: server.URL, Region: "local", Table: "test", Timeout: 5 * time.Second,
+			AccessKeyID: "test", SecretAccessKey: "test", // signed requests
 		}),
 		away: func(b bool) { p.Apply(platform.Control{Away: &b}) },
 		lose: func(n int) { p.Apply(platform.Control{LoseAnswers: &n}) },
