--- a/internal/config/outcome_test.go
+++ b/internal/config/outcome_test.go
@@ -25,15 +25,13 @@
 
 // accept sends a change and checks that its outcome does not contradict an earlier one.
 func (s *sequence) accept(t *rapid.T, c config.Change) {
+	// A refusal speaks of the attempts so far; this attempt may be accepted.
+	delete(s.refused, c.ID)
 	version, err := s.log.Accept(context.Background(), c)
 	before, known := s.said[c.ID]
 	switch {
 	case err == nil && known && before != version:
 		t.Fatalf("change %s: version %d, then %d", c.ID, before, version)
-	case err == nil && s.refused[c.ID]:
-		// A refused change may be sent again and accepted then; its earlier refusal was true.
-		delete(s.refused, c.ID)
-		s.said[c.ID] = version
 	case err == nil:
 		s.said[c.ID] = version
 	case errors.Is(err, tablestore.ErrUnknown):
@@ -44,6 +42,15 @@
 		t.Fatalf("change %s: accepted as version %d, then %v", c.ID, before, err)
 	default:
 		s.refused[c.ID] = true
+		s.checkRefused(t, c.ID)
+	}
+}
+
+// checkRefused fails if a change that was just refused stands in the log.
+func (s *sequence) checkRefused(t *rapid.T, id string) {
+	s.quiet(t)
+	if version, err := s.log.Find(context.Background(), id); !errors.Is(err, tablestore.ErrNotFound) {
+		t.Fatalf("change %s: refused, but the log has it at version %d (error %v)", id, version, err)
 	}
 }
 
