Pull the configuration that a request needs from the gateway that sent it

Cause: a sidecar that had not polled the version of a request refused it with config_stale, although the sending gateway has that version. A new key would be refused wrongly for up to one poll interval.

Ruled out: asking a random gateway. At 400 gateways it has most likely not polled the change either.

After: the spec with two gateways passes; the sidecar takes the version at once.

--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -116,7 +116,7 @@
 		StatusInterval: s.Routing.StatusInterval.D(), StatusMaxAge: s.Routing.StatusMaxAge.D(), Identity: p.identity,
 	})
 	p.gateway = gateway.New(gateway.Options{
-		DataCentre: s.Process.DataCentre, Config: p.config, Limiter: limits, Sidecars: p.sidecars,
+		Address: p.identity.GetAddress(), DataCentre: s.Process.DataCentre, Config: p.config, Limiter: limits, Sidecars: p.sidecars,
 		Policy: route.Policy(s.Routing.Policy), ProbeCount: s.Routing.ProbeCount,
 		ProbeTimeout: s.Routing.ProbeTimeout.D(), MaxAttempts: s.Routing.MaxAttempts, Log: p.log,
 	})
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -298,6 +298,21 @@
 	})
 
 	// Guards against a deadlock between the copy and a subscriber that asks it something.
+	// Guards against a refusal of a request that came with a newer version than the sidecar has polled yet.
+	It("pulls the version that a request needs from the gateway that sent it", func() {
+		f.accept()
+		g1, g2 := f.add("g1", f.store), f.add("g2", f.store)
+		s := f.add("s", nil, "g1")
+		Expect(g1.Confirm(ctx)).To(Succeed())
+		Expect(s.Confirm(ctx)).To(Succeed())
+		version := f.accept()
+		Expect(g2.Confirm(ctx)).To(Succeed())
+		Expect(s.Pull(ctx, "g2", version)).To(Succeed())
+		Expect(s.Version()).To(Equal(version))
+		f.cut["g2"] = true
+		Expect(errkind.Of(s.Pull(ctx, "g2", version+1))).To(Equal(errkind.ConfigStale))
+	})
+
 	It("lets a subscriber use the copy", func() {
 		f.accept()
 		g := f.add("g", f.store)
--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -173,6 +174,28 @@
 	delta *wirepb.ConfigDelta
 }
 
+// Pull asks the peer at address (IP:port) for the changes up to version, which that peer has, without
+// waiting for the next poll. It returns nil if the copy is at version or newer afterwards; otherwise the
+// error has the kind errkind.ConfigStale.
+func (c *Copy) Pull(ctx context.Context, address string, version int64) error {
+	if c.Version() >= version {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	results := make(chan *peerAnswer, 1)
+	c.askOne(ctx, address, results)
+	if r := <-results; r != nil {
+		if err := c.merge(*r); err != nil {
+			return errkind.Wrap(errkind.ConfigStale, err, "apply the configuration of %s", address)
+		}
+	}
+	if held := c.Version(); held < version {
+		return errkind.New(errkind.ConfigStale, "held version %d, wanted %d from %s", held, version, address)
+	}
+	return nil
+}
+
 // askPeers asks one peer, and the other chosen ones if it does not make the copy fresh soon.
 func (c *Copy) askPeers(ctx context.Context, a *answers) {
 	peers, known := c.choosePeers()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 
 // Options configures a Gateway.
 type Options struct {
+	Address      string // peers' listen address of this gateway, IP:port
 	DataCentre   string
 	Config       Config
 	Limiter      Limiter
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -73,7 +73,7 @@
 		g: g, p: p, to: to,
 		submit: &wirepb.Submit{
 			RequestId: call.RequestID, Organisation: p.Organisation.Name, KeyId: p.KeyID,
-			ConfigVersion: p.Snapshot.Version(), Service: p.Service.Name, Profile: p.Profile.Name,
+			ConfigVersion: p.Snapshot.Version(), GatewayAddress: g.opts.Address, Service: p.Service.Name, Profile: p.Profile.Name,
 			Model: model.Name, PromptTokens: call.PromptTokens, MaxOutputTokens: call.MaxOutputTokens,
 			Stream: call.Stream, Http: call.HTTP, PrefixHash: call.PrefixHash, Repeatable: true,
 		},
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,7 +37,7 @@
 		g: g, p: p, to: &plainReceiver{sink: sink},
 		submit: &wirepb.Submit{
 			RequestId: call.RequestID, Organisation: p.Organisation.Name, KeyId: p.KeyID,
-			ConfigVersion: p.Snapshot.Version(), Service: p.Service.Name, Profile: p.Profile.Name,
+			ConfigVersion: p.Snapshot.Version(), GatewayAddress: g.opts.Address, Service: p.Service.Name, Profile: p.Profile.Name,
 			Http: call.HTTP, IdempotencyKey: call.IdempotencyKey,
 			Repeatable: p.Service.Repeatable(call.HTTP.GetMethod()),
 		},
--- a/internal/sidecar/check.go
+++ b/internal/sidecar/check.go
@@ -14,15 +14,16 @@
 // defaultDeadline applies when neither the request nor its profile has a deadline.
 const defaultDeadline = 10 * time.Minute
 
-// confirmed returns the configuration, confirmed and at least at version.
-func (s *Server) confirmed(ctx context.Context, version int64) (*config.Snapshot, error) {
+// confirmed returns the configuration, confirmed and at least at version. The gateway at address (IP:port)
+// has that version.
+func (s *Server) confirmed(ctx context.Context, address string, version int64) (*config.Snapshot, error) {
 	if err := s.opts.Config.Confirm(ctx); err != nil {
 		return nil, errkind.Wrap(errkind.ConfigStale, err, "confirm the configuration")
 	}
 	snapshot := s.opts.Config.Snapshot()
 	if snapshot != nil && snapshot.Version() < version {
 		if puller, ok := s.opts.Config.(Puller); ok {
-			if err := puller.Pull(ctx, version); err != nil {
+			if err := puller.Pull(ctx, address, version); err != nil {
 				return nil, errkind.Wrap(errkind.ConfigStale, err, "pull configuration version %d", version)
 			}
 		}
@@ -125,7 +126,7 @@
 // admit makes all checks in their order and queues the request.
 func (s *Server) admit(ctx context.Context, t *task) (time.Duration, error) {
 	r := t.submit
-	snapshot, err := s.confirmed(ctx, r.GetConfigVersion())
+	snapshot, err := s.confirmed(ctx, r.GetGatewayAddress(), r.GetConfigVersion())
 	if err != nil {
 		return 0, err
 	}
@@ -186,7 +187,7 @@
 
 // recheck makes the checks that may have changed while the request was queued or the process was paused.
 func (s *Server) recheck(ctx context.Context, t *task) error {
-	snapshot, err := s.confirmed(ctx, t.submit.GetConfigVersion())
+	snapshot, err := s.confirmed(ctx, t.submit.GetGatewayAddress(), t.submit.GetConfigVersion())
 	if err != nil {
 		return err
 	}
@@ -209,7 +210,7 @@
 		MaxOutputTokens: p.GetTokens(),
 	}}
 	reply := new(wirepb.ProbeReply)
-	snapshot, err := s.confirmed(ctx, 0)
+	snapshot, err := s.confirmed(ctx, "", 0)
 	if err == nil {
 		err = s.checkDataCentre(snapshot)
 	}
--- a/internal/sidecar/residency.go
+++ b/internal/sidecar/residency.go
@@ -293,7 +293,7 @@
 }
 
 func (s *Server) takeOrder(ctx context.Context, o *wirepb.ModelOrder) error {
-	snapshot, err := s.confirmed(ctx, 0)
+	snapshot, err := s.confirmed(ctx, "", 0)
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -39,9 +39,10 @@
 	Confirm(ctx context.Context) error
 }
 
-// Puller is implemented by a Config that can pull up to a version before its next poll.
+// Puller is implemented by a Config that can pull up to a version before its next poll, from the gateway at
+// address (IP:port), which has that version.
 type Puller interface {
-	Pull(ctx context.Context, version int64) error
+	Pull(ctx context.Context, address string, version int64) error
 }
 
 // Options configures a Server.
