Try an idle backend server out at the cold limit before it gets more

Cause: a backend server may turn cold without warning while nobody calls it.

Ruled out: decay of the warm limit with idle time, which costs several ramp steps on every burst; a watch on a kept connection, which does not see a server that only lost its caches.

Before: with the check off (Idle 0) the two new specs fail, the limit stays 8 after 6 s without service. After: they pass; the cold limit of 2 applies until one good answer, then 8 at once.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -193,6 +193,26 @@
 		Expect(r.Limit()).To(Equal(2))
 	})
 
+	// Guards against a burst at the warm limit on a server that restarted while nobody called it.
+	It("tries an idle server out at the cold limit before it gets more", func() {
+		r = NewRamp(RampOptions{Cold: 2, Max: 8, Step: 2 * time.Second, Idle: 5 * time.Second})
+		serve(20 * time.Second)
+		Expect(r.LimitAt(now)).To(Equal(8))
+		now = now.Add(6 * time.Second)
+		Expect(r.LimitAt(now)).To(Equal(2))
+		r.FirstAnswer(now, 100*time.Millisecond, time.Second)
+		Expect(r.LimitAt(now)).To(Equal(8))
+	})
+
+	It("takes one slow answer after an idle time for a cold server", func() {
+		r = NewRamp(RampOptions{Cold: 2, Max: 8, Step: 2 * time.Second, Idle: 5 * time.Second})
+		serve(20 * time.Second)
+		r.FirstAnswer(now.Add(time.Second), 5*time.Second, time.Second)
+		Expect(r.Limit()).To(Equal(8))
+		r.FirstAnswer(now.Add(7*time.Second), 5*time.Second, time.Second)
+		Expect(r.Limit()).To(Equal(2))
+	})
+
 	DescribeTable("falls back to cold, because a server that turned cold falls over under full load", func(turn func()) {
 		serve(20 * time.Second)
 		Expect(r.Limit()).To(Equal(8))
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -15,6 +15,9 @@
 	Cold int           // limit for a fresh backend server
 	Max  int           // limit for a warm backend server
 	Step time.Duration // good service before the limit doubles
+	// Idle is the time without good service after which the server may have turned cold unnoticed. Until the
+	// next good answer it gets no more than the cold limit. Zero switches the check off.
+	Idle time.Duration
 }
 
 // Ramp bounds how many requests a backend server gets at once. A fresh server starts at the cold limit.
@@ -33,9 +36,21 @@
 	return &Ramp{opts: opts, limit: opts.Cold}
 }
 
-// Limit returns the requests that may run at once.
+// Limit returns the requests that may run at once on a server that is known to be as warm as it was.
 func (r *Ramp) Limit() int { return r.limit }
 
+// LimitAt returns the requests that may run at once at now. After an idle time it is the cold limit.
+func (r *Ramp) LimitAt(now time.Time) int {
+	if r.unproven(now) {
+		return min(r.limit, r.opts.Cold)
+	}
+	return r.limit
+}
+
+func (r *Ramp) unproven(now time.Time) bool {
+	return r.opts.Idle > 0 && !r.last.IsZero() && now.Sub(r.last) > r.opts.Idle
+}
+
 // Warm reports whether the limit has reached its maximum.
 func (r *Ramp) Warm() bool { return r.limit >= r.opts.Max }
 
@@ -69,7 +84,7 @@
 }
 
 // FirstAnswer notes the latency of a first token or answer against its target; a target of zero is not
-// judged. Three slow ones in a row show a cold server.
+// judged. Three slow ones in a row show a cold server, and one does after an idle time.
 func (r *Ramp) FirstAnswer(now time.Time, latency, target time.Duration) {
 	if target <= 0 || latency <= slowFactor*target {
 		r.slow = 0
@@ -77,7 +92,7 @@
 		return
 	}
 	r.slow++
-	if r.slow >= slowInRow {
+	if r.slow >= slowInRow || r.unproven(now) {
 		r.Bad()
 	}
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -28,6 +28,9 @@
 	watchInterval = 200 * time.Millisecond
 	// orderLife exceeds the timeout of an order's HTTP call, after which its connection is closed.
 	orderLife = 10 * time.Second
+	// rampIdle is long against the gaps between tokens of a busy server, so that only an idle one is tried
+	// out again.
+	rampIdle  = 5 * time.Second
 	kindModel = "model"
 )
 
@@ -109,6 +112,7 @@
 	})
 	server.ramp = admission.NewRamp(admission.RampOptions{
 		Cold: s.Admission.ColdConcurrency, Max: s.Admission.MaxConcurrency, Step: s.Admission.RampStep.D(),
+		Idle: rampIdle,
 	})
 	server.ledger = ledger.New(ledger.Options{
 		TotalMB: s.Backend.MemoryMB, ChecksOrders: s.Backend.ChecksOrders,
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -143,7 +143,7 @@
 	for {
 		var blocked *admission.Item
 		var full error
-		item := s.queue.Next(s.ramp.Limit(), func(due *admission.Item) bool {
+		item := s.queue.Next(s.ramp.LimitAt(time.Now()), func(due *admission.Item) bool {
 			if !s.isModel() {
 				return true
 			}
