Wait two propagation times before a share grows

Cause: a removal of a data centre that is reversed before the removed holder saw it lets that holder go on, while the others may see the reversal only after their shares have grown. Found by TestEveryWindow (605 tokens at once of a burst of 600).

--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -33,16 +33,19 @@
 	LongestLoan time.Duration // a longer loan is shortened to it
 	Margin      time.Duration // added by the lender; covers the difference in clock speed and late grants
 	// Propagation is the time within which a configuration change is in force at every holder. A share
-	// that grows because there are fewer data centres grows only after Propagation, LongestLoan and
-	// Margin, when every other holder has changed its fraction and the loans made before have ended.
+	// that grows because there are fewer data centres grows only after GrowthDelay.
 	Propagation time.Duration
 }
 
 // Quarantine is the time for which a new holder has neither rate nor capacity of its own.
 func (o Options) Quarantine() time.Duration { return o.LongestLoan + o.Margin }
 
-// GrowthDelay is the wait before a share grows because there are fewer data centres.
-func (o Options) GrowthDelay() time.Duration { return o.Propagation + o.LongestLoan + o.Margin }
+// GrowthDelay is the wait before a share grows because there are fewer data centres, and the quarantine of
+// a holder whose data centre was added. After one Propagation every other holder has changed its fraction,
+// and after LongestLoan and Margin the loans made before have ended. The second Propagation is for a
+// removal that is reversed before the removed holder saw it: that holder goes on, and the others may see
+// the reversal up to two Propagations after they saw the removal.
+func (o Options) GrowthDelay() time.Duration { return 2*o.Propagation + o.LongestLoan + o.Margin }
 
 // Base is an organisation's bucket and the number of data centres that it is divided by.
 type Base struct {
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -53,6 +53,22 @@
 		Expect(s.Level(time.Minute)).To(BeEquivalentTo(50))
 	})
 
+	It("guards against growth after a removal that was reversed before the removed holder saw it", func() {
+		ends := 2*testOptions.Propagation - 1 // reversed and seen as late as possible
+		shares := []*Share{NewFull(0, testOptions, base), NewFull(0, testOptions, base), NewFull(0, testOptions, base)}
+		sum := int64(0)
+		for _, s := range shares {
+			if s != shares[2] {
+				s.SetBase(0, Base{Rate: 30, Burst: 300, DataCentres: 2, Membership: 1})
+			}
+			s.Advance(ends)
+			sum += s.Capacity()
+			s.SetBase(ends, Base{Rate: 30, Burst: 300, DataCentres: 3, Membership: 2})
+			Expect(s.Level(ends + time.Minute)).To(BeEquivalentTo(100))
+		}
+		Expect(sum).To(BeEquivalentTo(300))
+	})
+
 	It("guards against a refund panicking or crediting too much once its record of headroom was merged", func() {
 		s := NewFull(0, testOptions, Base{Rate: 0, Burst: 40000, DataCentres: 1})
 		var all []Reservation
