Start the shares again after a pause that may hide a removal

Cause: a holder that was paused while its data centre was removed and added again kept its share, while the others had grown. Running holders now see each change in time, and only frozen ones skip changes; the bound on every window is unchanged.

--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -42,10 +42,11 @@
 
 // GrowthDelay is the wait before a share grows because there are fewer data centres, and the quarantine of
 // a holder whose data centre was added. After one Propagation every other holder has changed its fraction,
-// and after LongestLoan and Margin the loans made before have ended. The second Propagation is for a
-// removal that is reversed before the removed holder saw it: that holder goes on, and the others may see
-// the reversal up to two Propagations after they saw the removal.
-func (o Options) GrowthDelay() time.Duration { return 2*o.Propagation + o.LongestLoan + o.Margin }
+// and after LongestLoan and Margin the loans made before have ended. Two more Propagations are for a
+// removal that is reversed before the removed holder saw it, so that it goes on: it saw the configuration
+// at most Propagation late, was paused for at most Propagation, and the others see the reversal at most
+// Propagation late. A holder that was paused for longer must start again in quarantine.
+func (o Options) GrowthDelay() time.Duration { return 3*o.Propagation + o.LongestLoan + o.Margin }
 
 // Base is an organisation's bucket and the number of data centres that it is divided by.
 type Base struct {
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -54,7 +54,7 @@
 	})
 
 	It("guards against growth after a removal that was reversed before the removed holder saw it", func() {
-		ends := 2*testOptions.Propagation - 1 // reversed and seen as late as possible
+		ends := 3*testOptions.Propagation - 1 // reversed and seen as late as possible
 		shares := []*Share{NewFull(0, testOptions, base), NewFull(0, testOptions, base), NewFull(0, testOptions, base)}
 		sum := int64(0)
 		for _, s := range shares {
--- a/internal/limit/window_test.go
+++ b/internal/limit/window_test.go
@@ -26,7 +26,8 @@
 	incarnation int
 	open        []*charge
 	known       Base          // configuration that the holder has seen
-	learnsAt    time.Duration // when it sees a change at the latest
+	learnsAt    time.Duration // when it sees a change at the latest, unless it is frozen
+	checkedAt   time.Duration // when it last ran
 }
 
 type reply struct {
@@ -50,7 +51,7 @@
 }
 
 func (w *world) step() {
-	w.now += time.Duration(rapid.SampledFrom([]int{0, 1, 50, 700, 3000, 7000}).Draw(w.t, "ms")) * time.Millisecond
+	w.advance(time.Duration(rapid.SampledFrom([]int{0, 1, 50, 700, 3000, 7000}).Draw(w.t, "ms")) * time.Millisecond)
 	i, h := w.pick("holder")
 	if !w.running(i) {
 		return
@@ -118,7 +119,7 @@
 // doubled.
 func (w *world) request(i int, h *worldHolder) {
 	sentAt := w.clock(h)
-	w.now += time.Duration(rapid.IntRange(0, 1500).Draw(w.t, "way")) * time.Millisecond
+	w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(w.t, "way")) * time.Millisecond)
 	j, lender := w.pick("lender")
 	if j == i || !w.running(j) {
 		return
@@ -150,23 +151,53 @@
 	}
 }
 
-// running reports whether holder i may act. It first shows it the configuration, at the latest when the
-// change has to be in force and at random before.
+// advance moves real time. Each holder that runs sees a change of the configuration in time, and one that
+// was frozen sees it when it wakes.
+func (w *world) advance(d time.Duration) {
+	end := w.now + d
+	for {
+		next, at := -1, end+1
+		for i, h := range w.holders {
+			if sees := max(w.now, h.learnsAt, h.frozenUntil); h.known != w.base && sees < at {
+				next, at = i, sees
+			}
+		}
+		if next < 0 {
+			break
+		}
+		w.now = at
+		w.learn(next)
+	}
+	w.now = end
+	for _, h := range w.holders {
+		if w.now >= h.frozenUntil {
+			h.checkedAt = w.now
+		}
+	}
+}
+
+// learn shows holder i the configuration. One that was paused for long may have missed its own removal.
+func (w *world) learn(i int) {
+	h := w.holders[i]
+	member := i < h.known.DataCentres && w.now-h.checkedAt <= testOptions.Propagation
+	h.known, h.checkedAt = w.base, w.now
+	switch {
+	case i >= w.base.DataCentres:
+	case member:
+		h.share.SetBase(w.clock(h), w.base)
+	default:
+		w.restart(h)
+	}
+}
+
+// running reports whether holder i may act. It may see a change of the configuration early.
 func (w *world) running(i int) bool {
 	h := w.holders[i]
 	if w.now < h.frozenUntil {
 		return false
 	}
-	if h.known != w.base && (w.now >= h.learnsAt || rapid.Bool().Draw(w.t, "learns")) {
-		member := i < h.known.DataCentres
-		h.known = w.base
-		switch {
-		case i >= w.base.DataCentres:
-		case member:
-			h.share.SetBase(w.clock(h), w.base)
-		default:
-			w.restart(h)
-		}
+	if h.known != w.base && rapid.Bool().Draw(w.t, "learns") {
+		w.learn(i)
 	}
 	return i < h.known.DataCentres
 }
--- a/internal/limitholder/holder.go
+++ b/internal/limitholder/holder.go
@@ -23,14 +23,15 @@
 
 	roundMu sync.Mutex // held by Round and HandBack, so that one write is under way at a time
 
-	mu      sync.Mutex // guards the fields below; never held during a call
-	leases  []*lease
-	rows    map[place]storedRow // as read last
-	writes  int64               // for change IDs
-	loans   int64               // for loan IDs
-	closing bool
-	members membership               // of the snapshot seen last
-	avoided map[string]time.Duration // until when an address that did not answer is tried last
+	mu        sync.Mutex // guards the fields below; never held during a call
+	leases    []*lease
+	rows      map[place]storedRow // as read last
+	writes    int64               // for change IDs
+	loans     int64               // for loan IDs
+	closing   bool
+	members   membership               // of the snapshot seen last
+	checkedAt time.Duration            // when the snapshot was looked at last
+	avoided   map[string]time.Duration // until when an address that did not answer is tried last
 }
 
 // New returns a holder that holds nothing yet.
@@ -92,6 +93,9 @@
 	}
 	h.roundMu.Lock()
 	defer h.roundMu.Unlock()
+	h.mu.Lock()
+	h.membership()
+	h.mu.Unlock()
 	rows, err := h.read(ctx)
 	if err != nil {
 		return err
--- a/internal/limitholder/holder_test.go
+++ b/internal/limitholder/holder_test.go
@@ -82,6 +82,7 @@
 	gateways map[string]*Holder
 	cut      map[string]bool
 	removed  map[string]bool
+	stale    bool
 	delay    time.Duration // added to the clock by every call
 	snapshot *config.Snapshot
 }
@@ -133,6 +134,7 @@
 		Address: address, DataCentre: dc, Incarnation: incarnation, Partitions: 2, LeaseTerm: 90 * time.Minute,
 		Limit: fleetLimit, Store: f.store, Caller: f, Log: slog.New(slog.DiscardHandler),
 		Snapshot: func() *config.Snapshot { return f.snapshot },
+		Fresh:    func() bool { return !f.stale },
 		Gateways: func() []string { return []string{address} },
 		Removed:  func(a string) bool { return f.removed[a] },
 		Now:      func() time.Duration { return f.now + offset },
--- a/internal/limitholder/lease.go
+++ b/internal/limitholder/lease.go
@@ -84,6 +84,7 @@
 	adoptedAt  time.Duration
 	quarantine time.Duration // after adoptedAt; zero if the row was new
 	shares     map[string]*orgShare
+	generation int64 // grows when the shares start again within an epoch
 
 	pending *pendingWrite
 
--- a/internal/limitholder/lease_test.go
+++ b/internal/limitholder/lease_test.go
@@ -125,3 +125,40 @@
 		t.Fatalf("held %t with a quarantine of %v", l.held, l.quarantine)
 	}
 }
+
+// TestPausedDuringRemoval guards against the old share of a holder that was paused while its data centre
+// was removed and added again, against grants with a stale configuration, and against a refund of a
+// reservation of the old share.
+func TestPausedDuringRemoval(t *testing.T) {
+	f := newFleet("a", "b")
+	a, b := f.start("a", "a1", "i1", 0), f.start("b", "b1", "i1", 0)
+	ctx := context.Background()
+	if err := errors.Join(a.Round(ctx), b.Round(ctx)); err != nil {
+		t.Fatal(err)
+	}
+	r, err := f.reserve(b, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.cut["a1"] = true
+	f.stale = true
+	if _, err = f.reserve(b, 1); err == nil {
+		t.Fatal("granted with a stale configuration")
+	}
+	f.stale = false
+	f.remove(config.KindDataCentre, "b")
+	f.set(config.DataCentre{Name: "b"})
+	f.now += fleetLimit.Propagation + 1
+	if _, err = f.reserve(b, 1); err == nil {
+		t.Fatal("granted from the old share")
+	}
+	f.now += fleetLimit.GrowthDelay() + time.Second
+	if _, err = f.reserve(b, 10); err != nil {
+		t.Fatalf("refused after the quarantine: %v", err)
+	}
+	before := b.leases[Partition("north", 2)].shares["north"].share.Level(f.now)
+	r.Refund(100)
+	if after := b.leases[Partition("north", 2)].shares["north"].share.Level(f.now); after != before {
+		t.Fatalf("level %d after a refund across the reset, %d before", after, before)
+	}
+}
--- a/internal/limitholder/options.go
+++ b/internal/limitholder/options.go
@@ -36,6 +36,7 @@
 	Store    tablestore.Store
 	Caller   Caller
 	Snapshot func() *config.Snapshot
+	Fresh    func() bool               // the snapshot holds every change older than Limit.Propagation
 	Gateways func() []string           // addresses of the data centre's gateways, in any order
 	Removed  func(address string) bool // the host list listed the host and then removed it
 	Log      *slog.Logger
@@ -114,17 +115,41 @@
 	return m
 }
 
-// membership returns the data centres in the current configuration. The caller holds mu.
+// membership returns the data centres in the current configuration and keeps the shares in step with it.
+// The caller holds mu.
 func (h *Holder) membership() membership {
-	if s := h.opts.Snapshot(); s != h.members.snapshot {
-		h.members = membershipOf(s)
+	now := h.opts.Now()
+	paused := now-h.checkedAt > h.opts.Limit.Propagation
+	h.checkedAt = now
+	s := h.opts.Snapshot()
+	if s == h.members.snapshot {
+		return h.members
+	}
+	old := h.members.version
+	h.members = membershipOf(s)
+	absent := !slices.Contains(h.members.names, h.opts.DataCentre)
+	if old != 0 && old != h.members.version && (paused || absent) {
+		h.resetShares(now)
 	}
 	return h.members
 }
 
+// resetShares starts the shares again in quarantine. A holder that was paused while the data centres
+// changed may have missed that its own was removed and added again, and others may have grown meanwhile.
+func (h *Holder) resetShares(now time.Duration) {
+	for _, l := range h.leases {
+		if l.held {
+			l.shares = make(map[string]*orgShare)
+			l.adoptedAt, l.quarantine = now, h.opts.Limit.GrowthDelay()
+			l.generation++
+			h.opts.Log.Warn("limit shares reset", "partition", l.number, "epoch", l.row.Epoch, "quarantine", l.quarantine)
+		}
+	}
+}
+
 // usable returns the lease of an organisation's partition and whether it may be used at now. A data
 // centre that was removed has no share. The caller holds mu.
 func (h *Holder) usable(organisation string, now time.Duration) (*lease, bool) {
 	l := h.leases[Partition(organisation, h.opts.Partitions)]
-	return l, l.valid(now) && slices.Contains(h.membership().names, h.opts.DataCentre)
+	return l, l.valid(now) && h.opts.Fresh() && slices.Contains(h.membership().names, h.opts.DataCentre)
 }
--- a/internal/limitholder/serve.go
+++ b/internal/limitholder/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
@@ -76,7 +77,7 @@
 	}
 	h.metrics.grants.Add(1)
 	return &wirepb.LimitGrant{
-		ReservationId: strconv.FormatUint(uint64(r), 10), Epoch: l.row.Epoch,
+		ReservationId: reservationID(l.generation, r), Epoch: l.row.Epoch,
 		ValidMs: h.opts.Limit.Margin.Milliseconds(),
 	}, 0
 }
@@ -114,20 +115,28 @@
 
 // refund credits a reservation of the same epoch. The reservations of an earlier epoch are gone.
 func (h *Holder) refund(m *wirepb.LimitRefund) {
-	id, err := strconv.ParseUint(m.GetReservationId(), 10, 64)
-	if err != nil {
-		return
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
 	l, ok := h.usable(m.GetOrganisation(), now)
 	o := l.shares[m.GetOrganisation()]
-	if !ok || o == nil || m.GetEpoch() != l.row.Epoch {
+	r, found := parseReservationID(m.GetReservationId(), l.generation)
+	if !ok || !found || o == nil || m.GetEpoch() != l.row.Epoch {
 		h.metrics.refundsDropped.Add(1)
 		return
 	}
-	o.share.Refund(now, limit.Reservation(id), m.GetUnused())
+	o.share.Refund(now, r, m.GetUnused())
+}
+
+func reservationID(generation int64, r limit.Reservation) string {
+	return strconv.FormatInt(generation, 10) + "/" + strconv.FormatUint(uint64(r), 10)
+}
+
+// parseReservationID fails for an ID of another generation of the shares.
+func parseReservationID(id string, generation int64) (limit.Reservation, bool) {
+	number, ok := strings.CutPrefix(id, strconv.FormatInt(generation, 10)+"/")
+	r, err := strconv.ParseUint(number, 10, 64)
+	return limit.Reservation(r), ok && err == nil
 }
 
 // lend answers another holder. Without a valid lease it lends nothing.
