Let the limit holder know whether its configuration is fresh

Cause: a share may grow only when every holder has seen a change of the data centres, so a holder with an old copy must not grant.

Ruled out: the confirmation age alone. In an outage of the table service it grows without bound, and every request would be refused although no change can have been accepted.

--- a/cmd/pomelo-gateway/duties.go
+++ b/cmd/pomelo-gateway/duties.go
@@ -59,11 +59,18 @@
 			LongestLoan: s.Limits.LoanTerm.D(), Margin: loanMargin, Propagation: configPropagation,
 		},
 		Store: p.store, Caller: limitholder.PoolCaller{Pool: p.pool}, Snapshot: p.config.Snapshot,
-		Gateways: p.gatewaysHere, Removed: p.hosts.Removed, Log: p.log,
+		Fresh: p.configFresh, Gateways: p.gatewaysHere, Removed: p.hosts.Removed, Log: p.log,
 	})
 	return limiter{limitholder.NewClient(p.limits)}
 }
 
+// configFresh reports whether the copy holds every change that is older than configPropagation. During an
+// outage of the table service no change is accepted, so the copy stays good.
+func (p *parts) configFresh() bool {
+	age, ok := p.config.ConfirmedAge()
+	return p.config.Usable() || (ok && age <= configPropagation)
+}
+
 // gatewaysHere returns the gateways of this data centre, this process included.
 func (p *parts) gatewaysHere() []string {
 	here := []string{p.identity.GetAddress()}
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// Usable reports whether the copy may be used now without asking: it is fresh, or an outage of the table
+// service that has a witness is under way.
+func (c *Copy) Usable() bool {
+	d := Decide(c.view(answers{}))
+	return d == Use || d == Continue
+}
+
 // recentRefusal returns the refusal of a round that ended just now, so that requests that arrive while
 // nothing is reachable do not each start a round.
 func (c *Copy) recentRefusal() (Decision, bool) {
