Ask the other copies of a model before one is unloaded

Cause: an unload removed the sidecar from the copies row if the row named another. The row may name a sidecar that died, so the last living copy could be unloaded.

Ruled out: removing dead entries by a timeout on the planner, because its view may be older than the death; trusting the planner's status alone, because a paused planner's order is not fenced by time.

What remains: the other copy may die after it answered.

--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -58,6 +58,7 @@
 	server := sidecar.New(sidecar.Options{
 		Settings: s, Config: configuration, Store: process.NewTableStore(s.TableService), Log: log,
 		Incarnation: identity.GetIncarnation(), Address: identity.GetAddress(),
+		Serves: sidecar.AskServes(pool, identity),
 	})
 	peers := transport.NewServer(listener, certificates.Peers(), server.Handle, log)
 
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -39,6 +39,7 @@
 	store   tablestore.Store
 	timeout time.Duration
 	self    Copy
+	serves  func(ctx context.Context, address, model string) bool // nil trusts the row
 }
 
 func (c *copies) add(ctx context.Context, model string) error {
@@ -51,21 +52,36 @@
 	})
 }
 
-// remove removes this sidecar, unless fewer than least copies would be left.
+// remove removes this sidecar, unless fewer than least copies would be left that serve the model now. A row
+// may name a sidecar that died, so each of them is asked.
 func (c *copies) remove(ctx context.Context, model string, least int) error {
 	return c.change(ctx, model, func(row *CopiesRow) (bool, error) {
 		rest := c.without(row.Copies)
 		if len(rest) == len(row.Copies) && least == 0 {
 			return false, nil
 		}
-		if len(rest) < least {
-			return false, errkind.New(errkind.BadRequest, "%d other copies of model %q, at least %d must stay", len(rest), model, least)
+		if n := c.serving(ctx, model, rest, least); n < least {
+			return false, errkind.New(errkind.BadRequest, "%d other copies of model %q serve it, at least %d must stay", n, model, least)
 		}
 		row.Copies = rest
 		return true, nil
 	})
 }
 
+// serving counts the copies that serve the model now, up to least.
+func (c *copies) serving(ctx context.Context, model string, rest []Copy, least int) int {
+	if c.serves == nil {
+		return len(rest)
+	}
+	n := 0
+	for _, other := range rest {
+		if n < least && c.serves(ctx, other.Address, model) {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *copies) without(all []Copy) []Copy {
 	return slices.DeleteFunc(slices.Clone(all), func(other Copy) bool { return other.Address == c.self.Address })
 }
--- a/internal/sidecar/model_test.go
+++ b/internal/sidecar/model_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,6 +18,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/config"
 	"github.com/pomelowheel/pomelowheel/internal/engine"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -161,6 +165,35 @@
 		Eventually(func() int64 { return h.server.Status().GetMemoryFreeMb() }).Should(BeEquivalentTo(1000))
 	})
 
+	// Guards against the eviction of the last living copy because the row still names a dead sidecar.
+	It("counts only copies whose sidecar serves the model now before an unload", func() {
+		load()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		serve := func(_ context.Context, s *transport.Stream) {
+			_, _ = s.Recv()
+			_ = s.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Status{
+				Status: &wirepb.Status{Ready: true, Resident: []string{"m"}}}})
+		}
+		other := transport.NewServer(listener, nil, serve, slog.New(slog.DiscardHandler))
+		go func() { _ = other.Serve(context.Background()) }()
+		serves := AskServes(h.pool, &wirepb.Identity{Role: "sidecar"})
+		book := &copies{store: h.store, timeout: time.Second, self: Copy{Address: h.addr}, serves: serves}
+		entry := &copies{store: h.store, timeout: time.Second, self: Copy{Address: other.Addr().String()}}
+		Expect(entry.add(context.Background(), "m")).To(Succeed())
+
+		Expect(other.Close()).To(Succeed())
+		Expect(errkind.Of(book.remove(context.Background(), "m", 1))).To(Equal(errkind.BadRequest))
+
+		listener, err = net.Listen("tcp", entry.self.Address)
+		Expect(err).NotTo(HaveOccurred())
+		again := transport.NewServer(listener, nil, serve, slog.New(slog.DiscardHandler))
+		go func() { _ = again.Serve(context.Background()) }()
+		DeferCleanup(again.Close)
+		Expect(book.remove(context.Background(), "m", 1)).To(Succeed())
+		Expect(row()).To(ConsistOf(entry.self))
+	})
+
 	It("keeps the memory of a lost load order reserved", func() {
 		e.mu.Lock()
 		e.loseNext = true
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -56,6 +56,9 @@
 	Log         *slog.Logger
 	Incarnation string // new at each start
 	Address     string // listen address, IP:port
+	// Serves asks the sidecar at address whether it serves a model now. It is asked about the other copies
+	// before this one is unloaded. Nil trusts the copies row.
+	Serves func(ctx context.Context, address, model string) bool
 }
 
 // Server is the sidecar of one backend server.
@@ -96,7 +99,7 @@
 		engine:   engine.New(s.Backend.URL),
 		plain:    plainservice.New(s.Backend.URL, plainservice.DefaultMaxResponse),
 		book:     booking.New(booking.Options{Store: opts.Store, Log: opts.Log, Timeout: s.TableService.Timeout.D()}),
-		copies:   &copies{store: opts.Store, timeout: s.TableService.Timeout.D(), self: copyOf(opts)},
+		copies:   &copies{store: opts.Store, timeout: s.TableService.Timeout.D(), self: copyOf(opts), serves: opts.Serves},
 		slots:    make(chan struct{}, max(s.Backend.AdapterSlots, 1)),
 		poke:     make(chan struct{}, 1),
 		tasks:    make(map[*admission.Item]*task),
