Retry refusals that have nothing to do with load outside the retry budget

Cause: every repeat took from the retry budget and from the attempt limit. While a data centre or a host leaves, sidecars refuse as not run before the gateway knows, so requests within the rate were refused once the budget was used up, or after three neighbours of the same data centre.

Ruled out: a larger budget, because the budget must stay small where servers are overloaded; retries without an attempt limit.

Attempts stay bounded by max_attempts and by the first deadline.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
@@ -113,6 +114,42 @@
 		Expect(w.attempts.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against refusals of requests within the rate while hosts or a data centre leave.
+	DescribeTable("tries another replica without a budget after a refusal that has nothing to do with load",
+		func(kind errkind.Kind) {
+			frugal := usual
+			frugal.RetryBudget = 0
+			w := start(frugal, 3, 2, func(t *talk) {
+				if t.submit.Attempt == 1 {
+					t.refuse(kind)
+					return
+				}
+				answerWhole(t)
+			})
+			r, body := w.do(bg, "POST", chatPath, wholeBody)
+			Expect(r.StatusCode).To(Equal(200), body)
+		},
+		Entry("draining", errkind.Draining),
+		Entry("data centre out", errkind.DataCentreOut),
+		Entry("model not resident", errkind.ModelNotResident),
+	)
+
+	// Guards against attempts spent on the neighbours of a sidecar whose data centre was taken out.
+	It("leaves a data centre out after one of its sidecars said that it is out", func() {
+		w := start(usual, 2, 4, func(t *talk) {
+			_ = t.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Refused{Refused: &wirepb.Refused{
+				RequestId: t.submit.RequestId, Attempt: t.submit.Attempt, Kind: int32(errkind.DataCentreOut),
+				Status: &wirepb.Status{Identity: &wirepb.Identity{DataCentre: "gulberg"}}}}})
+		})
+		address := w.addSidecar("brush-assistant", answerWhole)
+		far := proto.CloneOf(w.client.Statuses()[address])
+		far.Identity.DataCentre = "model-town"
+		w.client.Update(address, far, time.Now())
+		r, body := w.do(bg, "POST", chatPath, wholeBody)
+		Expect(r.StatusCode).To(Equal(200), body)
+		Expect(w.attempts.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("names the request after the caller's ID, with a part that makes it unique", func() {
 		w := start(usual, 3, 1, answerWhole)
 		r, _ := w.do(bg, "POST", chatPath, wholeBody, "X-Request-Id", "crew-4")
--- a/internal/callers/fake_sidecar_test.go
+++ b/internal/callers/fake_sidecar_test.go
@@ -167,7 +167,8 @@
 	return w
 }
 
-func (w *world) addSidecar(service string, script func(t *talk)) {
+// addSidecar starts a fake sidecar of data centre gulberg and returns its address.
+func (w *world) addSidecar(service string, script func(t *talk)) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
@@ -189,6 +190,7 @@
 		status.Resident = []string{"colour-7b"}
 	}
 	w.client.Update(listener.Addr().String(), status, time.Now())
+	return listener.Addr().String()
 }
 
 func (w *world) close() {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -58,7 +58,7 @@
 			return d.giveUp(ctx, last, err)
 		}
 		if last != nil {
-			if !d.g.budgets.take(d.p) {
+			if addsLoad(last) && !d.g.budgets.take(d.p) {
 				return last
 			}
 			d.g.metrics.retries.Add(1)
@@ -91,6 +91,18 @@
 	return err
 }
 
+// addsLoad reports whether an attempt after err adds load where there is too much already. A refusal that has
+// nothing to do with load costs a backend server nothing, and must not cost an organisation a request while
+// hosts or a data centre leave.
+func addsLoad(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Draining, errkind.DataCentreOut, errkind.ModelNotResident, errkind.ConfigStale, errkind.NotReady,
+		errkind.BackendUnreachable:
+		return false
+	}
+	return true
+}
+
 // mayRepeat reports whether another attempt may follow after err.
 func (d *dispatch) mayRepeat(err error) bool {
 	var gone callerGone
@@ -163,6 +175,11 @@
 		if kind == errkind.None {
 			return true, errkind.New(errkind.ProtocolError, "refused without a kind")
 		}
+		if kind == errkind.DataCentreOut {
+			// The sidecar has a newer configuration than this gateway; its neighbours refuse too.
+			centre := m.Refused.GetStatus().GetIdentity().GetDataCentre()
+			d.route.OutCentres = append(slices.Clone(d.route.OutCentres), centre)
+		}
 		return true, errkind.New(kind, "%s", m.Refused.GetDetail())
 	case *wirepb.Envelope_Chunk:
 		d.ran(errkind.RanYes)
