Check URLs, TLS edges and the remaining bounds of the settings

An allow list without a certificate left the edge at plain TCP without a word. URLs, timeouts and intervals of zero were found only at run time.

--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -57,13 +57,16 @@
 	c.name("$.process.data_centre", p.DataCentre)
 	c.oneOf("$.log.level", l.Level, "debug", "info", "warn", "error")
 	c.oneOf("$.log.format", l.Format, "text", "json")
-	c.name("$.table_service.endpoint", t.Endpoint)
+	c.url("$.table_service.endpoint", t.Endpoint)
+	c.name("$.table_service.region", t.Region)
 	c.name("$.table_service.table", t.Table)
 	c.positive("$.table_service.timeout", t.Timeout > 0, "a duration above zero")
 }
 
+// tls checks the certificate of one edge. An allow list or a CA without a certificate is a mistake, because
+// the edge would be plain TCP. Callers present keys, not certificates, so their edge takes neither.
 func (c *checker) tls(path string, t TLS, mutual bool) {
-	if t.CertFile == "" && t.KeyFile == "" && t.CAFile == "" {
+	if t.CertFile == "" && t.KeyFile == "" && t.CAFile == "" && len(t.Allowed) == 0 {
 		return
 	}
 	c.name(path+".cert_file", t.CertFile)
@@ -71,5 +74,13 @@
 	if mutual {
 		c.name(path+".ca_file", t.CAFile)
 		c.positive(path+".allowed", len(t.Allowed) > 0, "at least one peer name")
+		return
 	}
+	c.positive(path+".ca_file", t.CAFile == "", "no value, callers present no certificate")
+	c.positive(path+".allowed", len(t.Allowed) == 0, "no value, callers present no certificate")
+}
+
+func (c *checker) configSync(s ConfigSync) {
+	c.positive("$.config_sync.poll_interval", s.PollInterval > 0, "a duration above zero")
+	c.positive("$.config_sync.fresh_for", s.FreshFor >= s.PollInterval, "at least poll_interval")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"net/url"
 	"os"
 	"strings"
 
@@ -131,6 +132,15 @@
 	}
 }
 
+// url checks the URL of a service, which has a scheme and a host and neither a query nor a user.
+func (c *checker) url(path, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" || u.User != nil ||
+		u.RawQuery != "" || u.Fragment != "" {
+		c.add(path, "a URL such as http://127.0.0.1:9000")
+	}
+}
+
 func (c *checker) positive(path string, ok bool, what string) {
 	if !ok {
 		c.add(path, what)
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -66,17 +66,22 @@
 	c.positive("$.peers.gateways", len(s.Peers.Gateways) > 0, "at least one gateway address")
 	c.tls("$.peers.tls", s.Peers.TLS, true)
 	c.name("$.backend.service", s.Backend.Service)
-	c.name("$.backend.url", s.Backend.URL)
+	c.url("$.backend.url", s.Backend.URL)
 	c.oneOf("$.backend.kind", s.Backend.Kind, "model", "plain")
 	if s.Backend.Kind == "model" {
 		c.positive("$.backend.memory_mb", s.Backend.MemoryMB > 0, "mebibytes above zero for a model engine")
 	}
+	c.positive("$.backend.adapter_slots", s.Backend.AdapterSlots >= 1, "a whole number above zero")
+	c.positive("$.backend.poll_interval", s.Backend.PollInterval > 0, "a duration above zero")
+	c.configSync(s.ConfigSync)
 	c.oneOf("$.admission.policy", s.Admission.Policy, "fair", "fifo", "priority")
 	c.positive("$.admission.cold_concurrency", s.Admission.ColdConcurrency >= 1, "a whole number above zero")
 	c.positive("$.admission.max_concurrency", s.Admission.MaxConcurrency >= s.Admission.ColdConcurrency,
 		"at least cold_concurrency")
 	c.positive("$.admission.ramp_step", s.Admission.RampStep > 0, "a duration above zero")
 	c.positive("$.admission.max_queue", s.Admission.MaxQueue >= 0, "zero or a whole number above")
+	c.positive("$.admission.max_queue_org", s.Admission.MaxQueueOrg >= 0, "zero or a whole number above")
+	c.positive("$.admission.batch_concurrency", s.Admission.BatchConcurrency >= 1, "a whole number above zero")
 	c.positive("$.shutdown.grace", s.Shutdown.Grace > 0, "a duration above zero")
 	if s.DebugListen != "" {
 		c.address("$.debug_listen", s.DebugListen)
