--- a/cmd/pomelo-gateway/main.go
+++ b/cmd/pomelo-gateway/main.go
@@ -2,8 +2,6 @@
 package main
 
 import (
-	"flag"
-	"fmt"
 	"os"
 
 	"github.com/pomelowheel/pomelowheel/internal/process"
@@ -11,19 +9,7 @@
 )
 
 func main() {
-	configFile := flag.String("config", "", "settings `FILE`")
-	check := flag.Bool("check", false, "check the settings and exit")
-	flag.Parse()
-	s, err := settings.LoadGateway(*configFile)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if *check {
-		return
-	}
-	if err := run(s, process.NewLogger(s.Log)); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	os.Exit(process.Main("pomelo-gateway", os.Args[1:], os.Stderr, settings.LoadGateway, func(s *settings.Gateway) error {
+		return run(s, process.NewLogger(s.Log))
+	}))
 }
--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"expvar"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net"
@@ -22,21 +21,9 @@
 )
 
 func main() {
-	path := flag.String("config", "", "settings `FILE`")
-	check := flag.Bool("check", false, "check the settings and exit")
-	flag.Parse()
-	s, err := settings.LoadSidecar(*path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if *check {
-		return
-	}
-	if err := run(s, process.NewLogger(s.Log)); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	os.Exit(process.Main("pomelo-sidecar", os.Args[1:], os.Stderr, settings.LoadSidecar, func(s *settings.Sidecar) error {
+		return run(s, process.NewLogger(s.Log))
+	}))
 }
 
 func run(s *settings.Sidecar, log *slog.Logger) error {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"flag"
+	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -21,6 +24,44 @@
 // idleSession is the age at which an unused session to a peer is closed.
 const idleSession = 5 * time.Minute
 
+// Exit codes of the gateway and the sidecar.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitSettings = 2 // wrong arguments or settings; nothing was opened
+)
+
+// Main reads the flags and the settings file and calls run. With -check, or if the settings are wrong, it
+// returns before run, so that no socket is opened. The result is the exit code.
+func Main[S any](name string, args []string, stderr io.Writer, load func(path string) (S, error), run func(S) error) int {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	path := flags.String("config", "", "settings `FILE`")
+	check := flags.Bool("check", false, "check the settings and exit")
+	switch err := flags.Parse(args); {
+	case err == flag.ErrHelp:
+		return ExitDone
+	case err != nil:
+		return ExitSettings
+	case *path == "" || flags.NArg() > 0:
+		fmt.Fprintf(stderr, "usage: %s -config FILE [-check]\n", name)
+		return ExitSettings
+	}
+	s, err := load(*path)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitSettings
+	}
+	if *check {
+		return ExitDone
+	}
+	if err := run(s); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitFailed
+	}
+	return ExitDone
+}
+
 // NewLogger returns the log of a process on standard error. The settings were checked.
 func NewLogger(l settings.Log) *slog.Logger {
 	var level slog.Level
@@ -39,12 +80,12 @@
 	}
 }
 
-// NewTableStore returns the client of the table service.
-func NewTableStore(t settings.TableService) *tablestore.DynamoDB {
-	return tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
+// NewTableStore returns the client of the table service, which counts its calls.
+func NewTableStore(t settings.TableService) *tablestore.Counted {
+	return tablestore.NewCounted(tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
 		Endpoint: t.Endpoint, Region: t.Region, Table: t.Table, Timeout: t.Timeout.D(),
 		AccessKeyID: os.Getenv("AWS_ACCESS_KEY_ID"), SecretAccessKey: os.Getenv("AWS_SECRET_ACCESS_KEY"),
-	})
+	}))
 }
 
 // Signals returns a context that ends with the first interrupt or termination signal, and a second one
--- a/internal/tablestore/contract_test.go
+++ b/internal/tablestore/contract_test.go
@@ -173,3 +173,19 @@
 		}))).To(MatchError(tablestore.ErrUnknown))
 	})
 })
+
+// Guards against a failure of the table service that the metrics of a process do not show.
+var _ = It("counts calls and failures by cause", func() {
+	memory := tablestore.NewMemory()
+	store := tablestore.NewCounted(memory)
+	ctx := context.Background()
+	Expect(store.Write(ctx, "1", put("a", tablestore.Absent, "x"))).To(Succeed())
+	Expect(store.Write(ctx, "2", put("a", tablestore.Absent, "x"))).NotTo(Succeed())
+	_, err := store.Get(ctx, key("b"))
+	Expect(err).To(MatchError(tablestore.ErrNotFound))
+	memory.SetAway(true)
+	_, err = store.Query(ctx, "p", "", 10)
+	Expect(err).To(MatchError(tablestore.ErrUnavailable))
+	Expect(store.Vars().String()).To(MatchJSON(`{"calls": {"get": 1, "query": 1, "write": 2},
+		"failures": {"other": 0, "precondition": 1, "unavailable": 1, "unknown": 0}}`))
+})
--- /dev/null
+++ b/internal/tablestore/counted.go
@@ -0,0 +1,72 @@
+package tablestore
+
+import (
+	"context"
+	"errors"
+	"expvar"
+)
+
+// Counted is a Store that counts the calls of another one and how they failed. A missing row is an answer, not
+// a failure.
+type Counted struct {
+	store    Store
+	calls    expvar.Map // by operation
+	failures expvar.Map // by cause
+	vars     expvar.Map
+}
+
+// NewCounted returns a Store around store.
+func NewCounted(store Store) *Counted {
+	c := &Counted{store: store}
+	c.calls.Init()
+	c.failures.Init()
+	c.vars.Init()
+	for _, operation := range []string{"get", "query", "write"} {
+		c.calls.Add(operation, 0)
+	}
+	for _, cause := range []string{"unavailable", "unknown", "precondition", "other"} {
+		c.failures.Add(cause, 0)
+	}
+	c.vars.Set("calls", &c.calls)
+	c.vars.Set("failures", &c.failures)
+	return c
+}
+
+// Vars returns the counters for /debug/vars.
+func (c *Counted) Vars() expvar.Var { return &c.vars }
+
+// Get implements Store.
+func (c *Counted) Get(ctx context.Context, key Key) (Row, error) {
+	row, err := c.store.Get(ctx, key)
+	c.count("get", err)
+	return row, err
+}
+
+// Query implements Store.
+func (c *Counted) Query(ctx context.Context, partition, after string, limit int) ([]Row, error) {
+	rows, err := c.store.Query(ctx, partition, after, limit)
+	c.count("query", err)
+	return rows, err
+}
+
+// Write implements Store.
+func (c *Counted) Write(ctx context.Context, changeID string, ops ...Op) error {
+	err := c.store.Write(ctx, changeID, ops...)
+	c.count("write", err)
+	return err
+}
+
+func (c *Counted) count(operation string, err error) {
+	c.calls.Add(operation, 1)
+	switch {
+	case err == nil, errors.Is(err, ErrNotFound):
+	case errors.Is(err, ErrUnavailable):
+		c.failures.Add("unavailable", 1)
+	case errors.Is(err, ErrUnknown):
+		c.failures.Add("unknown", 1)
+	case errors.Is(err, ErrPrecondition):
+		c.failures.Add("precondition", 1)
+	default:
+		c.failures.Add("other", 1)
+	}
+}
