--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"log/slog"
 	"net"
@@ -16,6 +15,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/hostlist"
 	"github.com/pomelowheel/pomelowheel/internal/limitholder"
+	"github.com/pomelowheel/pomelowheel/internal/planner"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/internal/route"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
@@ -30,19 +30,21 @@
 
 // parts holds what is started and stopped together.
 type parts struct {
-	settings *settings.Gateway
-	log      *slog.Logger
-	identity *wirepb.Identity
-	pool     *transport.Pool
-	store    tablestore.Store
-	hosts    *hostlist.List
-	config   *configsync.Copy
-	limits   *limitholder.Holder // nil if limits are switched off
-	sidecars *sidecars.Client
-	gateway  *gateway.Gateway
-	callers  *callers.Server
-	peers    *transport.Server
-	edge     net.Listener
+	settings     *settings.Gateway
+	log          *slog.Logger
+	identity     *wirepb.Identity
+	pool         *transport.Pool
+	store        *tablestore.Counted
+	hosts        *hostlist.List
+	config       *configsync.Copy
+	limits       *limitholder.Holder // nil if limits are switched off
+	planner      *planner.Planner    // nil if this gateway never plans
+	sidecars     *sidecars.Client
+	gateway      *gateway.Gateway
+	callers      *callers.Server
+	peers        *transport.Server
+	edge         net.Listener
+	certificates []*transport.Certificates // of both edges; nil without TLS
 }
 
 func run(s *settings.Gateway, log *slog.Logger) error {
@@ -51,6 +53,7 @@
 		return err
 	}
 	defer p.pool.Close()
+	process.Publish(p.vars())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group := duty.NewGroup(ctx, log)
@@ -61,8 +64,8 @@
 	if p.limits != nil {
 		group.Go("limit leases", p.limits.Run)
 	}
-	if s.Planner.Enabled {
-		group.Go("planner", p.newPlanner().Run)
+	if p.planner != nil {
+		group.Go("planner", p.planner.Run)
 	}
 	group.Go("sidecar status", p.sidecars.Run)
 	group.Go("key watch", func(ctx context.Context) error { return p.gateway.WatchKeys(ctx, keyWatchInterval) })
@@ -85,6 +88,7 @@
 	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
+	p.certificates = []*transport.Certificates{peerCertificates, edgeCertificates}
 	peerListener, err := net.Listen("tcp", s.Peers.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
@@ -105,6 +109,9 @@
 		Config: func(_ context.Context, r *wirepb.ConfigRequest) *wirepb.ConfigDelta { return p.config.ServeConfig(r) },
 	}
 	p.limitHandlers(&handlers)
+	if s.Planner.Enabled {
+		p.planner = p.newPlanner()
+	}
 	p.peers = transport.NewServer(peerListener, peerCertificates.Peers(), handlers.Handler(p.log), p.log)
 	return nil
 }
@@ -126,12 +133,6 @@
 		BodyTimeout: s.Callers.BodyTimeout.D(), MaxConcurrency: s.Callers.MaxConcurrency,
 		TLS: edge.Edge(), Log: p.log,
 	})
-	vars := p.gateway.Vars()
-	vars.Set("pool_sessions", expvar.Func(func() any { return p.pool.Len() }))
-	expvar.Publish("gateway", vars)
-	if p.limits != nil {
-		expvar.Publish("limits", p.limits.Vars())
-	}
 }
 
 // otherGateways returns the peers listed in the settings and by the platform, without this process.
--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -4,13 +4,10 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
-	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/configsync"
 	"github.com/pomelowheel/pomelowheel/internal/duty"
@@ -35,6 +32,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	var debug net.Listener
+	if s.DebugListen != "" {
+		if debug, err = net.Listen("tcp", s.DebugListen); err != nil {
+			return fmt.Errorf("listen for debug: %w", err)
+		}
+	}
 	pool := transport.NewPool(certificates.Peers())
 	defer pool.Close()
 	identity := process.NewIdentity(s.Process, "sidecar", listener.Addr().String())
@@ -42,10 +45,12 @@
 		Peers: func() []string { return s.Peers.Gateways }, Pool: pool, Identity: identity,
 		PollInterval: s.ConfigSync.PollInterval.D(), FreshFor: s.ConfigSync.FreshFor.D(), Log: log,
 	})
+	store := process.NewTableStore(s.TableService)
 	server := sidecar.New(sidecar.Options{
-		Settings: s, Config: configuration, Store: process.NewTableStore(s.TableService), Log: log,
+		Settings: s, Config: configuration, Store: store, Log: log,
 		Incarnation: identity.GetIncarnation(), Address: identity.GetAddress(),
 	})
+	process.Publish(vars(server, store, certificates))
 	peers := transport.NewServer(listener, certificates.Peers(), server.Handle, log)
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -55,8 +60,8 @@
 	group.Go("peers", peers.Serve)
 	group.Go("backend server", server.Run)
 	group.Go("idle sessions", func(ctx context.Context) error { return process.CloseIdle(ctx, pool) })
-	if s.DebugListen != "" {
-		group.Go("debug", func(ctx context.Context) error { return serveDebug(ctx, s.DebugListen, server, configuration) })
+	if debug != nil {
+		group.Go("debug", func(ctx context.Context) error { return serveDebug(ctx, debug, debugHandler(server.Ready)) })
 	}
 	log.Info("sidecar started", "address", identity.GetAddress(), "service", s.Backend.Service)
 	err = drainOnSignal(group.Context(), server, log)
@@ -79,20 +84,3 @@
 	}
 	return nil
 }
-
-// serveDebug serves /debug/vars and /healthz until ctx ends.
-func serveDebug(ctx context.Context, address string, server *sidecar.Server, c *configsync.Copy) error {
-	expvar.Publish("sidecar", expvar.Func(func() any { return server.Status() }))
-	expvar.Publish("ended", expvar.Func(func() any { return server.Ended() }))
-	expvar.Publish("config_version", expvar.Func(func() any { return c.Version() }))
-	mux := http.NewServeMux()
-	mux.Handle("/debug/vars", expvar.Handler())
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	debug := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = debug.Close() })
-	defer stop()
-	if err := debug.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve debug: %w", err)
-	}
-	return nil
-}
--- /dev/null
+++ b/cmd/pomelo-sidecar/vars.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/sidecar"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+)
+
+// vars returns what /debug/vars shows beside the Go runtime, by the names in docs/operations.md.
+func vars(server *sidecar.Server, store *tablestore.Counted, certificates *transport.Certificates) map[string]expvar.Var {
+	return map[string]expvar.Var{
+		"sidecar":                     server.Vars(),
+		"table_service":               store.Vars(),
+		"certificate_reload_failures": process.ReloadFailures(certificates),
+	}
+}
+
+// debugHandler serves /debug/vars, /healthz and /readyz.
+func debugHandler(ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, "not ready\n")
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return mux
+}
+
+// serveDebug serves h on listener until ctx ends.
+func serveDebug(ctx context.Context, listener net.Listener, h http.Handler) error {
+	debug := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = debug.Close() })
+	defer stop()
+	if err := debug.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve debug: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/pomelo-sidecar/vars_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/configsync"
+	"github.com/pomelowheel/pomelowheel/internal/settings"
+	"github.com/pomelowheel/pomelowheel/internal/sidecar"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// documented returns the names in the tables below a heading of docs/operations.md.
+func documented(g Gomega, heading string) []string {
+	page, err := os.ReadFile("../../docs/operations.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, section, found := strings.Cut(string(page), "### "+heading+"\n")
+	g.Expect(found).To(BeTrue())
+	section, _, _ = strings.Cut(section, "\n##")
+	var names []string
+	for line := range strings.Lines(section) {
+		if row, ok := strings.CutPrefix(line, "| `"); ok {
+			name, _, _ := strings.Cut(row, "`")
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// published returns the names of vars and of the maps in them.
+func published(vars map[string]expvar.Var) []string {
+	var names []string
+	for name, v := range vars {
+		m, isMap := v.(*expvar.Map)
+		if !isMap {
+			names = append(names, name)
+			continue
+		}
+		m.Do(func(kv expvar.KeyValue) { names = append(names, name+"."+kv.Key) })
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Guards against a metric that operators cannot look up and one that the page promises in vain.
+func TestDocumentedVars(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.LoadSidecar("../../internal/settings/testdata/sidecar.yml")
+	g.Expect(err).NotTo(HaveOccurred())
+	store := tablestore.NewCounted(tablestore.NewMemory())
+	pool := transport.NewPool(nil)
+	t.Cleanup(pool.Close)
+	server := sidecar.New(sidecar.Options{
+		Settings: s, Store: store, Log: slog.New(slog.DiscardHandler),
+		Config: configsync.New(configsync.Options{Pool: pool, Identity: new(wirepb.Identity), Log: slog.New(slog.DiscardHandler)}),
+	})
+	all := vars(server, store, nil)
+	g.Expect(published(all)).To(ConsistOf(documented(g, "Sidecar")))
+	for name, v := range all {
+		g.Expect(v.String()).NotTo(BeEmpty(), name)
+	}
+}
+
+// plainConfig is a configuration that a spec changes.
+type plainConfig struct{ snapshot *config.Snapshot }
+
+func (c *plainConfig) Snapshot() *config.Snapshot    { return c.snapshot }
+func (c *plainConfig) Confirm(context.Context) error { return nil }
+
+// Guards against a sidecar that calls itself ready before it has a configuration or while it leaves.
+func TestReadiness(t *testing.T) {
+	g := NewWithT(t)
+	s, err := settings.LoadSidecar("../../internal/settings/testdata/sidecar_plain.yml")
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Shutdown.NoticeDelay = 0
+	configuration := &plainConfig{snapshot: new(config.Snapshot)}
+	server := sidecar.New(sidecar.Options{
+		Settings: s, Store: tablestore.NewMemory(), Log: slog.New(slog.DiscardHandler), Config: configuration,
+	})
+	get := func(path string) int {
+		w := httptest.NewRecorder()
+		debugHandler(server.Ready).ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Code
+	}
+	g.Expect(get("/readyz")).To(Equal(http.StatusServiceUnavailable))
+	dataCentre, err := config.NewEntity(config.DataCentre{Name: s.Process.DataCentre})
+	g.Expect(err).NotTo(HaveOccurred())
+	dataCentre.Version = 1
+	configuration.snapshot, err = configuration.snapshot.Apply(1, []config.Entity{dataCentre})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(get("/readyz")).To(Equal(http.StatusOK))
+	g.Expect(server.Drain(context.Background())).To(Succeed())
+	g.Expect(get("/readyz")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(get("/healthz")).To(Equal(http.StatusOK))
+	g.Expect(get("/debug/vars")).To(Equal(http.StatusOK))
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -293,3 +293,17 @@
 
 // Running returns the number of running requests.
 func (q *Queue) Running() int { return q.running }
+
+// QueuedBatch returns the number of queued batch requests.
+func (q *Queue) QueuedBatch() int {
+	n := 0
+	for _, item := range q.items {
+		if item.Batch {
+			n++
+		}
+	}
+	return n
+}
+
+// RunningBatch returns the number of running batch requests.
+func (q *Queue) RunningBatch() int { return q.runningBatch }
--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -124,10 +124,10 @@
 	if x.secret != "" {
 		text = strings.ReplaceAll(text, x.secret, "[key]")
 	}
-	level := slog.LevelDebug
+	level := slog.LevelInfo
 	if !kind.NotRun() && kind != errkind.CallerCancelled {
 		level = slog.LevelWarn
 	}
 	s.opts.Log.Log(x.r.Context(), level, "request failed", "request_id", x.id, "kind", kind.String(),
-		"ran", string(ranOf(kind.Answer(), result)), "attempts", result.Attempts, "error", text)
+		"ran", string(ranOf(kind.Answer(), result)), "attempts", result.Attempts, "reason", text)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,17 +7,18 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
-// Metrics holds the counters of a gateway. The names in Vars are documented there.
+// Metrics holds the counters of a gateway. docs/operations.md describes the names.
 type Metrics struct {
-	requests  expvar.Int
-	retries   expvar.Int
-	resumes   expvar.Int
-	decisions expvar.Int
-	refusals  expvar.Map
+	requests   expvar.Int
+	retries    expvar.Int
+	resumes    expvar.Int
+	decisions  expvar.Int
+	refusals   expvar.Map
+	attainment *Attainment
 }
 
 func newMetrics() *Metrics {
-	m := new(Metrics)
+	m := &Metrics{attainment: NewAttainment()}
 	m.refusals.Init()
 	return m
 }
@@ -25,18 +26,7 @@
 // Refused counts an answer of an error kind to a caller.
 func (g *Gateway) Refused(k errkind.Kind) { g.metrics.refusals.Add(k.String(), 1) }
 
-// Vars returns the metrics of the gateway for expvar:
-//
-//	requests            requests that were admitted
-//	refusals            error answers to callers by kind
-//	retries             attempts after the first
-//	resumes             attempts that continued a broken stream
-//	in_flight           running requests
-//	routing_decisions   choices of a backend server
-//	config_version      head version of the configuration copy
-//	config_age_ms       time since the copy was confirmed, if the source knows it
-//	sidecars_known      sidecars with a status
-//	status_poll_failures, protocol_errors
+// Vars returns the metrics of the gateway for expvar, by the names in docs/operations.md.
 func (g *Gateway) Vars() *expvar.Map {
 	m := new(expvar.Map).Init()
 	m.Set("requests", &g.metrics.requests)
@@ -44,6 +34,7 @@
 	m.Set("retries", &g.metrics.retries)
 	m.Set("resumes", &g.metrics.resumes)
 	m.Set("routing_decisions", &g.metrics.decisions)
+	m.Set("attainment", g.metrics.attainment.expvar())
 	m.Set("in_flight", expvar.Func(func() any { return g.InFlight() }))
 	m.Set("config_version", expvar.Func(func() any { return g.opts.Config.Snapshot().Version() }))
 	if aged, ok := g.opts.Config.(interface{ ConfirmedAge() (time.Duration, bool) }); ok {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -51,8 +51,7 @@
 	return m, nil
 }
 
-// RunModel runs a model call and passes its text to sink.
-func (g *Gateway) RunModel(ctx context.Context, p *Principal, call ModelCall, sink TextSink) (Result, error) {
+func (g *Gateway) runModel(ctx context.Context, p *Principal, call ModelCall, sink TextSink) (Result, error) {
 	model, err := p.Model(call.Model)
 	if err != nil {
 		return Result{Ran: errkind.RanNo}, err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,8 +25,7 @@
 	Data(b []byte) error
 }
 
-// RunPlain runs a call of a plain service and passes its response to sink.
-func (g *Gateway) RunPlain(ctx context.Context, p *Principal, call PlainCall, sink PlainSink) (Result, error) {
+func (g *Gateway) runPlain(ctx context.Context, p *Principal, call PlainCall, sink PlainSink) (Result, error) {
 	ctx, end, err := g.begin(ctx, p, call.Arrived)
 	if err != nil {
 		return Result{Ran: errkind.RanNo}, err
--- /dev/null
+++ b/internal/ledger/figures.go
@@ -0,0 +1,34 @@
+package ledger
+
+// Figures shows how the memory of the accelerator is accounted for, in mebibytes. Total equals the sum of the other
+// fields; Free is negative if the engine holds more than the total.
+type Figures struct {
+	Total       int64 `json:"total"`
+	Models      int64 `json:"models"`      // models and adapters that the engine reports
+	Loading     int64 `json:"loading"`     // reserved for models and adapters that the engine does not report
+	KV          int64 `json:"kv"`          // KV cache of running requests
+	Unconfirmed int64 `json:"unconfirmed"` // KV cache of ended requests that the engine may still hold
+	Unknown     int64 `json:"unknown"`     // used memory that no known item explains
+	Free        int64 `json:"free"`
+}
+
+// Figures returns the account at this moment.
+func (l *Ledger) Figures() Figures {
+	f := Figures{Total: l.total, Free: l.Free(), Unknown: l.unknown}
+	for _, entries := range []map[string]*entry{l.models, l.adapters} {
+		for _, e := range entries {
+			if e.reported > 0 {
+				f.Models += e.mb()
+			} else {
+				f.Loading += e.mb()
+			}
+		}
+	}
+	for _, r := range l.running {
+		f.KV += r.mb
+	}
+	for _, r := range l.ended {
+		f.Unconfirmed += r.mb
+	}
+	return f
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"fmt"
 	"io"
@@ -125,3 +126,23 @@
 		}
 	}
 }
+
+// Publish adds vars to /debug/vars. It is called once in a process.
+func Publish(vars map[string]expvar.Var) {
+	for name, v := range vars {
+		expvar.Publish(name, v)
+	}
+}
+
+// ReloadFailures returns how many times changed certificate files did not load. Entries may be nil.
+func ReloadFailures(certificates ...*transport.Certificates) expvar.Var {
+	return expvar.Func(func() any {
+		var n int64
+		for _, c := range certificates {
+			if c != nil {
+				n += c.Failures()
+			}
+		}
+		return n
+	})
+}
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -224,7 +224,7 @@
 	}
 	err := t.stream.Send(frame)
 	s.log.Debug("request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "kind", kind.String(),
-		"handed_over", !o.notRun, "detail", detail, "send_error", err)
+		"handed_over", !o.notRun, "reason", detail, "error", err)
 }
 
 // logAdmission writes the line of one admission decision.
