pomeloctl: mutual TLS by allowed names, progress, help for a group, processes during an outage

pomeloctl checked the dialled IP address against the certificate, so status failed against certificates that carry only the names that processes check. A change waits 10 s by default and says how far it is in force.

--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -41,7 +41,8 @@
 	}
 	slices.SortStableFunc(found, func(a, b LogLine) int { return a.At.Compare(b.At) })
 	if len(found) == 0 {
-		return &notFoundError{fmt.Sprintf("a line about request %q", inv.args[0])}
+		return fmt.Errorf("no line about request %q in the given logs; X-Request-Id of the answer is the whole ID, "+
+			"which continues an ID that the caller chose", inv.args[0])
 	}
 	for _, l := range found {
 		inv.out.linef("%s:%d: %s", l.File, l.Line, l.Text)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,9 @@
 	ExitUnavailable = 4 // the table service is unavailable; nothing was accepted
 )
 
+// defaultWait is the time within which a change is in force on every process that reaches its peers.
+const defaultWait = 10 * time.Second
+
 const exitHelp = `Exit codes:
   0  accepted, or done
   1  not accepted, or not found
@@ -65,6 +68,7 @@
 	output                  string
 	hosts, peers            string
 	tlsCert, tlsKey, tlsCA  string
+	tlsAllowed              string
 
 	reason, author, changeID string
 	propose, force, withdraw bool
@@ -114,12 +118,12 @@
 func Run(ctx context.Context, args []string, env Env) int {
 	cmd, rest, err := find(args)
 	if err != nil {
-		printOverview(env.Stderr)
+		printOverview(env.Stderr, args)
 		fmt.Fprintln(env.Stderr, "pomeloctl:", err)
 		return ExitUsage
 	}
 	if cmd == nil {
-		printOverview(env.Stdout)
+		printOverview(env.Stdout, args)
 		return ExitAccepted
 	}
 	inv := &invocation{env: env}
@@ -145,8 +149,7 @@
 	if len(args) == 0 {
 		return nil, nil, usagef("a command is missing")
 	}
-	switch args[0] {
-	case "help", "-h", "-help", "--help":
+	if isHelp(args[0]) {
 		return nil, nil, nil
 	}
 	group := false
@@ -163,6 +166,9 @@
 			return &cmd, args[2:], nil
 		}
 	}
+	if group && len(args) > 1 && isHelp(args[1]) {
+		return nil, nil, nil
+	}
 	if group {
 		return nil, nil, usagef("%s needs one of: %s", args[0], strings.Join(subcommands(args[0]), ", "))
 	}
@@ -179,11 +185,26 @@
 	return names
 }
 
-func printOverview(w io.Writer) {
+func isHelp(arg string) bool {
+	switch arg {
+	case "help", "-h", "-help", "--help":
+		return true
+	}
+	return false
+}
+
+// printOverview lists the commands of the group in args, or all if it names none.
+func printOverview(w io.Writer, args []string) {
+	group := ""
+	if len(args) > 0 && len(subcommands(args[0])) > 0 {
+		group = args[0] + " "
+	}
 	fmt.Fprintln(w, "usage: pomeloctl COMMAND [flags] [arguments]")
 	fmt.Fprintln(w, "\nCommands (pomeloctl COMMAND -h for details):")
 	for _, cmd := range commands() {
-		fmt.Fprintf(w, "  %-42s %s\n", strings.TrimSpace(cmd.name+" "+cmd.args), cmd.help)
+		if strings.HasPrefix(cmd.name, group) {
+			fmt.Fprintf(w, "  %-43s %s\n", strings.TrimSpace(cmd.name+" "+cmd.args), cmd.help)
+		}
 	}
 	fmt.Fprint(w, "\n", exitHelp)
 }
@@ -208,13 +229,15 @@
 	flags.StringVar(&o.tlsCert, "tls-cert", "", "`file` with the certificate shown to gateways and sidecars")
 	flags.StringVar(&o.tlsKey, "tls-key", "", "`file` with its key")
 	flags.StringVar(&o.tlsCA, "tls-ca", "", "`file` with the CA of gateways and sidecars")
+	flags.StringVar(&o.tlsAllowed, "tls-allowed", "pomelo-gateway,pomelo-sidecar",
+		"`names` that certificates of gateways and sidecars may carry")
 	if cmd.acts {
 		flags.StringVar(&o.reason, "reason", "", "why the change is made (required to act)")
 		flags.StringVar(&o.author, "author", inv.fromEnv("POMELO_AUTHOR", ""), "who makes it (required to act; $POMELO_AUTHOR)")
 		flags.StringVar(&o.changeID, "change-id", "", "`ID` of the change; generated if empty. Repeat it to ask again")
 		flags.BoolVar(&o.propose, "propose", false, "only print what would be affected")
 		flags.BoolVar(&o.force, "force", false, "allow a region without a data centre in service")
-		flags.DurationVar(&o.wait, "wait", 0, "`time` to wait until the change is in force everywhere")
+		flags.DurationVar(&o.wait, "wait", defaultWait, "`time` to wait until the change is in force on every listed process; 0 to ask once")
 		flags.Int64Var(&o.at, "at", -1, "configuration `version` that was looked at; refuse if the entity changed since")
 	}
 	if cmd.flags != nil {
--- a/internal/operator/outcome.go
+++ b/internal/operator/outcome.go
@@ -12,8 +12,9 @@
 
 // printer writes results as text or as one JSON document.
 type printer struct {
-	w    io.Writer
-	json bool
+	w       io.Writer
+	json    bool
+	written bool // the document
 }
 
 // linef writes a line of text output. It writes nothing in JSON form.
@@ -23,11 +24,12 @@
 	}
 }
 
-// document writes v in JSON form. It writes nothing as text.
+// document writes v in JSON form, once. It writes nothing as text.
 func (p *printer) document(v any) error {
-	if !p.json {
+	if !p.json || p.written {
 		return nil
 	}
+	p.written = true
 	encoder := json.NewEncoder(p.w)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(v)
@@ -74,6 +76,9 @@
 	}
 	if code == ExitUsage {
 		fmt.Fprintf(inv.env.Stderr, "pomeloctl: %v\nusage: pomeloctl %s [flags] %s\n", err, cmd.name, cmd.args)
+		if err := inv.out.document(result{Outcome: outcome, Error: err.Error()}); err != nil {
+			fmt.Fprintln(inv.env.Stderr, "pomeloctl:", err)
+		}
 		return code
 	}
 	r := result{Outcome: outcome, ChangeID: inv.opts.changeID, Error: err.Error(), KeyID: inv.keyID, Key: inv.key}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -110,25 +108,23 @@
 	return count
 }
 
+// pool returns a session pool, with mutual TLS if a certificate is given. Processes are dialled by IP address, so
+// their certificates are checked by CA and allowed name, as between processes.
 func (inv *invocation) pool() (*transport.Pool, error) {
-	if inv.opts.tlsCert == "" {
+	o := inv.opts
+	if o.tlsCert == "" && o.tlsKey == "" && o.tlsCA == "" {
 		return transport.NewPool(nil), nil
 	}
-	cert, err := tls.LoadX509KeyPair(inv.opts.tlsCert, inv.opts.tlsKey)
-	if err != nil {
-		return nil, usagef("load certificate: %v", err)
+	if o.tlsCert == "" || o.tlsKey == "" || o.tlsCA == "" {
+		return nil, usagef("-tls-cert, -tls-key and -tls-ca belong together")
 	}
-	pem, err := os.ReadFile(inv.opts.tlsCA)
+	certificates, err := transport.LoadCertificates(transport.TLSFiles{
+		CertFile: o.tlsCert, KeyFile: o.tlsKey, CAFile: o.tlsCA, Allowed: splitList(o.tlsAllowed),
+	})
 	if err != nil {
-		return nil, usagef("load CA: %v", err)
+		return nil, usagef("%v", err)
 	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return nil, usagef("%s holds no certificate", inv.opts.tlsCA)
-	}
-	return transport.NewPool(&tls.Config{
-		Certificates: []tls.Certificate{cert}, RootCAs: roots, MinVersion: tls.VersionTLS13,
-	}), nil
+	return transport.NewPool(certificates.Peers()), nil
 }
 
 // askAll asks every process for its version.
@@ -194,8 +190,13 @@
 	}
 	defer pool.Close()
 	deadline := time.Now().Add(inv.opts.wait)
+	told := -1
 	for {
 		force := ForceOf(version, inv.askAll(ctx, pool, processes))
+		if force.At > told && force.At < force.Processes && inv.opts.wait > 0 {
+			fmt.Fprintf(inv.env.Stderr, "in force on %d of %d processes so far\n", force.At, force.Processes)
+			told = force.At
+		}
 		if force.At == force.Processes || !time.Now().Add(waitInterval).Before(deadline) {
 			return &force, nil
 		}
@@ -235,16 +236,32 @@
 			inv.out.linef("  %-22s %-8s not heard from: %s", p.Address, p.Role, p.Error)
 			continue
 		}
-		inv.out.linef("  %-22s %-8s version %d", p.Address, p.Role, p.Version)
+		inv.out.linef("  %-22s %-8s version %d%s", p.Address, p.Role, p.Version, confirmedText(p))
 	}
 	force := ForceOf(wanted, processes)
 	inv.out.linef("processes at version %d: %d of %d; not heard from: %d", wanted, force.At, force.Processes, len(force.NotHeard))
-	if headErr != nil {
-		return headErr
-	}
-	return inv.out.document(struct {
-		Head      int64     `json:"head"`
+	// The processes are shown also while the table service is away.
+	return errors.Join(headErr, inv.out.document(struct {
+		Head      *int64    `json:"head"` // null if the table service is unavailable
 		Processes []Process `json:"processes"`
 		Force     Force     `json:"in_force"`
-	}{head, processes, force})
+	}{knownHead(head, headErr), processes, force}))
+}
+
+func knownHead(head int64, err error) *int64 {
+	if err != nil {
+		return nil
+	}
+	return &head
+}
+
+// confirmedText says when a gateway confirmed its version last.
+func confirmedText(p Process) string {
+	switch {
+	case p.Role != "gateway":
+		return ""
+	case p.AgeMS < 0:
+		return ", never confirmed"
+	}
+	return fmt.Sprintf(", confirmed %.1f s ago", float64(p.AgeMS)/1000)
 }
