Log peers that are refused in the TLS handshake, and bound the handshake

Seen: a certificate with a name that is not allowed was refused without a line, because the handshake ran lazily in the session's reader. The handshake ends within the dial timeout.

--- a/internal/transport/tls_test.go
+++ b/internal/transport/tls_test.go
@@ -17,6 +17,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 )
@@ -123,6 +124,20 @@
 		Expect(echo(load(a.issue("client", "pomelo-gateway", "pomelo-other")), address)).To(MatchError(ContainSubstring("not allowed")))
 	})
 
+	// Guards against refused peers that no log line shows.
+	It("logs a refused peer", func() {
+		a := newAuthority()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		lines := gbytes.NewBuffer()
+		server := transport.NewServer(listener, load(a.issue("server", "pomelo-sidecar", "pomelo-gateway")).Peers(),
+			func(context.Context, *transport.Stream) {}, slog.New(slog.NewTextHandler(lines, nil)))
+		go func() { _ = server.Serve(context.Background()) }()
+		DeferCleanup(server.Close)
+		Expect(echo(load(a.issue("client", "stranger", "pomelo-sidecar")), server.Addr().String())).NotTo(Succeed())
+		Eventually(lines).Should(gbytes.Say(`peer session refused.*stranger.*not allowed`))
+	})
+
 	It("refuses a peer of another CA with an allowed name", func() {
 		address := startTLS(load(newAuthority().issue("server", "pomelo-sidecar", "pomelo-gateway")))
 		Expect(echo(load(newAuthority().issue("client", "pomelo-gateway", "pomelo-sidecar")), address)).NotTo(Succeed())
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -103,7 +103,7 @@
 			_ = session.Close()
 			return nil
 		}
-		go s.serveSession(ctx, session)
+		go s.serveSession(ctx, conn, session)
 	}
 }
 
@@ -118,7 +118,18 @@
 	return true
 }
 
-func (s *Server) serveSession(ctx context.Context, session *yamux.Session) {
+// handshake ends the TLS handshake of a peer within dialTimeout. It returns nil for plain TCP.
+func handshake(ctx context.Context, conn net.Conn) error {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return secured.HandshakeContext(ctx)
+}
+
+func (s *Server) serveSession(ctx context.Context, conn net.Conn, session *yamux.Session) {
 	defer s.wg.Done()
 	defer func() {
 		_ = session.Close()
@@ -126,6 +137,10 @@
 		delete(s.sessions, session)
 		s.mu.Unlock()
 	}()
+	if err := handshake(ctx, conn); err != nil {
+		s.log.Warn("peer session refused", "peer", conn.RemoteAddr().String(), "error", err)
+		return
+	}
 	for {
 		conn, err := session.AcceptStream()
 		if err != nil {
