--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -45,6 +45,15 @@
 		Expect(errkind.Of(nil)).To(Equal(errkind.None))
 	})
 
+	// Guards against a refusal that operators cannot look up.
+	It("is explained to operators in docs/operations.md", func() {
+		page, err := os.ReadFile("../../docs/operations.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, k := range errkind.All() {
+			Expect(string(page)).To(ContainSubstring("\n| `"+k.String()+"` | "), k.String())
+		}
+	})
+
 	It("stands in docs/api.md as it is in the code", func() {
 		page, err := os.ReadFile("../../docs/api.md")
 		Expect(err).NotTo(HaveOccurred())
