--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -122,7 +122,8 @@
 	s.mu.Lock()
 	s.ramp.Bad()
 	s.mu.Unlock()
-	s.log.Warn("backend server failed", "request_id", t.submit.GetRequestId(), "error", err)
+	s.log.Warn("backend server failed", "request_id", t.submit.GetRequestId(), "organisation", t.submit.GetOrganisation(),
+		"profile", t.submit.GetProfile(), "model", t.submit.GetModel(), "error", err)
 }
 
 // servePlain runs a started call of a plain service.
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/admission"
@@ -223,7 +224,12 @@
 		}}}
 	}
 	err := t.stream.Send(frame)
-	s.log.Debug("request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "kind", kind.String(),
+	level := slog.LevelDebug
+	if kind != errkind.None || err != nil {
+		level = slog.LevelInfo
+	}
+	s.log.Log(context.Background(), level, "request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(),
+		"organisation", r.GetOrganisation(), "profile", r.GetProfile(), "model", r.GetModel(), "kind", kind.String(),
 		"handed_over", !o.notRun, "reason", detail, "error", err)
 }
 
