Take the planner's orders for adapters; wait for an evicted adapter's memory

A request whose adapter needed an eviction was refused although the memory was free with the engine's next report.

Ruled out: leaving adapters out of the plan, because a tenfold shift of demand then loads them in the request path; evicting again while an unload is unconfirmed, which empties the accelerator for one request.

--- a/internal/ledger/figures.go
+++ b/internal/ledger/figures.go
@@ -32,3 +32,12 @@
 	}
 	return f
 }
+
+// AdapterMB returns the memory of all adapters, also of those whose unload is not confirmed.
+func (l *Ledger) AdapterMB() int64 {
+	var sum int64
+	for _, e := range l.adapters {
+		sum += e.mb()
+	}
+	return sum
+}
--- a/internal/sidecar/adapters.go
+++ b/internal/sidecar/adapters.go
@@ -10,6 +10,9 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
+// adapterReports is the number of reports of the engine that a request waits for until memory is free.
+const adapterReports = 4
+
 // adapter is one adapter that is loaded or being loaded.
 type adapter struct {
 	base     string
@@ -55,6 +58,18 @@
 	return sum
 }
 
+// unloadingAdapterMB returns the memory of adapters whose unload no report has shown yet. The caller holds
+// the lock.
+func (s *Server) unloadingAdapterMB() int64 {
+	sum := s.ledger.AdapterMB()
+	for name, a := range s.adapters {
+		if s.ledger.HeldAdapter(name) {
+			sum -= a.memoryMB
+		}
+	}
+	return max(sum, 0)
+}
+
 // adaptersOf returns the adapters on a base model. The caller holds the lock.
 func (s *Server) adaptersOf(base string) []string {
 	var names []string
@@ -68,7 +83,25 @@
 
 // ensureAdapter loads the adapter of a request if it is not loaded. At most one load of an adapter runs, and
 // at most adapter_slots loads in total, the number at which the weight store serves at full speed.
+//
+// Without free memory the least recently used idle adapter is unloaded. Its memory is free only when a report
+// of the engine shows it, so the request waits for some reports before it is refused.
 func (s *Server) ensureAdapter(ctx context.Context, model config.Model) error {
+	var err error
+	for range adapterReports {
+		if err = s.tryAdapter(ctx, model); errkind.Of(err) != errkind.MemoryFull {
+			return err
+		}
+		s.wake()
+		if pauseErr := pause(ctx, s.opts.Settings.Backend.PollInterval.D()); pauseErr != nil {
+			return stopped(ctx, "while an adapter waited for memory")
+		}
+	}
+	return err
+}
+
+// tryAdapter returns an error of kind MemoryFull if there is no memory now.
+func (s *Server) tryAdapter(ctx context.Context, model config.Model) error {
 	for {
 		s.mu.Lock()
 		a, ok := s.adapters[model.Name]
@@ -89,10 +122,12 @@
 		}
 		err := s.ledger.LoadAdapter(time.Now(), model.Name, model.MemoryMB)
 		if err != nil {
-			victim := s.idleAdapter()
+			victim := ""
+			if s.ledger.Free()+s.unloadingAdapterMB() < model.MemoryMB {
+				victim = s.idleAdapter()
+			}
 			s.mu.Unlock()
 			if victim != "" {
-				// Its memory is free only when the engine's next report shows it.
 				s.dropAdapter(ctx, victim)
 			}
 			return err
@@ -119,7 +154,7 @@
 	close(a.changing)
 	a.changing = nil
 	s.log.Info("placement", "model", model.Name, "choice", "adapter load", "memory_mb", model.MemoryMB,
-		"loaded", a.loaded, "reason", "a request needs it", "error", err)
+		"loaded", a.loaded, "error", err)
 	if err != nil {
 		delete(s.adapters, model.Name)
 		return errkind.Wrap(errkind.ModelNotResident, err, "load adapter %q", model.Name)
@@ -127,6 +162,31 @@
 	return nil
 }
 
+// takeAdapter carries out an order of the planner for an adapter. A load takes only memory that is free,
+// because requests in progress decide which adapters are evicted.
+func (s *Server) takeAdapter(ctx context.Context, action string, model config.Model) error {
+	s.mu.Lock()
+	resident, free := s.resident(model.Base), s.ledger.Free()
+	held, known := s.heldModels()[model.Name], s.adapters[model.Name] != nil
+	draining := s.draining
+	s.mu.Unlock()
+	switch {
+	case action == actionLoad && draining:
+		return errkind.New(errkind.Draining, "host %q", s.opts.Settings.Process.Host)
+	case action == actionLoad && !resident:
+		return errkind.New(errkind.ModelNotResident, "base model %q", model.Base)
+	case action == actionLoad && !known && free < model.MemoryMB:
+		return errkind.New(errkind.MemoryFull, "adapter of %d MB, %d MB are free", model.MemoryMB, free)
+	case action == actionLoad:
+		return s.ensureAdapter(ctx, model)
+	case held:
+		return errkind.New(errkind.Overloaded, "adapter %q is in use", model.Name)
+	case known:
+		s.dropAdapter(ctx, model.Name)
+	}
+	return nil
+}
+
 // heldModels returns the models and adapters of queued and running requests. The caller holds the lock.
 func (s *Server) heldModels() map[string]bool {
 	held := make(map[string]bool)
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -147,6 +147,8 @@
 		config.Service{Name: service, Kind: config.ServiceKind(kind), Profile: "clerk"},
 		config.Model{Name: "m", Service: service, MemoryMB: 400, KVTokenKB: 64, MinCopies: 1},
 		config.Model{Name: "m-a", Service: service, Base: "m", MemoryMB: 20},
+		config.Model{Name: "m-b", Service: service, Base: "m", MemoryMB: 520},
+		config.Model{Name: "m-c", Service: service, Base: "m", MemoryMB: 590},
 		config.Model{Name: "big", Service: service, MemoryMB: 900},
 	)
 	s := &settings.Sidecar{
--- a/internal/sidecar/model_test.go
+++ b/internal/sidecar/model_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -36,10 +37,8 @@
 		e.chat(w, r)
 		return
 	case r.URL.Path == "/engine/state":
-	case r.URL.Path == "/v1/load_lora_adapter":
-		e.mu.Lock()
-		e.state.Adapters = append(e.state.Adapters, "m-a")
-		e.mu.Unlock()
+	case strings.HasSuffix(r.URL.Path, "_lora_adapter"):
+		e.adapter(w, r)
 	default:
 		e.order(name, strings.HasSuffix(r.URL.Path, "/load"))
 	}
@@ -48,6 +47,19 @@
 	_ = json.NewEncoder(w).Encode(e.state)
 }
 
+func (e *testEngine) adapter(_ http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Name string `json:"lora_name"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&order)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Adapters = slices.DeleteFunc(e.state.Adapters, func(name string) bool { return name == order.Name })
+	if r.URL.Path == "/v1/load_lora_adapter" {
+		e.state.Adapters = append(e.state.Adapters, order.Name)
+	}
+}
+
 func (e *testEngine) order(name string, load bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -137,6 +149,19 @@
 		Expect(h.server.Status().GetMemoryFreeMb()).To(BeEquivalentTo(580))
 	})
 
+	// Guards against a refusal of a request whose adapter fits as soon as the report shows an unload. The idle
+	// adapter was loaded before the sidecar started, so no late load order can bring it back.
+	It("waits for the memory of an idle adapter that another request displaces", func() {
+		load()
+		e.mu.Lock()
+		e.state.Adapters = []string{"m-a"}
+		e.mu.Unlock()
+		Eventually(func() []string { return h.server.Status().GetAdapters() }).Should(ConsistOf("m-a"))
+		Expect(order("load", "m-c", 1)).To(Equal(errkind.MemoryFull), "an order displaces nothing")
+		Expect(h.do(chat("m-b", "x")).kind).To(Equal(errkind.None))
+		Expect(h.server.Status().GetAdapters()).To(ConsistOf("m-b"))
+	})
+
 	It("refuses orders that would overcommit memory and orders of an older planner", func() {
 		load()
 		Expect(order("load", "big", 1)).To(Equal(errkind.MemoryFull))
--- a/internal/sidecar/residency.go
+++ b/internal/sidecar/residency.go
@@ -279,6 +279,12 @@
 		"reason", "order of the planner", "error", err)
 }
 
+// Actions of a ModelOrder.
+const (
+	actionLoad   = "load"
+	actionUnload = "unload"
+)
+
 // order answers a ModelOrder.
 func (s *Server) order(ctx context.Context, o *wirepb.ModelOrder) *wirepb.OrderReply {
 	err := s.takeOrder(ctx, o)
@@ -298,8 +304,8 @@
 		return err
 	}
 	model, ok := snapshot.Model(o.GetModel())
-	if !ok || model.Adapter() || model.Service != s.opts.Settings.Backend.Service {
-		return errkind.New(errkind.ModelUnknown, "model %q is not a base model of service %q", o.GetModel(), s.opts.Settings.Backend.Service)
+	if !ok || model.Service != s.opts.Settings.Backend.Service {
+		return errkind.New(errkind.ModelUnknown, "model %q is not of service %q", o.GetModel(), s.opts.Settings.Backend.Service)
 	}
 	s.mu.Lock()
 	err = s.ledger.CheckEpoch(o.GetPlannerEpoch())
@@ -307,10 +313,13 @@
 	if err != nil {
 		return err
 	}
-	switch o.GetAction() {
-	case "load":
+	switch {
+	case o.GetAction() != actionLoad && o.GetAction() != actionUnload:
+	case model.Adapter():
+		return s.takeAdapter(ctx, o.GetAction(), model)
+	case o.GetAction() == actionLoad:
 		return s.takeLoad(model)
-	case "unload":
+	default:
 		return s.takeUnload(ctx, model)
 	}
 	return errkind.New(errkind.BadRequest, "action %q: expected load or unload", o.GetAction())
