--- /dev/null
+++ b/internal/systemtest/caller_test.go
@@ -0,0 +1,232 @@
+package systemtest
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// request is one call of a caller.
+type request struct {
+	method, url, key, body, idempotencyKey string
+}
+
+// reply is the answer. A connection that broke has an error.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) code() string {
+	var e struct{ Error struct{ Code string } }
+	_ = json.Unmarshal([]byte(r.body), &e)
+	return e.Error.Code
+}
+
+func (r reply) ran() string { return r.header.Get("Pomelo-Ran") }
+
+// text returns the text of a whole chat completion.
+func (r reply) text() string {
+	var c struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	if json.Unmarshal([]byte(r.body), &c) != nil || len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Message.Content
+}
+
+func newRequest(ctx context.Context, r request) *http.Request {
+	GinkgoHelper()
+	q, err := http.NewRequestWithContext(ctx, r.method, r.url, strings.NewReader(r.body))
+	Expect(err).NotTo(HaveOccurred())
+	if r.key != "" {
+		q.Header.Set("Authorization", "Bearer "+key(r.key))
+	}
+	if r.idempotencyKey != "" {
+		q.Header.Set("Idempotency-Key", r.idempotencyKey)
+	}
+	return q
+}
+
+// Call sends a request and reads the whole answer.
+func (s *System) Call(r request) reply {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*startTime)
+	defer cancel()
+	response, err := http.DefaultClient.Do(newRequest(ctx, r))
+	if err != nil {
+		return reply{err: err, header: http.Header{}}
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(raw), err: err}
+}
+
+func chatBody(prompt string, stream bool) string {
+	raw, _ := json.Marshal(map[string]any{"model": "brush-small", "stream": stream, "max_tokens": 4096,
+		"messages": []any{map[string]string{"role": "user", "content": prompt}}})
+	return string(raw)
+}
+
+// Chat sends a whole chat request.
+func (s *System) Chat(gateway, keyID, prompt string) reply {
+	GinkgoHelper()
+	return s.Call(request{method: "POST", url: gateway + "/v1/chat/completions", key: keyID, body: chatBody(prompt, false)})
+}
+
+// Book sends a booking; the body is that of the stand-in.
+func (s *System) Book(gateway, idempotencyKey, id string) reply {
+	GinkgoHelper()
+	return s.Call(request{method: "POST", url: gateway + "/services/" + ledger + "/bookings", key: "clerks-1",
+		idempotencyKey: idempotencyKey, body: fmt.Sprintf(`{"booking":%q}`, id)})
+}
+
+// stream is a streamed chat that is read in the background.
+type stream struct {
+	id     string
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu       sync.Mutex
+	text     strings.Builder
+	tokens   int
+	finished bool   // [DONE] arrived
+	failure  string // code of an error event
+}
+
+// Stream starts a streamed chat and returns when its answer has begun.
+func (s *System) Stream(gateway, keyID, prompt string) *stream {
+	GinkgoHelper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r := request{method: "POST", url: gateway + "/v1/chat/completions", key: keyID, body: chatBody(prompt, true)}
+	response, err := http.DefaultClient.Do(newRequest(ctx, r))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	st := &stream{id: response.Header.Get("X-Request-Id"), cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(st.done)
+		defer cancel()
+		defer func() { _ = response.Body.Close() }()
+		lines := bufio.NewScanner(response.Body)
+		for lines.Scan() {
+			st.line(lines.Text())
+		}
+	}()
+	DeferCleanup(func() { cancel(); <-st.done })
+	return st
+}
+
+func (st *stream) line(line string) {
+	data, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if data == "[DONE]" {
+		st.finished = true
+		return
+	}
+	var event struct {
+		Choices []struct{ Delta struct{ Content string } }
+		Error   struct{ Code string }
+	}
+	_ = json.Unmarshal([]byte(data), &event)
+	if event.Error.Code != "" {
+		st.failure = event.Error.Code
+	}
+	for _, c := range event.Choices {
+		if c.Delta.Content != "" {
+			st.tokens++
+			st.text.WriteString(c.Delta.Content)
+		}
+	}
+}
+
+func (st *stream) count() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.tokens
+}
+
+// result returns the text and whether the stream ended whole.
+func (st *stream) result() (text string, whole bool, failure string) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.text.String(), st.finished, st.failure
+}
+
+// forwarder passes TCP connections on until it is cut.
+type forwarder struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	cut   bool
+	conns []net.Conn
+}
+
+func newForwarder(target string) *forwarder {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f := &forwarder{listener: l, target: target}
+	DeferCleanup(f.Cut)
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.join(in)
+		}
+	}()
+	return f
+}
+
+// Address returns the address to connect to.
+func (f *forwarder) Address() string { return f.listener.Addr().String() }
+
+func (f *forwarder) join(in net.Conn) {
+	out, err := net.Dial("tcp", f.target)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil || f.cut {
+		_ = in.Close()
+		if err == nil {
+			_ = out.Close()
+		}
+		return
+	}
+	f.conns = append(f.conns, in, out)
+	pass := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		_ = to.Close()
+		_ = from.Close()
+	}
+	go pass(in, out)
+	go pass(out, in)
+}
+
+// Cut ends every connection and refuses new ones.
+func (f *forwarder) Cut() {
+	_ = f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = true
+	for _, c := range f.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/systemtest/keys_test.go
@@ -0,0 +1,170 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// inForce is the time from the acceptance of a change to its effect everywhere.
+const inForce = 10 * time.Second
+
+// chatCalls counts the chat requests that an engine received.
+func (s *System) chatCalls(backend string) int {
+	GinkgoHelper()
+	n := 0
+	for _, r := range s.seen(backend) {
+		if r.Path == "/v1/chat/completions" {
+			n++
+		}
+	}
+	return n
+}
+
+type seenRequest struct {
+	Method, Path, Query string
+	Header              http.Header
+}
+
+func (s *System) seen(backend string) []seenRequest {
+	GinkgoHelper()
+	var all []seenRequest
+	getJSON(s.backends[backend]+"/control/requests", &all)
+	return all
+}
+
+var _ = Describe("a withdrawn key", Ordered, func() {
+	var s *System
+	BeforeAll(func() {
+		s = NewSystem(layout{gateways: 2, cuttable: true, backends: []backend{
+			{name: "brush-1", dataCentre: "walled-city", service: models},
+			{name: "notices-1", dataCentre: "gulberg", service: notices},
+		}})
+	})
+
+	// lastRun sends chat requests on one connection until a second after the bound, and returns when the
+	// last one that ran was sent, counted from accepted.
+	lastRun := func(gateway, keyID string, accepted time.Time) time.Duration {
+		GinkgoHelper()
+		var last time.Duration
+		var final reply
+		for time.Since(accepted) < inForce+time.Second {
+			sent := time.Since(accepted)
+			final = s.Chat(gateway, keyID, "schedule, tokens:2")
+			if final.status == http.StatusOK {
+				last = sent
+			} else if final.code() == "key_withdrawn" && last > 0 {
+				break
+			}
+		}
+		Expect(final.status).To(Equal(http.StatusUnauthorized))
+		Expect(final.code()).To(Equal("key_withdrawn"), final.body)
+		return last
+	}
+
+	// Guards against a key that is checked only when a connection or a stream begins.
+	It("stops a kept-alive connection and a running stream within 10 s", func() {
+		st := s.Stream(s.gateways[0], "crews-1", "long schedule, tokens:4000")
+		s.Ctl("key", "withdraw", "crews-1", "-reason", "lost handset")
+		accepted := time.Now()
+		Expect(lastRun(s.gateways[0], "crews-1", accepted)).To(BeNumerically("<", inForce))
+		Eventually(st.done, time.Until(accepted.Add(inForce))).Should(BeClosed())
+		_, whole, failure := st.result()
+		Expect(whole).To(BeFalse())
+		Expect(failure).NotTo(BeEmpty())
+		Eventually(func() int { return s.running("brush-1") }, "2s").Should(BeZero())
+		Expect(s.Chat(s.gateways[0], "crews-2", "another key, tokens:1").status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a gateway that wakes with an old configuration and a request that it admitted before.
+	It("runs nothing after 10 s from a gateway that was frozen meanwhile", func() {
+		frozen := s.procs["gateway-1"]
+		st := s.Stream(s.gateways[0], "crews-2", "long schedule, tokens:4000")
+		Eventually(st.count, startTime).Should(BeNumerically(">", 1))
+		frozen.Freeze()
+		defer func() { _ = frozen.cmd.Process.Signal(syscall.SIGCONT) }()
+		s.Ctl("key", "withdraw", "crews-2", "-reason", "lost handset")
+		accepted := time.Now()
+		// Requests that wait in the frozen gateway's sockets when it wakes.
+		replies := make(chan reply, 6)
+		for range cap(replies) {
+			go func() {
+				defer GinkgoRecover()
+				replies <- s.Chat(s.gateways[0], "crews-2", "from the frozen gateway, tokens:2")
+			}()
+		}
+		Eventually(func() time.Duration { return time.Since(accepted) }, inForce+startTime, "100ms").Should(BeNumerically(">", inForce))
+		Expect(s.running("brush-1")).To(BeZero(), "the stream of the withdrawn key still runs")
+		before := s.chatCalls("brush-1")
+		frozen.Resume()
+		for range cap(replies) {
+			var r reply
+			Eventually(replies, startTime).Should(Receive(&r))
+			Expect(r.status).To(Equal(http.StatusUnauthorized), r.body)
+		}
+		Expect(s.chatCalls("brush-1")).To(Equal(before))
+		Eventually(st.done, startTime).Should(BeClosed())
+	})
+
+	// Guards against a gateway that takes its own loss of the table service for an outage and goes on with
+	// its old configuration.
+	It("stops within 10 s at a gateway that alone lost the table service", func() {
+		Expect(s.Chat(s.gateways[1], "crews-3", "before the cut, tokens:2").status).To(Equal(http.StatusOK))
+		s.Forwarder.Cut()
+		s.Ctl("key", "withdraw", "crews-3", "-reason", "lost handset")
+		Expect(lastRun(s.gateways[1], "crews-3", time.Now())).To(BeNumerically("<", inForce))
+	})
+
+	// Guards against an open service that depends on some key.
+	It("leaves open services open", func() {
+		for _, g := range s.gateways {
+			r := s.Call(request{method: "GET", url: g + "/services/" + notices + "/health", key: "crews-1"})
+			Expect(r.status).To(Equal(http.StatusOK), r.body)
+			Expect(s.Call(request{method: "GET", url: g + "/services/" + notices + "/health"}).status).To(Equal(http.StatusOK))
+		}
+	})
+
+	// Guards against keys in logs, metrics, configuration rows and backend servers. Runs after the others,
+	// so that it looks at all that they left, and after calls that carry the key in unusual places.
+	It("is seen in no log, metric or backend server", func() {
+		secret := key("clerks-1")
+		bodies := []request{
+			{method: "POST", url: s.gateways[0] + "/v1/chat/completions?api_key=" + secret, key: "clerks-1", body: chatBody("query, tokens:1", false)},
+			{method: "POST", url: s.gateways[0] + "/v1/chat/completions", key: "clerks-1", body: chatBody("body "+secret, false)},
+			{method: "POST", url: s.gateways[0] + "/services/" + notices + "/bookings?key=" + secret, key: "clerks-1", body: `{"booking":"` + secret + `"}`},
+			{method: "GET", url: s.gateways[0] + "/services/" + notices + "/" + secret, key: "clerks-1"},
+			{method: "GET", url: s.gateways[0] + "/services/" + secret + "/x", key: "clerks-1"},
+			{method: "GET", url: s.gateways[0] + "/" + secret, key: "clerks-1"},
+			{method: "POST", url: s.gateways[0] + "/services/" + notices + "/bookings", key: "clerks-1", idempotencyKey: secret, body: "{}"},
+		}
+		for _, r := range bodies {
+			Expect(s.Call(r).body).NotTo(ContainSubstring(secret), r.url)
+		}
+		var everything strings.Builder
+		for _, p := range s.procs {
+			everything.WriteString(p.logText())
+		}
+		for _, g := range s.gateways {
+			response, err := http.Get(g + "/debug/vars")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(&everything, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_ = response.Body.Close()
+		}
+		for name := range s.backends {
+			raw, err := json.Marshal(s.seen(name))
+			Expect(err).NotTo(HaveOccurred())
+			everything.Write(raw)
+		}
+		everything.WriteString(s.Ctl("history", "-o", "json"))
+		for id := range keyIDs {
+			Expect(strings.Contains(everything.String(), key(id))).To(BeFalse(), "the key "+id+" was found")
+		}
+	})
+})
--- /dev/null
+++ b/internal/systemtest/system_test.go
@@ -0,0 +1,331 @@
+// Package systemtest runs the whole system as separate processes on loopback and checks its promises under
+// failure through the outside interfaces only.
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSystem(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "whole system")
+}
+
+// Names in the configuration that every system starts with.
+const (
+	models  = "brush-assistant"
+	ledger  = "lantern-ledger"
+	notices = "notice-board" // open service
+)
+
+// backend describes a backend server and the sidecar beside it.
+type backend struct {
+	name, dataCentre, service string
+	args                      []string // of the backend server
+}
+
+func (b backend) model() bool { return b.service == models }
+
+// layout describes a system.
+type layout struct {
+	gateways int
+	backends []backend
+	cuttable bool // the last gateway reaches the table service through System.Forwarder
+}
+
+// System is a running system.
+type System struct {
+	dir       string
+	platform  string
+	gateways  []string // callers' URLs
+	peers     []string // gateways' peer addresses
+	sidecars  []string // sidecars' peer addresses
+	backends  map[string]string
+	procs     map[string]*process
+	Forwarder *forwarder
+}
+
+// key returns the secret of a key ID.
+func key(id string) string { return "secret-of-" + id + "-0123456789" }
+
+// keyIDs are the keys of the organisations crews and clerks.
+var keyIDs = map[string]string{"crews-1": "crews", "crews-2": "crews", "crews-3": "crews", "clerks-1": "clerks"}
+
+const bundle = `
+organisations:
+  - {name: crews, rate: 1000000, burst: 10000000, weight: 1}
+  - {name: clerks, rate: 1000000, burst: 10000000, weight: 1}
+profiles:
+  - {name: dawn-chat, class: interactive, first_token_ms: 470, between_tokens_ms: 71, deadline_ms: 60000, priority: 10, max_output_tokens: 4096, kv_tokens: 1024, retry_budget: 1}
+  - {name: booking, class: interactive, deadline_ms: 20000, priority: 5, retry_budget: 1}
+data_centres:
+  - {name: walled-city, region: punjab-central, out: false}
+  - {name: gulberg, region: punjab-central, out: false}
+services:
+  - {name: brush-assistant, kind: model, profile: dawn-chat}
+  - {name: lantern-ledger, kind: plain, profile: booking}
+  - {name: notice-board, kind: plain, profile: booking, open: true}
+models:
+  - {name: brush-small, service: brush-assistant, memory_mb: 16384, kv_token_kb: 128, min_copies: 1, weight_path: brush-small}
+keys:
+`
+
+// NewSystem starts a system and stops it after the spec or the container that called it.
+func NewSystem(l layout) *System {
+	GinkgoHelper()
+	dir, err := os.MkdirTemp("", "system")
+	Expect(err).NotTo(HaveOccurred())
+	s := &System{dir: dir, platform: freeAddress(), backends: map[string]string{}, procs: map[string]*process{}}
+	DeferCleanup(s.stop)
+	for range l.gateways {
+		s.gateways = append(s.gateways, "http://"+freeAddress())
+		s.peers = append(s.peers, freeAddress())
+	}
+	for range l.backends {
+		s.sidecars = append(s.sidecars, freeAddress())
+	}
+	s.run("platform", "fake-platform", "-listen", s.platform, "-hosts", s.write("hosts.json", s.hosts(l)))
+	s.awaitOK("http://" + s.platform + "/hosts")
+	for _, b := range l.backends {
+		s.startBackend(b)
+	}
+	s.Ctl("init", "-author", "harness", "-reason", "start of the test", s.write("bundle.yml", bundle+keyLines()))
+	if l.cuttable {
+		s.Forwarder = newForwarder(s.platform)
+	}
+	for i := range l.gateways {
+		s.startGateway(i, l.cuttable && i == l.gateways-1)
+	}
+	for i, b := range l.backends {
+		s.run("sidecar-"+b.name, "pomelo-sidecar", "-config", s.write(b.name+".yml", s.sidecarSettings(i, b)))
+	}
+	s.awaitServed(l)
+	return s
+}
+
+func keyLines() string {
+	var b strings.Builder
+	for id, organisation := range keyIDs {
+		sum := sha256.Sum256([]byte(key(id)))
+		fmt.Fprintf(&b, "  - {id: %s, organisation: %s, digest: %s, withdrawn: false}\n", id, organisation, hex.EncodeToString(sum[:]))
+	}
+	return b.String()
+}
+
+func (s *System) hosts(l layout) string {
+	var hosts []map[string]string
+	for i, a := range s.peers {
+		hosts = append(hosts, map[string]string{"address": a, "host": fmt.Sprintf("gateway-%d", i+1), "data_centre": "walled-city", "role": "gateway"})
+	}
+	for i, b := range l.backends {
+		hosts = append(hosts, map[string]string{"address": s.sidecars[i], "host": b.name, "data_centre": b.dataCentre, "role": "sidecar"})
+	}
+	raw, err := json.Marshal(hosts)
+	Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
+
+func (s *System) startBackend(b backend) {
+	GinkgoHelper()
+	address := freeAddress()
+	s.backends[b.name] = "http://" + address
+	args := append([]string{"-listen", address}, b.args...)
+	if b.model() {
+		// Warm at once, so that no verdict depends on the ramp of a fresh server.
+		args = append([]string{"-model", "brush-small=16384", "-cold-factor", "1", "-warm-up", "0s", "-first-token", "5ms"}, args...)
+		s.run("backend-"+b.name, "fake-engine", args...)
+	} else {
+		s.run("backend-"+b.name, "fake-service", args...)
+	}
+	s.awaitOK(s.backends[b.name] + "/health")
+}
+
+// Duties that place models or hold limits are left out: these specs are about the request path.
+const gatewaySettings = `
+process: {host: gateway-%d, data_centre: walled-city}
+log: {level: debug}
+callers: {listen: "%s", default_service: brush-assistant, max_body: 64KiB}
+peers: {listen: "%s", gateways: ["%s"], sidecars: ["%s"]}
+table_service: {endpoint: "http://%s"}
+host_list: {url: "http://%s/hosts"}
+routing: {status_interval: 200ms}
+limits: {enabled: false}
+planner: {enabled: false}
+shutdown: {notice_delay: 300ms, grace: 30s}
+`
+
+func (s *System) startGateway(i int, cuttable bool) {
+	GinkgoHelper()
+	table := s.platform
+	if cuttable {
+		table = s.Forwarder.Address()
+	}
+	text := fmt.Sprintf(gatewaySettings, i+1, strings.TrimPrefix(s.gateways[i], "http://"), s.peers[i],
+		strings.Join(s.peers, `","`), strings.Join(s.sidecars, `","`), table, s.platform)
+	name := fmt.Sprintf("gateway-%d", i+1)
+	s.run(name, "pomelo-gateway", "-config", s.write(name+".yml", text))
+	s.awaitOK(s.gateways[i] + "/readyz")
+}
+
+func (s *System) sidecarSettings(i int, b backend) string {
+	kind := "{service: " + b.service + ", kind: plain, "
+	if b.model() {
+		kind = "{service: " + b.service + ", kind: model, memory_mb: 81920, "
+	}
+	return fmt.Sprintf(`
+process: {host: %s, data_centre: %s}
+log: {level: debug}
+peers: {listen: "%s", gateways: ["%s"]}
+backend: %surl: "%s"}
+admission: {cold_concurrency: 8}
+table_service: {endpoint: "http://%s"}
+shutdown: {notice_delay: 300ms, grace: 30s}
+`, b.name, b.dataCentre, s.sidecars[i], strings.Join(s.peers, `","`), kind, s.backends[b.name], s.platform)
+}
+
+// awaitServed waits until every gateway has a status of every sidecar and serves the model.
+func (s *System) awaitServed(l layout) {
+	GinkgoHelper()
+	for _, g := range s.gateways {
+		Eventually(func() any { return s.Vars(g)["sidecars_known"] }, startTime).Should(BeEquivalentTo(len(l.backends)))
+	}
+	for _, b := range l.backends {
+		s.AwaitServing(b)
+	}
+}
+
+// AwaitServing waits until each gateway routes to the sidecar of b.
+func (s *System) AwaitServing(b backend) {
+	GinkgoHelper()
+	address := ""
+	raw, err := os.ReadFile(filepath.Join(s.dir, b.name+".yml"))
+	Expect(err).NotTo(HaveOccurred())
+	for _, a := range s.sidecars {
+		if strings.Contains(string(raw), `listen: "`+a+`"`) {
+			address = a
+		}
+	}
+	for _, g := range s.gateways {
+		Eventually(func(t Gomega) {
+			var r reply
+			if b.model() {
+				r = s.Chat(g, "crews-1", "ready, tokens:1")
+			} else {
+				r = s.Call(request{method: "GET", url: g + "/services/" + b.service + "/health", key: "crews-1"})
+			}
+			t.Expect(r.status).To(Equal(http.StatusOK), r.body)
+			var line string
+			for l := range strings.SplitSeq(s.procs[s.gatewayName(g)].logText(), "\n") {
+				if strings.Contains(l, r.header.Get("X-Request-Id")) && strings.Contains(l, "routing decision") {
+					line = l
+				}
+			}
+			t.Expect(line).To(ContainSubstring(address + "="))
+		}, startTime, "100ms").Should(Succeed())
+	}
+}
+
+func (s *System) gatewayName(url string) string {
+	for i, g := range s.gateways {
+		if g == url {
+			return fmt.Sprintf("gateway-%d", i+1)
+		}
+	}
+	return ""
+}
+
+func (s *System) write(name, text string) string {
+	GinkgoHelper()
+	path := filepath.Join(s.dir, name)
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+func (s *System) run(name, binary string, args ...string) {
+	GinkgoHelper()
+	p := &process{name: name, log: filepath.Join(s.dir, name+".log"), path: filepath.Join(binaries, binary), args: args}
+	p.start()
+	s.procs[name] = p
+}
+
+// stop ends every process. It keeps the end of the logs in the report of a failed spec.
+func (s *System) stop() {
+	for _, p := range s.procs {
+		p.stop()
+		if CurrentSpecReport().Failed() {
+			text := p.logText()
+			AddReportEntry(p.name, ReportEntryVisibilityFailureOrVerbose, text[max(0, len(text)-4000):])
+		}
+	}
+	_ = os.RemoveAll(s.dir)
+}
+
+func (s *System) awaitOK(url string) {
+	GinkgoHelper()
+	Eventually(func() int {
+		response, err := http.Get(url)
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}, startTime, "50ms").Should(Equal(http.StatusOK), url)
+}
+
+// Ctl runs pomeloctl, which must succeed, and returns its standard output.
+func (s *System) Ctl(args ...string) string {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), startTime)
+	defer cancel()
+	command := exec.CommandContext(ctx, filepath.Join(binaries, "pomeloctl"), args...)
+	command.Env = append(os.Environ(), "POMELO_TABLE_ENDPOINT=http://"+s.platform, "POMELO_AUTHOR=operator")
+	var out, errs bytes.Buffer
+	command.Stdout, command.Stderr = &out, &errs
+	Expect(command.Run()).To(Succeed(), errs.String())
+	return out.String()
+}
+
+// Control posts a fault to a stand-in.
+func (s *System) Control(base, body string) {
+	GinkgoHelper()
+	response, err := http.Post(base+"/control", "application/json", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	Expect(response.StatusCode).To(BeNumerically("<", 300))
+}
+
+// getJSON reads a JSON document of a process.
+func getJSON(url string, into any) {
+	GinkgoHelper()
+	response, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(json.Unmarshal(raw, into)).To(Succeed(), string(raw))
+}
+
+// Vars returns the metrics of a gateway.
+func (s *System) Vars(gateway string) map[string]any {
+	GinkgoHelper()
+	var all struct {
+		Gateway map[string]any `json:"gateway"`
+	}
+	getJSON(gateway+"/debug/vars", &all)
+	return all.Gateway
+}
