--- a/internal/systemtest/shutdown_test.go
+++ b/internal/systemtest/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -50,6 +51,7 @@
 	}
 	Expect(s.procs["gateway-1"].wait()).To(Equal(0))
 	Expect(leaving.wait()).To(Equal(0))
+	Expect(finished(leaving, streams)).To(BeNumerically(">", 0), "the sidecar that left finished no stream itself")
 	l.end()
 	Expect(l.failed.Load()).To(BeNil())
 	for _, p := range []*process{s.procs["gateway-1"], leaving, neighbour} {
@@ -70,6 +72,22 @@
 	}
 }
 
+// finished returns how many streams the sidecar served to their end. A stream that it broke off fails the spec,
+// although another replica continued it.
+func finished(sidecar *process, streams []*stream) int {
+	GinkgoHelper()
+	n := 0
+	log := sidecar.logText()
+	for _, st := range streams {
+		if !strings.Contains(log, "request_id="+st.id+" attempt=1 ") {
+			continue
+		}
+		Expect(log).To(ContainSubstring("request_id=" + st.id + " attempt=1 kind=none handed_over=true"))
+		n++
+	}
+	return n
+}
+
 // busy returns the replicas that serve streams.
 func (s *System) busy(streams []*stream, replicas []backend) []string {
 	GinkgoHelper()
