Send Allow with 405 and WWW-Authenticate with 401

RFC 9110 (sections 15.5.2 and 15.5.6) requires both fields. Found by reading the first golden session; the two expectations added to it failed before the change (the session had '405 Method Not Allowed' followed by Content-Type, and no Www-Authenticate after 401):

--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -108,6 +108,9 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Pomelo-Ran", string(ranOf(answer, result)))
+	if answer.HTTPStatus == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if wait := retryAfter(answer, result, err); wait > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -75,10 +76,28 @@
 	r.PathPrefix("/services/{service}/").Handler(s.bounded(s.service))
 	r.Handle("/services/{service}", s.bounded(s.service))
 	r.NotFoundHandler = s.refusal(errkind.RouteNotFound)
-	r.MethodNotAllowedHandler = s.refusal(errkind.MethodNotAllowed)
+	refuse := s.refusal(errkind.MethodNotAllowed)
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Allow", allowed(r, q))
+		refuse.ServeHTTP(w, q)
+	})
 	return r
 }
 
+// allowed returns the methods of the routes that match the path of q, for the Allow field.
+func allowed(routes *mux.Router, q *http.Request) string {
+	var methods []string
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
+		probe := q.Clone(q.Context())
+		probe.Method = method
+		var match mux.RouteMatch
+		if routes.Match(probe, &match) && match.MatchErr == nil {
+			methods = append(methods, method)
+		}
+	}
+	return strings.Join(methods, ", ")
+}
+
 // exchange is one request with what the answer needs.
 type exchange struct {
 	w       http.ResponseWriter
--- a/internal/systemtest/golden_test.go
+++ b/internal/systemtest/golden_test.go
@@ -142,6 +142,9 @@
 		for _, b := range backends {
 			servers.WriteString(describeSeen(b.name, s.seen(b.name)[before[b.name]:]))
 		}
+		// RFC 9110, sections 15.5.2 and 15.5.6.
+		Expect(callers.String()).To(MatchRegexp(`(?s)=== key unknown\n401.*?Www-Authenticate: Bearer\n`))
+		Expect(callers.String()).To(MatchRegexp(`(?s)=== wrong method\n405 Method Not Allowed\nAllow: POST\n`))
 		matchGolden("callers", normalise(callers.String()))
 		matchGolden("operators", normalise(operators.String()))
 		matchGolden("servers", normalise(servers.String()))
