--- a/internal/systemtest/golden_test.go
+++ b/internal/systemtest/golden_test.go
@@ -22,7 +22,7 @@
 	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "<request ID>"},
 	{regexp.MustCompile(`"created":\d+`), `"created":<time>`},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\d[ T]\d\d:\d\d:\d\d(\.\d+)?Z`), "<time>"},
-	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<address>"},
+	{regexp.MustCompile(`127\.\d+\.\d+\.\d+:\d+`), "<address>"},
 	{regexp.MustCompile(`load \S+/bundle.yml`), "load <directory>/bundle.yml"},
 }
 
--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -1,6 +1,7 @@
 package systemtest
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -106,11 +107,24 @@
 	Expect(err).NotTo(HaveOccurred(), string(output))
 })
 
+// Addresses that this process gave out, and their IP number. An IP number of its own keeps other tests and
+// outgoing connections, which use 127.0.0.1, from taking a port between freeAddress and the start of a process.
+var (
+	given = map[string]bool{}
+	ownIP = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, 1+os.Getpid()&0xff%250)
+)
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() string {
 	GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", ownIP+":0")
+		Expect(err).NotTo(HaveOccurred())
+		address := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		if !given[address] {
+			given[address] = true
+			return address
+		}
+	}
 }
