Require a failure when no replica gives a whole answer; check keys in cookies, headers and queries

Two mutations had survived: a stream without its end that counts as whole, and a key in another header field.

--- a/internal/systemtest/answer_test.go
+++ b/internal/systemtest/answer_test.go
@@ -1,7 +1,6 @@
 package systemtest
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 
@@ -45,7 +44,8 @@
 			s.Control(s.backends[b.name], fault)
 		}
 	}
-	AfterEach(func() { all(`{"cut_streams":0,"truncate_streams":0,"cross_answers":0}`) })
+	noFaults := func() { all(`{"cut_streams":0,"truncate_streams":0,"cross_answers":0}`) }
+	AfterEach(noFaults)
 
 	// Guards against a text with a gap or a repetition at the join of two replicas.
 	It("continues on another replica when an engine cuts the stream", func() {
@@ -64,24 +64,32 @@
 		Expect(s.Vars(s.gateways[0])["resumes"].(float64)).To(BeNumerically(">", resumes))
 	})
 
-	// Guards against an answer of another request, or half an answer, that looks whole to the caller.
+	// Guards against an answer of another request, or an answer without its end, that looks whole to the caller.
 	DescribeTable("never hands on a wrong answer as a whole one", func(fault string) {
-		for i := range 4 {
-			prompt := fmt.Sprintf("summary %d of %s, tokens:9", i, fault)
-			want := s.Chat(s.gateways[0], "crews-1", prompt).text()
-			all(fault)
-			r := s.Chat(s.gateways[0], "crews-1", prompt)
-			all(fault)
+		prompt := "summary with " + fault + ", tokens:9"
+		want := s.Chat(s.gateways[0], "crews-1", prompt).text()
+		Expect(strings.Fields(want)).To(HaveLen(9))
+		ask := func(arm func()) (whole reply, text string, ended bool) {
+			arm()
+			whole = s.Chat(s.gateways[0], "crews-1", prompt)
+			noFaults()
+			arm()
 			st := s.Stream(s.gateways[0], "crews-1", prompt)
 			Eventually(st.done, startTime).Should(BeClosed())
-			if r.status == http.StatusOK {
-				Expect(r.text()).To(Equal(want))
-			}
-			if text, whole, _ := st.result(); whole {
-				Expect(text).To(Equal(want))
-			}
-			all(`{"cut_streams":0,"truncate_streams":0,"cross_answers":0}`)
+			noFaults()
+			text, ended, _ = st.result()
+			return whole, text, ended
 		}
+		// No replica gives a whole answer, so there is none.
+		r, _, ended := ask(func() { all(fault) })
+		Expect(r.status).To(Equal(http.StatusBadGateway), r.body)
+		Expect(ended).To(BeFalse())
+		// The other replica gives it.
+		r, text, ended := ask(func() { s.Control(s.backends["brush-1"], fault) })
+		Expect(r.status).To(Equal(http.StatusOK), r.body)
+		Expect(r.text()).To(Equal(want))
+		Expect(ended).To(BeTrue())
+		Expect(text).To(Equal(want))
 	},
 		Entry("crossed", `{"cross_answers":1}`),
 		Entry("truncated", `{"truncate_streams":1}`),
--- a/internal/systemtest/caller_test.go
+++ b/internal/systemtest/caller_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,7 @@
 // request is one call of a caller.
 type request struct {
 	method, url, key, body, idempotencyKey string
+	header                                 http.Header // further fields
 }
 
 // reply is the answer. A connection that broke has an error.
@@ -51,6 +53,7 @@
 	GinkgoHelper()
 	q, err := http.NewRequestWithContext(ctx, r.method, r.url, strings.NewReader(r.body))
 	Expect(err).NotTo(HaveOccurred())
+	maps.Copy(q.Header, r.header)
 	if r.key != "" {
 		q.Header.Set("Authorization", "Bearer "+key(r.key))
 	}
--- a/internal/systemtest/keys_test.go
+++ b/internal/systemtest/keys_test.go
@@ -148,6 +148,10 @@
 			{method: "GET", url: s.gateways[0] + "/" + secret, key: "clerks-1"},
 			{method: "POST", url: s.gateways[0] + "/services/" + notices + "/bookings", key: "clerks-1", idempotencyKey: secret, body: "{}"},
 		}
+		bodies = append(bodies, request{
+			method: "GET", url: s.gateways[0] + "/services/" + notices + "/bookings/none?key=" + secret + "&other=a-" + secret, key: "clerks-1",
+			header: http.Header{"Cookie": {"session=" + secret}, "X-Api-Key": {secret}, "X-Forwarded-Key": {secret}, "X-Request-Id": {secret}},
+		})
 		for _, r := range bodies {
 			Expect(s.Call(r).body).NotTo(ContainSubstring(secret), r.url)
 		}
@@ -162,11 +166,18 @@
 			Expect(err).NotTo(HaveOccurred())
 			_ = response.Body.Close()
 		}
+		reached := 0
 		for name := range s.backends {
+			for _, r := range s.seen(name) {
+				if r.Path == "/bookings/none" {
+					reached++
+				}
+			}
 			raw, err := json.Marshal(s.seen(name))
 			Expect(err).NotTo(HaveOccurred())
 			everything.Write(raw)
 		}
+		Expect(reached).To(Equal(1), "the call with the key in its query and header did not reach the service")
 		everything.WriteString(s.Ctl("history", "-o", "json"))
 		for id := range keyIDs {
 			Expect(strings.Contains(everything.String(), key(id))).To(BeFalse(), "the key "+id+" was found")
