Let another data centre hold the shares of one without a gateway

Only the gateways of a data centre took its lease rows, so one without a gateway stranded its fraction of every rate and burst. In the new spec (three data centres, gateways in two and in one) a request of the whole burst was refused with rate_limited before, and is granted now, as are 100 requests at 90% of the rate.

A gateway adopts a lease when no gateway of the data centre was known for the settle time, and only by the evidence that every takeover needs. Merging the buckets of one holder was ruled out: a hand-back would then have to split levels and loans. They stay separate, and one charge may take parts of several. Lease rows name the holder's data centre, and writes are split at the 100 operations that one transaction allows, which adopted rows could exceed.

EveryWindow now has adoption, hand-back and charges of several shares; a full share on adoption and a part that is half charged both fail it. TestOneHolder has a gateway of another data centre that sees the others come and go.

--- a/cmd/pomelo-gateway/duties.go
+++ b/cmd/pomelo-gateway/duties.go
@@ -59,7 +59,7 @@
 			LongestLoan: s.Limits.LoanTerm.D(), Margin: loanMargin, Propagation: configPropagation,
 		},
 		Store: p.store, Caller: limitholder.PoolCaller{Pool: p.pool}, Snapshot: p.config.Snapshot,
-		Fresh: p.configFresh, Gateways: p.gatewaysHere, Removed: p.hosts.Removed, Log: p.log,
+		Fresh: p.configFresh, Gateways: p.gatewaysHere, Peers: p.knownGateways, Removed: p.hosts.Removed, Log: p.log,
 	})
 	return limiter{limitholder.NewClient(p.limits)}
 }
@@ -83,6 +83,23 @@
 	return here
 }
 
+// knownGateways returns the gateways of all data centres that are not leaving. It reports false before the
+// host list was read. Once it was read, only listed gateways count: one that only the settings name may be
+// dead for long. Without a host list, the data centres of the gateways in the settings are not known here.
+func (p *parts) knownGateways() ([]limitholder.Peer, bool) {
+	self := p.identity.GetAddress()
+	peers := []limitholder.Peer{{Address: self, DataCentre: p.settings.Process.DataCentre}}
+	_, read := p.hosts.Age()
+	for _, address := range p.otherGateways() {
+		host, listed := p.hosts.Host(address)
+		if host.Leaving || (read && !listed) {
+			continue
+		}
+		peers = append(peers, limitholder.Peer{Address: address, DataCentre: host.DataCentre})
+	}
+	return peers, read || p.settings.HostList.URL == ""
+}
+
 // limitHandlers returns the frames that the limit holder answers to other gateways.
 func (p *parts) limitHandlers(h *gateway.PeerHandlers) {
 	if p.limits == nil {
--- a/internal/limit/loan.go
+++ b/internal/limit/loan.go
@@ -38,7 +38,7 @@
 	rate := max(0, s.baseRate-s.lentRate) / divisor
 	loan := Loan{
 		ID:       id,
-		Tokens:   min(max(0, want.Tokens), s.level/divisor/microTokens, capacity),
+		Tokens:   min(max(0, want.Tokens), max(0, s.level)/divisor/microTokens, capacity),
 		Capacity: min(max(0, want.Capacity, want.Tokens), capacity),
 		Duration: min(max(0, want.Duration), s.opts.LongestLoan),
 	}
--- a/internal/limit/reserve.go
+++ b/internal/limit/reserve.go
@@ -13,27 +13,20 @@
 // which the level suffices without new loans. The wait is LongestLoan if the share cannot reach the
 // tokens on its own.
 func (s *Share) Reserve(now time.Duration, tokens int64) (Reservation, time.Duration) {
-	s.Advance(now)
-	s.lastUse, s.used = s.now, true
-	units := tokens * microTokens
-	if tokens < 0 || units > s.level {
-		return 0, s.wait(units)
+	parts, wait := ReserveAll(now, []*Share{s}, tokens)
+	if len(parts) == 0 {
+		return 0, wait
 	}
+	return parts[0].Reservation, 0
+}
+
+func (s *Share) charge(units int64) Reservation {
 	s.level -= units
 	id := s.nextID
 	s.nextID++
 	s.outstanding[id] = units
 	s.addMark(id)
-	return Reservation(id), 0
-}
-
-func (s *Share) wait(units int64) time.Duration {
-	rate := s.rate()
-	if rate == 0 || units > s.capacity() {
-		return s.opts.LongestLoan
-	}
-	seconds := float64(units-s.level) / float64(rate)
-	return time.Duration(seconds*float64(time.Second)) + time.Nanosecond
+	return Reservation(id)
 }
 
 func (s *Share) addMark(id uint64) {
@@ -90,15 +83,7 @@
 // been charged the net tokens would still hold, and returns the credited tokens rounded down. A second
 // refund credits nothing.
 func (s *Share) Refund(now time.Duration, r Reservation, unused int64) int64 {
-	s.Advance(now)
-	units, ok := s.outstanding[uint64(r)]
-	if !ok {
-		return 0
-	}
-	credit := s.credit(s.markOf(uint64(r)), min(max(0, unused)*microTokens, units))
-	s.level += credit
-	s.finish(uint64(r))
-	return credit / microTokens
+	return s.RefundUnits(now, r, Units(unused)) / microTokens
 }
 
 // credit returns the part of units that was never above the capacity since the mark first, and lowers the
--- a/internal/limit/window_test.go
+++ b/internal/limit/window_test.go
@@ -8,7 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// world runs the holders of one organisation in real time t, each with its own clock.
+// world runs the holders of one organisation in real time. Each runs at a gateway with its own clock, and
+// one gateway may run several of them.
 type world struct {
 	t       *rapid.T
 	now     time.Duration
@@ -19,10 +20,14 @@
 	loans   int
 }
 
-type worldHolder struct {
-	share       *Share
+type worldGateway struct {
 	offset      time.Duration
 	frozenUntil time.Duration
+}
+
+type worldHolder struct {
+	share *Share
+	*worldGateway
 	incarnation int
 	open        []*charge
 	known       Base          // configuration that the holder has seen
@@ -38,7 +43,7 @@
 
 type charge struct {
 	at   time.Duration
-	net  int64
+	net  int64 // millionths of a token
 	full int64
 	r    Reservation
 }
@@ -56,7 +61,7 @@
 	if !w.running(i) {
 		return
 	}
-	switch rapid.IntRange(0, 12).Draw(w.t, "action") {
+	switch rapid.IntRange(0, 15).Draw(w.t, "action") {
 	case 0:
 		w.reserve(h)
 	case 1, 2, 3:
@@ -73,6 +78,49 @@
 		w.change()
 	case 12:
 		h.frozenUntil = w.now + time.Duration(rapid.IntRange(0, 20).Draw(w.t, "freeze"))*time.Second
+	case 13:
+		w.adopt(i, h)
+	case 14, 15:
+		w.reserveAll(h)
+	}
+}
+
+// adopt lets the gateway of another holder take holder i over as well. A later restart hands it back to a
+// gateway of its own.
+func (w *world) adopt(i int, h *worldHolder) {
+	j, other := w.pick("adopter")
+	if j == i || !w.running(j) {
+		return
+	}
+	w.restart(h)
+	h.worldGateway, h.known, h.checkedAt = other.worldGateway, other.known, other.checkedAt
+	w.quarantine(h)
+}
+
+// reserveAll charges one request to all holders at the gateway of h, and refunds a part of it.
+func (w *world) reserveAll(h *worldHolder) {
+	var shares []*Share
+	sum := int64(0)
+	for i, o := range w.holders {
+		if o.worldGateway == h.worldGateway && w.running(i) {
+			shares = append(shares, o.share)
+			sum += o.share.Level(w.clock(o))
+		}
+	}
+	tokens := rapid.Int64Range(0, sum).Draw(w.t, "together")
+	parts, _ := ReserveAll(w.clock(h), shares, tokens)
+	unused := Units(rapid.Int64Range(0, tokens).Draw(w.t, "unused of all"))
+	if len(parts) == 0 {
+		return
+	}
+	c := &charge{at: w.now, net: Units(tokens)}
+	w.charges = append(w.charges, c)
+	w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(w.t, "runs")) * time.Millisecond)
+	for _, p := range parts {
+		back := min(unused, p.Units)
+		shares[p.Index].RefundUnits(w.clock(h), p.Reservation, back)
+		unused -= back
+		c.net -= back
 	}
 }
 
@@ -95,7 +143,7 @@
 	if r == 0 || tokens == 0 {
 		return
 	}
-	c := &charge{at: w.now, net: tokens, full: tokens, r: r}
+	c := &charge{at: w.now, net: Units(tokens), full: tokens, r: r}
 	w.charges = append(w.charges, c)
 	h.open = append(h.open, c)
 }
@@ -108,7 +156,7 @@
 	c := h.open[i]
 	unused := rapid.Int64Range(0, c.full).Draw(w.t, "unused")
 	h.share.Refund(w.clock(h), c.r, unused)
-	c.net = c.full - unused
+	c.net = Units(c.full - unused)
 	if rapid.Bool().Draw(w.t, "twice") {
 		h.share.Refund(w.clock(h), c.r, unused)
 	}
@@ -222,7 +270,11 @@
 func (w *world) restart(h *worldHolder) {
 	h.incarnation++
 	h.open = nil
-	h.offset = time.Duration(rapid.IntRange(0, 1000).Draw(w.t, "offset")) * time.Second
+	h.worldGateway = &worldGateway{offset: time.Duration(rapid.IntRange(0, 1000).Draw(w.t, "offset")) * time.Second}
+	w.quarantine(h)
+}
+
+func (w *world) quarantine(h *worldHolder) {
 	quarantine := testOptions.Quarantine()
 	if w.base.Membership > 0 {
 		quarantine = testOptions.GrowthDelay()
@@ -231,16 +283,17 @@
 	h.share = NewQuarantined(now, now+quarantine, testOptions, h.known)
 }
 
-// check compares the net charges of every window with burst + rate × window, in exact integers.
+// check compares the net charges of every window with burst + rate × window, in exact integers: tokens a
+// second times microseconds are millionths of a token, and all times are whole milliseconds.
 func (w *world) check() {
 	for i := range w.charges {
 		sum := int64(0)
 		for _, c := range w.charges[i:] {
 			sum += c.net
-			window := int64(c.at - w.charges[i].at)
-			if (sum-w.base.Burst)*int64(time.Second) > int64(w.base.Rate)*window {
-				w.t.Fatalf("%d tokens charged within %v from %v; rate %v, burst %d",
-					sum, time.Duration(window), w.charges[i].at, w.base.Rate, w.base.Burst)
+			window := c.at - w.charges[i].at
+			if sum-Units(w.base.Burst) > int64(w.base.Rate)*window.Microseconds() {
+				w.t.Fatalf("%d millionths of a token charged within %v from %v; rate %v, burst %d",
+					sum, window, w.charges[i].at, w.base.Rate, w.base.Burst)
 			}
 		}
 	}
@@ -248,14 +301,14 @@
 
 // TestEveryWindow guards against an organisation above its rate and burst over all holders: loans lost,
 // late and doubled, refunds, crashes, restarts, freezes, clocks that differ, and data centres that are
-// added and removed.
+// added and removed, adopted by a gateway of another and handed back.
 func TestEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 4).Draw(t, "holders")
 		w := &world{t: t, base: Base{Rate: rapid.SampledFrom([]float64{0, 10, 100}).Draw(t, "rate"), Burst: 600, DataCentres: n}}
 		for range n + 1 { // the last one is of a data centre that may be added
 			offset := time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second
-			h := &worldHolder{offset: offset, known: w.base, share: NewFull(offset, testOptions, w.base)}
+			h := &worldHolder{worldGateway: &worldGateway{offset: offset}, known: w.base, share: NewFull(offset, testOptions, w.base)}
 			w.holders = append(w.holders, h)
 		}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
--- /dev/null
+++ b/internal/limitholder/adopt_test.go
@@ -0,0 +1,91 @@
+package limitholder
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+// settleRounds runs rounds for long enough that an adoption by a gateway of any rank has happened and its
+// quarantine is over.
+func (f *fleet) settleRounds() {
+	for range 10 {
+		f.now += 10 * time.Second
+		f.rounds()
+	}
+}
+
+var _ = Describe("a data centre without a gateway", func() {
+	for _, homes := range [][]string{{"a", "b"}, {"a"}} {
+		It("guards against requests within the rate and burst being refused because its share is stranded", func() {
+			f := newFleet("a", "b", "c")
+			var first *Holder
+			for _, dc := range homes {
+				h := f.start(dc, dc+"1", "i1", 0)
+				if first == nil {
+					first = h
+				}
+			}
+			f.settleRounds()
+			_, err := f.reserve(first, 300)
+			Expect(err).NotTo(HaveOccurred(), "a request of the whole burst")
+			Expect(kindOf(f.reserve(first, 1))).To(Equal(errkind.RateLimited))
+			refused := 0
+			for range 100 { // 27 of the 30 tokens a second
+				f.now += time.Second
+				if _, err := f.reserve(first, 27); err != nil {
+					refused++
+				}
+			}
+			Expect(refused).To(BeZero())
+			Expect(first.stranded()).To(BeZero())
+		})
+	}
+
+	It("guards against a share that is not handed back when a gateway of the data centre appears", func() {
+		f := newFleet("a", "b")
+		a := f.start("a", "a1", "i1", 0)
+		f.settleRounds()
+		Expect(a.adopted()).To(Equal(2))
+		b := f.start("b", "b1", "i1", time.Hour)
+		f.rounds()
+		f.rounds()
+		Expect(a.adopted()).To(BeZero())
+		Expect(b.Holds(0)).To(BeTrue())
+		Expect(b.Holds(1)).To(BeTrue())
+	})
+
+	It("guards against an adoption while a gateway may still hold the share or its data centre is not known", func() {
+		f := newFleet("a", "b")
+		a := f.start("a", "a1", "i1", 0)
+		f.start("b", "b1", "i1", 0)
+		f.rounds()
+		f.unlisted["b1"] = true
+		delete(f.gateways, "b1")
+		f.settleRounds()
+		Expect(a.adopted()).To(BeZero(), "its lease has neither lapsed nor was its host removed")
+		f.removed["b1"] = true
+		a.opts.Peers = func() ([]Peer, bool) { return []Peer{{Address: "x1"}}, true }
+		f.settleRounds()
+		Expect(a.adopted()).To(BeZero(), "x1 may be a gateway of b")
+		a.opts.Peers = f.peers
+		f.settleRounds()
+		Expect(a.adopted()).To(Equal(2))
+	})
+
+	It("guards against a refund of a charge of several shares that is lost or credited twice", func() {
+		f := newFleet("a", "b", "c")
+		a := f.start("a", "a1", "i1", 0)
+		f.settleRounds()
+		r, err := f.reserve(a, 250)
+		Expect(err).NotTo(HaveOccurred())
+		r.Refund(220)
+		r.Refund(220)
+		Expect(kindOf(f.reserve(a, 271))).To(Equal(errkind.RateLimited))
+		_, err = f.reserve(a, 270)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/limitholder/borrow.go
+++ b/internal/limitholder/borrow.go
@@ -12,17 +12,18 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
-// borrow asks the holders of the other data centres for loans, waits until they answered or ctx ends, and
+// borrow asks the other holders for loans, waits until they answered or ctx ends, and
 // reports whether another charge is worth a try. At most one round for each organisation is under way,
 // and rounds are BorrowPause apart; other requests wait for the round under way.
 func (h *Holder) borrow(ctx context.Context, org config.Organisation, tokens int64) bool {
 	h.mu.Lock()
 	now := h.opts.Now()
-	l, ok := h.usable(org.Name, now)
-	if !ok {
+	leases := h.usable(org.Name, now)
+	if len(leases) == 0 {
 		h.mu.Unlock()
 		return false
 	}
+	l := leases[0] // whose share takes the loans
 	o := h.shareOf(l, org, now)
 	if o.borrowing != nil {
 		done := o.borrowing
@@ -34,15 +35,19 @@
 			return false
 		}
 	}
-	lenders := h.holdersLocked(l.number, false)
+	lenders := h.holdersLocked(l.number)
 	if now < o.nextBorrow || len(lenders) == 0 {
 		h.mu.Unlock()
 		return false
 	}
 	o.nextBorrow = now + h.opts.BorrowPause
 	o.borrowing = make(chan struct{})
+	level := int64(0)
+	for _, other := range leases {
+		level += h.shareOf(other, org, now).share.Level(now)
+	}
 	request := &wirepb.LimitBorrow{
-		Organisation: org.Name, Borrower: h.opts.Address, Tokens: tokens - o.share.Level(now),
+		Organisation: org.Name, Borrower: h.opts.Address, Tokens: tokens - level,
 		Rate: org.Rate, Capacity: org.Burst, DurationMs: h.opts.Limit.LongestLoan.Milliseconds(),
 	}
 	epoch := l.row.Epoch
@@ -103,16 +108,16 @@
 	return true
 }
 
-// holders returns the addresses of the known holders of a partition: with own, that of the own data
-// centre first, then those of the other data centres in order of name. Those that did not answer lately
-// are last, and this gateway is left out.
-func (h *Holder) holders(partition int, own bool) []string {
+// holders returns the addresses of the known holders of a partition: that of the own data centre first,
+// then those of the other data centres in order of name. Those that did not answer lately are last, and
+// this gateway is left out.
+func (h *Holder) holders(partition int) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.holdersLocked(partition, own)
+	return h.holdersLocked(partition)
 }
 
-func (h *Holder) holdersLocked(partition int, own bool) []string {
+func (h *Holder) holdersLocked(partition int) []string {
 	now := h.opts.Now()
 	type candidate struct {
 		order   string // sort key
@@ -121,7 +126,7 @@
 	var found []candidate
 	for p, row := range h.rows {
 		local := p.dataCentre == h.opts.DataCentre
-		if p.partition != partition || row.Returned || row.Address == h.opts.Address || (local && !own) {
+		if p.partition != partition || row.Returned || row.Address == h.opts.Address {
 			continue
 		}
 		order := "1" + p.dataCentre
@@ -136,7 +141,10 @@
 	slices.SortFunc(found, func(a, b candidate) int { return strings.Compare(a.order, b.order) })
 	addresses := make([]string, 0, len(found))
 	for _, c := range found {
-		addresses = append(addresses, c.address)
+		// A gateway that holds the shares of several data centres is asked once.
+		if !slices.Contains(addresses, c.address) {
+			addresses = append(addresses, c.address)
+		}
 	}
 	return addresses
 }
--- a/internal/limitholder/client.go
+++ b/internal/limitholder/client.go
@@ -60,7 +60,7 @@
 	}
 	request := &wirepb.LimitReserve{RequestId: requestID, Organisation: org.Name, Tokens: tokens}
 	message := &wirepb.Envelope{Message: &wirepb.Envelope_LimitReserve{LimitReserve: request}}
-	for _, address := range h.holders(partition, true) {
+	for _, address := range h.holders(partition) {
 		sentAt := h.opts.Now()
 		grant := c.call(ctx, address, message).GetLimitGrant()
 		if grant == nil || errkind.Kind(grant.GetKind()) == errkind.LimitsUnavailable {
--- a/internal/limitholder/holder.go
+++ b/internal/limitholder/holder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,23 +24,28 @@
 
 	roundMu sync.Mutex // held by Round and HandBack, so that one write is under way at a time
 
-	mu        sync.Mutex // guards the fields below; never held during a call
-	leases    []*lease
-	rows      map[place]storedRow // as read last
-	writes    int64               // for change IDs
-	loans     int64               // for loan IDs
-	closing   bool
-	members   membership               // of the snapshot seen last
-	checkedAt time.Duration            // when the snapshot was looked at last
-	avoided   map[string]time.Duration // until when an address that did not answer is tried last
+	mu           sync.Mutex               // guards the fields below; never held during a call
+	leases       []*lease                 // of the own data centre, by partition
+	foreign      map[string][]*lease      // of other data centres
+	foreignOrder []string                 // names in foreign, in order
+	abandoned    map[string]time.Duration // since when a data centre is without a gateway
+	attended     map[string]bool          // data centres with a gateway
+	rows         map[place]storedRow      // as read last
+	writes       int64                    // for change IDs
+	loans        int64                    // for loan IDs
+	closing      bool
+	members      membership               // of the snapshot seen last
+	checkedAt    time.Duration            // when the snapshot was looked at last
+	avoided      map[string]time.Duration // until when an address that did not answer is tried last
 }
 
 // New returns a holder that holds nothing yet.
 func New(opts Options) *Holder {
 	opts.setDefaults()
-	h := &Holder{opts: opts, kick: make(chan struct{}, 1), avoided: make(map[string]time.Duration)}
-	for i := range opts.Partitions {
-		h.leases = append(h.leases, &lease{number: i})
+	h := &Holder{
+		opts: opts, kick: make(chan struct{}, 1), avoided: make(map[string]time.Duration),
+		leases: newLeases(opts.DataCentre, opts.Partitions), foreign: make(map[string][]*lease),
+		abandoned: make(map[string]time.Duration), attended: make(map[string]bool),
 	}
 	h.publish()
 	return h
@@ -104,8 +110,9 @@
 	h.rows = rows
 	now := h.opts.Now()
 	var due []*lease
-	for _, l := range h.leases {
-		h.observe(l, rows[place{h.opts.DataCentre, l.number}], now)
+	h.findAbandoned(rows, now)
+	for _, l := range h.allLeases() {
+		h.observe(l, rows[l.place()], now)
 		if p := h.plan(l, rows, now); p != nil {
 			l.pending = p
 			due = append(due, l)
@@ -132,9 +139,18 @@
 	}
 }
 
-// write writes the pending rows of the leases in one transaction. When other gateways changed some of the
-// rows, it writes the rest once more.
+// write writes the pending rows of the leases in as few transactions as the table service allows.
 func (h *Holder) write(ctx context.Context, due []*lease) error {
+	var errs []error
+	for chunk := range slices.Chunk(due, tablestore.MaxOps) {
+		errs = append(errs, h.writeChunk(ctx, chunk))
+	}
+	return errors.Join(errs...)
+}
+
+// writeChunk writes rows in one transaction. When other gateways changed some of the rows, it writes the
+// rest once more.
+func (h *Holder) writeChunk(ctx context.Context, due []*lease) error {
 	for range 2 {
 		if len(due) == 0 {
 			return nil
@@ -158,7 +174,7 @@
 			h.mu.Unlock()
 			return fmt.Errorf("encode lease row: %w", err)
 		}
-		ops = append(ops, tablestore.Op{Key: rowKey(h.opts.DataCentre, l.number), IfVersion: l.pending.ifVersion, Value: value})
+		ops = append(ops, tablestore.Op{Key: rowKey(l.dataCentre, l.number), IfVersion: l.pending.ifVersion, Value: value})
 	}
 	h.writes++
 	id := fmt.Sprintf("limit/%s/%d", h.opts.Incarnation, h.writes)
@@ -199,7 +215,7 @@
 	}
 	var rest []*lease
 	for _, l := range due {
-		if conflicts[rowKey(h.opts.DataCentre, l.number)] {
+		if conflicts[rowKey(l.dataCentre, l.number)] {
 			l.pending = nil
 			continue
 		}
@@ -216,7 +232,7 @@
 	h.mu.Lock()
 	h.closing = true
 	var due []*lease
-	for _, l := range h.leases {
+	for _, l := range h.allLeases() {
 		l.pending = nil
 		if !l.held {
 			continue
@@ -228,11 +244,20 @@
 	return h.write(ctx, due)
 }
 
-// Holds reports whether this gateway now holds a valid lease of the partition.
+// Holds reports whether this gateway now holds a valid lease of the partition, of any data centre.
 func (h *Holder) Holds(partition int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leases[partition].valid(h.opts.Now())
+	now := h.opts.Now()
+	if h.leases[partition].valid(now) {
+		return true
+	}
+	for _, leases := range h.foreign {
+		if leases[partition].valid(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // avoidPause is the time for which a holder that did not answer is tried only after the others, so that a
--- a/internal/limitholder/holder_test.go
+++ b/internal/limitholder/holder_test.go
@@ -82,6 +82,7 @@
 	gateways map[string]*Holder
 	cut      map[string]bool
 	removed  map[string]bool
+	unlisted map[string]bool // not in the host list, but not known to be removed either
 	stale    bool
 	delay    time.Duration // added to the clock by every call
 	snapshot *config.Snapshot
@@ -90,7 +91,7 @@
 func newFleet(dataCentres ...string) *fleet {
 	f := &fleet{
 		store: &testStore{rows: make(map[string]tablestore.Row)}, gateways: make(map[string]*Holder),
-		cut: make(map[string]bool), removed: make(map[string]bool), snapshot: new(config.Snapshot),
+		cut: make(map[string]bool), removed: make(map[string]bool), unlisted: make(map[string]bool), snapshot: new(config.Snapshot),
 	}
 	f.set(config.Organisation{Name: "north", Rate: 30, Burst: 300})
 	for _, dc := range dataCentres {
@@ -136,6 +137,7 @@
 		Snapshot: func() *config.Snapshot { return f.snapshot },
 		Fresh:    func() bool { return !f.stale },
 		Gateways: func() []string { return []string{address} },
+		Peers:    f.peers,
 		Removed:  func(a string) bool { return f.removed[a] },
 		Now:      func() time.Duration { return f.now + offset },
 	})
@@ -143,6 +145,16 @@
 	return h
 }
 
+// peers is the host list as the gateways see it.
+func (f *fleet) peers() (list []Peer, known bool) {
+	for address, h := range f.gateways {
+		if !f.removed[address] && !f.unlisted[address] {
+			list = append(list, Peer{address, h.opts.DataCentre})
+		}
+	}
+	return list, true
+}
+
 func (f *fleet) rounds() {
 	for range 2 { // the second makes each gateway see the rows of the others
 		for _, h := range f.gateways {
--- a/internal/limitholder/lease.go
+++ b/internal/limitholder/lease.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +18,7 @@
 // when it first read this Renewal.
 type leaseRow struct {
 	Address     string   `json:"address"`
+	Home        string   `json:"home,omitempty"` // data centre of the holder, which may be another than the row's
 	Incarnation string   `json:"incarnation"`
 	Epoch       int64    `json:"epoch"`   // grows by one at each change of holder
 	Renewal     int64    `json:"renewal"` // grows by one at each write
@@ -73,9 +73,10 @@
 	return decoded, nil
 }
 
-// lease is what a gateway knows about one lease row of its own data centre.
+// lease is what a gateway knows about one lease row.
 type lease struct {
-	number int // of the partition
+	dataCentre string
+	number     int // of the partition
 
 	held       bool
 	row        leaseRow // as written last
@@ -106,6 +107,16 @@
 	quarantine time.Duration
 }
 
+func newLeases(dataCentre string, partitions int) []*lease {
+	leases := make([]*lease, partitions)
+	for i := range leases {
+		leases[i] = &lease{dataCentre: dataCentre, number: i}
+	}
+	return leases
+}
+
+func (l *lease) place() place { return place{l.dataCentre, l.number} }
+
 // valid reports whether the lease may be used at now.
 func (l *lease) valid(now time.Duration) bool {
 	return l.held && now >= l.sentAt && now < l.sentAt+l.row.term()
@@ -123,7 +134,7 @@
 		}
 	}
 	if l.held && row.version != l.version {
-		h.opts.Log.Warn("limit lease lost", "partition", l.number, "epoch", l.row.Epoch, "holder", row.Address)
+		h.opts.Log.Warn("limit lease lost", "data_centre", l.dataCentre, "partition", l.number, "epoch", l.row.Epoch, "holder", row.Address)
 		l.drop()
 	}
 	if row.version != l.seenVersion {
@@ -146,10 +157,11 @@
 	if !l.held || l.row.Epoch != p.row.Epoch {
 		l.adoptedAt, l.quarantine = now, p.quarantine
 		l.shares = make(map[string]*orgShare)
-		h.opts.Log.Info("limit lease taken", "partition", l.number, "epoch", p.row.Epoch,
+		h.opts.Log.Info("limit lease taken", "data_centre", l.dataCentre, "partition", l.number, "epoch", p.row.Epoch,
 			"reason", p.reason, "quarantine", p.quarantine)
 	} else {
-		h.opts.Log.Info("limit lease renewed", "partition", l.number, "epoch", p.row.Epoch, "renewal", p.row.Renewal)
+		h.opts.Log.Info("limit lease renewed", "data_centre", l.dataCentre, "partition", l.number,
+			"epoch", p.row.Epoch, "renewal", p.row.Renewal)
 	}
 	l.held, l.row, l.version, l.sentAt = true, p.row, version, p.sentAt
 	l.seenVersion, l.seenAt = version, now
@@ -160,22 +172,26 @@
 	if l.pending != nil {
 		return l.pending
 	}
-	row := rows[place{h.opts.DataCentre, l.number}]
-	member := slices.Contains(h.membership().names, h.opts.DataCentre)
+	row := rows[l.place()]
+	member := h.member(l)
+	foreign := l.dataCentre != h.opts.DataCentre
 	switch {
-	case l.held && member:
-		return h.planRenewal(l, now)
-	case l.held:
+	case l.held && !member:
 		return h.planReturn(l, now, "data centre removed")
+	case l.held && foreign && h.attended[l.dataCentre]:
+		return h.planReturn(l, now, "the data centre has a gateway again")
+	case l.held:
+		return h.planRenewal(l, now)
 	case !member || h.closing:
 		return nil
+	case foreign && !h.adoptable(l.dataCentre, now):
+		return nil
 	}
 	reason := h.claimReason(l, row, now)
 	if reason != l.claimable {
 		l.claimable, l.claimableSince = reason, now
 	}
-	wait := time.Duration(rank(h.opts.Address, l.number, h.opts.Gateways())) * h.opts.Interval
-	if reason == "" || now < l.claimableSince+wait {
+	if reason == "" || now < l.claimableSince+time.Duration(h.rankFor(l))*h.opts.Interval {
 		return nil
 	}
 	return &pendingWrite{
@@ -187,7 +203,7 @@
 func (h *Holder) newRow(epoch, renewal int64) leaseRow {
 	members := h.membership()
 	return leaseRow{
-		Address: h.opts.Address, Incarnation: h.opts.Incarnation, Epoch: epoch, Renewal: renewal,
+		Address: h.opts.Address, Home: h.opts.DataCentre, Incarnation: h.opts.Incarnation, Epoch: epoch, Renewal: renewal,
 		TermMS: h.opts.LeaseTerm.Milliseconds(), DataCentres: members.names, Membership: members.version,
 	}
 }
@@ -216,7 +232,8 @@
 	row.Renewal++
 	row.Returned = true
 	l.drop()
-	h.opts.Log.Info("limit lease handed back", "partition", l.number, "epoch", row.Epoch, "reason", reason)
+	h.opts.Log.Info("limit lease handed back", "data_centre", l.dataCentre, "partition", l.number,
+		"epoch", row.Epoch, "reason", reason)
 	return &pendingWrite{row: row, ifVersion: l.version, sentAt: now, reason: reason}
 }
 
@@ -248,7 +265,7 @@
 func (h *Holder) quarantineFor(l *lease, rows map[place]storedRow) time.Duration {
 	version := h.membership().version
 	for p, row := range rows {
-		granting := !row.Returned || p.dataCentre == h.opts.DataCentre
+		granting := !row.Returned || p.dataCentre == l.dataCentre
 		if p.partition == l.number && granting && row.Membership != version {
 			return h.opts.Limit.GrowthDelay()
 		}
--- a/internal/limitholder/lease_test.go
+++ b/internal/limitholder/lease_test.go
@@ -13,23 +13,26 @@
 )
 
 // TestOneHolder guards against two valid leases of one row: lost answers, failed writes, pauses in the
-// middle of a write, restarts, hand-backs and clocks that differ.
+// middle of a write, restarts, hand-backs, clocks that differ, and adoption by a gateway of another data
+// centre that sees the gateways of this one come and go.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet("a")
-		addresses := []string{"a1", "a2", "a3"}
+		f := newFleet("a", "b")
+		addresses := []string{"a1", "a2", "a3", "b1"}
 		for i, address := range addresses {
-			f.start("a", address, "i0", time.Duration(i)*11*time.Hour)
+			f.start(address[:1], address, "i0", time.Duration(i)*11*time.Hour)
 		}
 		check := func() {
-			valid := 0
-			for _, h := range f.gateways {
-				if h.Holds(0) {
-					valid++
+			for _, dc := range []string{"a", "b"} {
+				valid := 0
+				for _, h := range f.gateways {
+					if h.leasesOf(dc)[0].valid(h.opts.Now()) {
+						valid++
+					}
+				}
+				if valid > 1 {
+					t.Fatalf("%d gateways hold the lease of data centre %s", valid, dc)
 				}
-			}
-			if valid > 1 {
-				t.Fatalf("%d gateways hold the lease", valid)
 			}
 		}
 		advance := func() {
@@ -46,12 +49,15 @@
 			check()
 			address := rapid.SampledFrom(addresses).Draw(t, "gateway")
 			h := f.gateways[address]
-			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			switch rapid.IntRange(0, 10).Draw(t, "action") {
+			case 10:
+				hidden := rapid.Bool().Draw(t, "unlisted")
+				f.unlisted["a1"], f.unlisted["a2"], f.unlisted["a3"] = hidden, hidden, hidden
 			case 0:
-				f.start("a", address, time.Duration(step).String(), time.Duration(step)*time.Hour)
+				f.start(address[:1], address, time.Duration(step).String(), time.Duration(step)*time.Hour)
 			case 1:
 				_ = h.HandBack(context.Background())
-				f.start("a", address, "b"+time.Duration(step).String(), 0)
+				f.start(address[:1], address, "b"+time.Duration(step).String(), 0)
 			default:
 				_ = h.Round(context.Background())
 			}
--- a/internal/limitholder/metrics.go
+++ b/internal/limitholder/metrics.go
@@ -8,6 +8,7 @@
 // metrics are the counters of one holder.
 type metrics struct {
 	grants, grantsExpired               expvar.Int
+	grantsOfSeveral                     expvar.Int // that charged the shares of several data centres
 	refusals                            expvar.Map // by errkind code
 	refundsDropped                      expvar.Int
 	loansGiven, loansTaken, loansFailed expvar.Int
@@ -20,12 +21,14 @@
 	m.vars.Init()
 	m.vars.Set("grants", &m.grants)
 	m.vars.Set("grants_expired", &m.grantsExpired)
+	m.vars.Set("grants_of_several_shares", &m.grantsOfSeveral)
 	m.vars.Set("refusals", &m.refusals)
 	m.vars.Set("refunds_dropped", &m.refundsDropped)
 	m.vars.Set("loans_given", &m.loansGiven)
 	m.vars.Set("loans_taken", &m.loansTaken)
 	m.vars.Set("loans_failed", &m.loansFailed)
 	m.vars.Set("shares_stranded", expvar.Func(func() any { return h.stranded() }))
+	m.vars.Set("shares_adopted", expvar.Func(func() any { return h.adopted() }))
 	m.vars.Set("lease_age_seconds", expvar.Func(func() any { return h.oldestLease().Seconds() }))
 }
 
@@ -49,13 +52,28 @@
 	return n
 }
 
+// adopted counts the held shares of data centres that have no gateway.
+func (h *Holder) adopted() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, leases := range h.foreign {
+		for _, l := range leases {
+			if l.held {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // oldestLease returns the age of the held lease that was renewed longest ago.
 func (h *Holder) oldestLease() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
 	age := time.Duration(0)
-	for _, l := range h.leases {
+	for _, l := range h.allLeases() {
 		if l.held {
 			age = max(age, now-l.sentAt)
 		}
--- a/internal/limitholder/options.go
+++ b/internal/limitholder/options.go
@@ -39,10 +39,13 @@
 	Fresh    func() bool               // the snapshot holds every change older than Limit.Propagation
 	Gateways func() []string           // addresses of the data centre's gateways, in any order
 	Removed  func(address string) bool // the host list listed the host and then removed it
-	Log      *slog.Logger
+	// Peers returns the gateways of all data centres that are known and not leaving, and false if the list
+	// is not known yet. Without it no shares of other data centres are taken over.
+	Peers func() ([]Peer, bool)
+	Log   *slog.Logger
 
 	Interval      time.Duration        // between two reads of the lease rows, before jitter; default 10 s
-	Settle        time.Duration        // for which Removed must hold before a takeover; default 10 s
+	Settle        time.Duration        // for which Removed, or no gateway in a data centre, must hold before a takeover; default 10 s
 	StoreTimeout  time.Duration        // of one call of the table service; default 1 s
 	BorrowTimeout time.Duration        // longest wait for loans; default 50 ms
 	BorrowPause   time.Duration        // between two rounds of borrowing for one organisation; default 250 ms
@@ -78,9 +81,9 @@
 }
 
 // rank returns the place of address in the rendezvous order of the gateways for a partition; zero tries
-// first. A gateway that is not in the list is last.
-func rank(address string, partition int, gateways []string) int {
-	weight := func(a string) uint64 { return xxhash.Sum64String(strconv.Itoa(partition) + "/" + a) }
+// first. A gateway that is not in the list is last. The prefix makes the orders of two data centres differ.
+func rank(address string, partition int, prefix string, gateways []string) int {
+	weight := func(a string) uint64 { return xxhash.Sum64String(prefix + strconv.Itoa(partition) + "/" + a) }
 	own, place := weight(address), 0
 	for _, a := range gateways {
 		if a != address && weight(a) > own {
@@ -127,29 +130,48 @@
 	}
 	old := h.members.version
 	h.members = membershipOf(s)
-	absent := !slices.Contains(h.members.names, h.opts.DataCentre)
-	if old != 0 && old != h.members.version && (paused || absent) {
-		h.resetShares(now)
+	if old != 0 && old != h.members.version {
+		h.resetShares(now, paused)
 	}
 	return h.members
 }
 
-// resetShares starts the shares again in quarantine. A holder that was paused while the data centres
-// changed may have missed that its own was removed and added again, and others may have grown meanwhile.
-func (h *Holder) resetShares(now time.Duration) {
-	for _, l := range h.leases {
-		if l.held {
+// member reports whether the data centres of this gateway and of the lease are configured.
+func (h *Holder) member(l *lease) bool {
+	names := h.membership().names
+	return slices.Contains(names, h.opts.DataCentre) && slices.Contains(names, l.dataCentre)
+}
+
+// resetShares starts shares again in quarantine: those of a removed data centre, and all if the holder was
+// paused while the data centres changed. It may have missed that one was removed and added again, and
+// others may have grown meanwhile.
+func (h *Holder) resetShares(now time.Duration, paused bool) {
+	for _, l := range h.allLeases() {
+		if l.held && (paused || !h.member(l)) {
 			l.shares = make(map[string]*orgShare)
 			l.adoptedAt, l.quarantine = now, h.opts.Limit.GrowthDelay()
 			l.generation++
-			h.opts.Log.Warn("limit shares reset", "partition", l.number, "epoch", l.row.Epoch, "quarantine", l.quarantine)
+			h.opts.Log.Warn("limit shares reset", "data_centre", l.dataCentre, "partition", l.number,
+				"epoch", l.row.Epoch, "quarantine", l.quarantine)
 		}
 	}
 }
 
-// usable returns the lease of an organisation's partition and whether it may be used at now. A data
-// centre that was removed has no share. The caller holds mu.
-func (h *Holder) usable(organisation string, now time.Duration) (*lease, bool) {
-	l := h.leases[Partition(organisation, h.opts.Partitions)]
-	return l, l.valid(now) && h.opts.Fresh() && slices.Contains(h.membership().names, h.opts.DataCentre)
+// usable returns the leases of an organisation's partition that may be used at now, that of the own data
+// centre first. A data centre that was removed has no share. The caller holds mu.
+func (h *Holder) usable(organisation string, now time.Duration) []*lease {
+	if !h.opts.Fresh() {
+		return nil
+	}
+	partition := Partition(organisation, h.opts.Partitions)
+	var found []*lease
+	if l := h.leases[partition]; l.valid(now) && h.member(l) {
+		found = append(found, l)
+	}
+	for _, dc := range h.foreignOrder {
+		if l := h.foreign[dc][partition]; l.valid(now) && h.member(l) {
+			found = append(found, l)
+		}
+	}
+	return found
 }
--- a/internal/limitholder/serve.go
+++ b/internal/limitholder/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
@@ -62,22 +60,30 @@
 	return h.refuse(errkind.RateLimited, wait, "")
 }
 
-// charge returns a grant, a refusal for want of a lease, or nil and the wait until the tokens are there.
+// charge returns a grant, a refusal for want of a lease, or nil and the wait until the tokens are there. A
+// holder of several shares of the organisation charges several if none has all the tokens.
 func (h *Holder) charge(org config.Organisation, tokens int64) (*wirepb.LimitGrant, time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
-	l, ok := h.usable(org.Name, now)
-	if !ok {
+	leases := h.usable(org.Name, now)
+	if len(leases) == 0 {
 		return h.refuse(errkind.LimitsUnavailable, 0, "no valid lease"), 0
 	}
-	r, wait := h.shareOf(l, org, now).share.Reserve(now, tokens)
-	if r == 0 {
+	shares := make([]*limit.Share, len(leases))
+	for i, l := range leases {
+		shares[i] = h.shareOf(l, org, now).share
+	}
+	parts, wait := limit.ReserveAll(now, shares, tokens)
+	if len(parts) == 0 {
 		return nil, wait
 	}
 	h.metrics.grants.Add(1)
+	if len(parts) > 1 {
+		h.metrics.grantsOfSeveral.Add(1)
+	}
 	return &wirepb.LimitGrant{
-		ReservationId: reservationID(l.generation, r), Epoch: l.row.Epoch,
+		ReservationId: reservationID(leases, parts), Epoch: leases[parts[0].Index].row.Epoch,
 		ValidMs: h.opts.Limit.Margin.Milliseconds(),
 	}, 0
 }
@@ -113,32 +119,6 @@
 	return o
 }
 
-// refund credits a reservation of the same epoch. The reservations of an earlier epoch are gone.
-func (h *Holder) refund(m *wirepb.LimitRefund) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.opts.Now()
-	l, ok := h.usable(m.GetOrganisation(), now)
-	o := l.shares[m.GetOrganisation()]
-	r, found := parseReservationID(m.GetReservationId(), l.generation)
-	if !ok || !found || o == nil || m.GetEpoch() != l.row.Epoch {
-		h.metrics.refundsDropped.Add(1)
-		return
-	}
-	o.share.Refund(now, r, m.GetUnused())
-}
-
-func reservationID(generation int64, r limit.Reservation) string {
-	return strconv.FormatInt(generation, 10) + "/" + strconv.FormatUint(uint64(r), 10)
-}
-
-// parseReservationID fails for an ID of another generation of the shares.
-func parseReservationID(id string, generation int64) (limit.Reservation, bool) {
-	number, ok := strings.CutPrefix(id, strconv.FormatInt(generation, 10)+"/")
-	r, err := strconv.ParseUint(number, 10, 64)
-	return limit.Reservation(r), ok && err == nil
-}
-
 // lend answers another holder. Without a valid lease it lends nothing.
 func (h *Holder) lend(m *wirepb.LimitBorrow) *wirepb.LimitLoan {
 	org, ok := h.opts.Snapshot().Organisation(m.GetOrganisation())
@@ -148,21 +128,29 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.opts.Now()
-	l, ok := h.usable(org.Name, now)
-	if !ok {
-		return new(wirepb.LimitLoan)
-	}
 	h.loans++
 	id := fmt.Sprintf("%s/%s/%d", h.opts.Address, h.opts.Incarnation, h.loans)
-	loan := h.shareOf(l, org, now).share.Lend(now, id, limit.Want{
+	want := limit.Want{
 		Tokens: m.GetTokens(), Rate: m.GetRate(), Capacity: m.GetCapacity(),
 		Duration: time.Duration(m.GetDurationMs()) * time.Millisecond,
-	})
-	if !loan.Empty() {
-		h.metrics.loansGiven.Add(1)
 	}
-	return &wirepb.LimitLoan{
-		LoanId: loan.ID, Tokens: loan.Tokens, Rate: loan.Rate, Capacity: loan.Capacity,
-		DurationMs: loan.Duration.Milliseconds(),
+	reply := new(wirepb.LimitLoan)
+	for _, l := range h.usable(org.Name, now) {
+		// Loans of one request have the same duration, so they are one loan to the borrower.
+		loan := h.shareOf(l, org, now).share.Lend(now, id, want)
+		if loan.Empty() {
+			continue
+		}
+		reply.LoanId, reply.DurationMs = loan.ID, loan.Duration.Milliseconds()
+		reply.Tokens += loan.Tokens
+		reply.Rate += loan.Rate
+		reply.Capacity += loan.Capacity
+		want.Tokens -= loan.Tokens
+		want.Rate -= loan.Rate
+		want.Capacity -= loan.Capacity
+	}
+	if reply.LoanId != "" {
+		h.metrics.loansGiven.Add(1)
 	}
+	return reply
 }
