Charge what a request used beyond its reservation

The prompt estimate was a quarter of the body's bytes. An engine may report more, and what exceeded the reservation was not charged at all. It is now a debt of the bucket: the level may go below zero by it, down to minus the organisation's burst, and later requests wait.

The wait of a refused request now counts debts, and shares that are full.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// bytesPerToken is the usual ratio for text, and is only used for estimates.
-	bytesPerToken = 4
 	// messageTokens is the overhead of one message in a prompt, tokens.
 	messageTokens = 4
 	// prefixBytes of the messages identify a prompt prefix.
@@ -141,7 +139,7 @@
 		}
 	}
 	text := c.fields["messages"]
-	c.promptTokens = int64(len(text)/bytesPerToken + messageTokens*len(messages))
+	c.promptTokens = estimateTokens(text) + int64(messageTokens*len(messages))
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.model))
 	_, _ = h.Write(text[:min(len(text), prefixBytes)])
@@ -149,6 +147,24 @@
 	return nil
 }
 
+// estimateTokens estimates the tokens of valid UTF-8 text, rounded up. Tokenizers have about one token for
+// four ASCII bytes of prose, for one to three digits, and for each letter of a script that their vocabulary
+// covers badly, such as Urdu.
+func estimateTokens(text []byte) int64 {
+	quarters := int64(0)
+	for _, b := range text {
+		switch {
+		case b >= '0' && b <= '9':
+			quarters += 2
+		case b < utf8.RuneSelf:
+			quarters++
+		case utf8.RuneStart(b):
+			quarters += 4
+		}
+	}
+	return (quarters + 3) / 4
+}
+
 // encode returns the body for the engine. It is written anew, so that a field that the caller gave twice
 // has one meaning, and it names the output tokens that were reserved.
 func (c *chatRequest) encode(maxTokens int64) ([]byte, error) {
--- a/internal/callers/body_test.go
+++ b/internal/callers/body_test.go
@@ -7,6 +7,17 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
+// Guards against estimates far below what tokenizers report for scripts other than Latin and for digits.
+func TestEstimateTokens(t *testing.T) {
+	for text, want := range map[string]int64{
+		"": 0, "how many lanterns?": 5, "کتنی لالٹینیں": 13, "0300 1234567": 6, "提灯はいくつ": 6,
+	} {
+		if got := estimateTokens([]byte(text)); got != want {
+			t.Errorf("%q: %d tokens, want %d", text, got, want)
+		}
+	}
+}
+
 // Guards against bodies that stop the process, get past the token bound, or mean something else to the
 // engine than to the gateway.
 func FuzzParseChat(f *testing.F) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,8 @@
 
 // Reservation is a granted number of tokens.
 type Reservation interface {
-	// Refund returns the unused part, in tokens. It is called at most once.
+	// Refund returns the unused part, in tokens. A negative number is what was used beyond the reservation,
+	// which is charged as a debt. It is called at most once.
 	Refund(unused int64)
 }
 
@@ -76,9 +77,10 @@
 
 // Gateway runs requests of callers. It is safe for concurrent use.
 type Gateway struct {
-	opts    Options
-	budgets *budgets
-	metrics *Metrics
+	opts      Options
+	budgets   *budgets
+	estimates *corrections
+	metrics   *Metrics
 
 	draining atomic.Bool
 	centres  atomic.Pointer[outCentres]
@@ -95,10 +97,11 @@
 // New returns a gateway.
 func New(opts Options) *Gateway {
 	return &Gateway{
-		opts:    opts,
-		budgets: newBudgets(),
-		metrics: newMetrics(),
-		active:  make(map[*activeRequest]struct{}),
+		opts:      opts,
+		budgets:   newBudgets(),
+		estimates: newCorrections(),
+		metrics:   newMetrics(),
+		active:    make(map[*activeRequest]struct{}),
 	}
 }
 
--- a/internal/limit/parts.go
+++ b/internal/limit/parts.go
@@ -44,8 +44,9 @@
 func waitAll(shares []*Share, units int64) time.Duration {
 	longest := time.Duration(0)
 	levels := make([]float64, len(shares))
-	// Each share rounds down once, so that one unit for each is added.
-	missing := float64(units) + float64(len(shares)) - 1
+	// Accrual rounds down and a level close to a limit is set to it, which may each miss a unit for each share.
+	rounding := 2 * float64(len(shares))
+	missing := float64(units) + rounding
 	for i, s := range shares {
 		longest = max(longest, s.opts.LongestLoan)
 		levels[i] = float64(s.level)
@@ -70,7 +71,7 @@
 		if step < 0 {
 			return longest
 		}
-		if rate > 0 && missing <= rate*step {
+		if rate > 0 && missing <= rate*step+rounding+1 {
 			return time.Duration((waited+missing/rate)*float64(time.Second)) + time.Nanosecond
 		}
 		waited += step
@@ -109,5 +110,20 @@
 	return credit
 }
 
+// Owe ends a reservation and charges what was used beyond it. The level may go below zero by it, so that
+// later charges wait until the debt is paid, but not below minus the organisation's burst. It returns the
+// tokens charged, and false if the reservation had ended.
+func (s *Share) Owe(now time.Duration, r Reservation, tokens int64) (charged int64, ok bool) {
+	s.Advance(now)
+	if _, ok := s.outstanding[uint64(r)]; !ok {
+		return 0, false
+	}
+	s.finish(uint64(r))
+	room := max(0, s.level/microTokens+s.base.Burst)
+	charged = min(max(0, tokens), room)
+	s.level -= Units(charged)
+	return charged, true
+}
+
 // Units returns tokens as millionths of a token.
 func Units(tokens int64) int64 { return tokens * microTokens }
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -131,6 +131,69 @@
 	})
 }
 
+// TestDebtIsPaid guards against use beyond the reservation that is never charged, and against a level below
+// minus the burst: in every window from the start, what was reserved and owed is at most the burst, the rate
+// times the window and the debt that is still to be paid.
+func TestDebtIsPaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := Base{Rate: float64(rapid.IntRange(1, 50).Draw(t, "rate")), Burst: 100, DataCentres: 1}
+		s := NewFull(0, testOptions, base)
+		now, used := time.Duration(0), int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond
+			tokens := rapid.Int64Range(1, 100).Draw(t, "tokens")
+			r, wait := s.Reserve(now, tokens)
+			if r == 0 {
+				now += wait
+				if r, _ = s.Reserve(now, tokens); r == 0 {
+					t.Fatalf("refused after the wait of %v", wait)
+				}
+			}
+			charged, _ := s.Owe(now, r, rapid.Int64Range(0, 150).Draw(t, "debt"))
+			used += tokens + charged
+			if _, again := s.Owe(now, r, 10); again {
+				t.Fatal("a debt was charged twice")
+			}
+			if s.level < -Units(base.Burst) {
+				t.Fatalf("level %d", s.level)
+			}
+			bound := Units(base.Burst) + accrued(int64(base.Rate)*microTokens, now) + max(0, -s.level)
+			if Units(used) > bound {
+				t.Fatalf("%d tokens used within %v", used, now)
+			}
+		}
+	})
+}
+
+// TestWaitOfSeveral guards against a Retry-After of several shares that is too short, or longer than the
+// tokens take: a share that is full or in debt adds nothing.
+func TestWaitOfSeveral(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var shares []*Share
+		sum := int64(0)
+		for range rapid.IntRange(1, 4).Draw(t, "shares") {
+			burst := rapid.Int64Range(1, 1000).Draw(t, "burst")
+			s := NewFull(0, testOptions, Base{Rate: rapid.Float64Range(1, 100).Draw(t, "rate"), Burst: burst, DataCentres: 1})
+			r, _ := s.Reserve(0, rapid.Int64Range(0, burst).Draw(t, "charged"))
+			s.Owe(0, r, rapid.Int64Range(0, burst).Draw(t, "debt"))
+			shares = append(shares, s)
+			sum += burst
+		}
+		tokens := rapid.Int64Range(1, sum).Draw(t, "tokens")
+		parts, wait := ReserveAll(0, shares, tokens)
+		if parts != nil {
+			return
+		}
+		const slack = 20 * time.Microsecond // of the rounding, at one token a second and four shares
+		if parts, _ := ReserveAll(max(0, wait-slack), shares, tokens); parts != nil && wait > slack {
+			t.Fatalf("granted before the wait of %v", wait)
+		}
+		if parts, _ := ReserveAll(wait, shares, tokens); parts == nil {
+			t.Fatalf("refused after the wait of %v", wait)
+		}
+	})
+}
+
 func BenchmarkReserveRefund(b *testing.B) {
 	for _, open := range []int{0, 64, 256} {
 		b.Run(fmt.Sprintf("outstanding=%d", open), func(b *testing.B) {
--- a/internal/limitholder/adopt_test.go
+++ b/internal/limitholder/adopt_test.go
@@ -89,3 +89,22 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 })
+
+var _ = Describe("a request that used more than it reserved", func() {
+	It("guards against use that is never charged, or charged twice", func() {
+		f := newFleet("a")
+		a := f.start("a", "a1", "i1", 0)
+		f.rounds()
+		r, err := f.reserve(a, 300)
+		Expect(err).NotTo(HaveOccurred())
+		r.Refund(-60)
+		r.Refund(-60)
+		Expect(a.metrics.debts.Value()).To(BeEquivalentTo(1))
+		Expect(a.metrics.debtTokens.Value()).To(BeEquivalentTo(60))
+		_, err = f.reserve(a, 30)
+		Expect(err.(*RateLimitError).RetryAfter).To(Equal(3*time.Second + time.Millisecond))
+		f.now += 3*time.Second + time.Millisecond
+		_, err = f.reserve(a, 30)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/limitholder/client.go
+++ b/internal/limitholder/client.go
@@ -15,7 +15,8 @@
 
 // Reservation is a charge of an organisation's limit.
 type Reservation interface {
-	// Refund returns unused tokens. It does not wait for the holder. Only the first call counts.
+	// Refund returns unused tokens. A negative number is what was used beyond the reservation, and is
+	// charged as a debt. It does not wait for the holder. Only the first call counts.
 	Refund(unused int64)
 }
 
@@ -115,7 +116,7 @@
 
 // Refund implements Reservation.
 func (r *reservation) Refund(unused int64) {
-	if unused <= 0 {
+	if unused == 0 {
 		return
 	}
 	h := r.client.holder
--- a/internal/limitholder/metrics.go
+++ b/internal/limitholder/metrics.go
@@ -11,6 +11,8 @@
 	grantsOfSeveral                     expvar.Int // that charged the shares of several data centres
 	refusals                            expvar.Map // by errkind code
 	refundsDropped                      expvar.Int
+	debts                               expvar.Int // requests that used more than they reserved
+	debtTokens, debtTokensDropped       expvar.Int // charged for them, and not charged
 	loansGiven, loansTaken, loansFailed expvar.Int
 	vars                                expvar.Map
 }
@@ -24,6 +26,9 @@
 	m.vars.Set("grants_of_several_shares", &m.grantsOfSeveral)
 	m.vars.Set("refusals", &m.refusals)
 	m.vars.Set("refunds_dropped", &m.refundsDropped)
+	m.vars.Set("debts", &m.debts)
+	m.vars.Set("debt_tokens", &m.debtTokens)
+	m.vars.Set("debt_tokens_dropped", &m.debtTokensDropped)
 	m.vars.Set("loans_given", &m.loansGiven)
 	m.vars.Set("loans_taken", &m.loansTaken)
 	m.vars.Set("loans_failed", &m.loansFailed)
--- a/internal/limitholder/refund.go
+++ b/internal/limitholder/refund.go
@@ -46,7 +46,7 @@
 }
 
 // refund credits the parts of a reservation whose shares are still of the same epoch and generation. Those
-// of earlier ones are gone.
+// of earlier ones are gone. A negative number of unused tokens is a debt, which the first part's share owes.
 func (h *Holder) refund(m *wirepb.LimitRefund) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -58,7 +58,7 @@
 	}
 	usable := h.usable(m.GetOrganisation(), now)
 	unused := limit.Units(max(0, m.GetUnused()))
-	for _, p := range parts {
+	for i, p := range parts {
 		part := min(unused, p.units)
 		unused -= part
 		o := shareOfPart(usable, m.GetOrganisation(), p)
@@ -66,10 +66,22 @@
 			h.metrics.refundsDropped.Add(1)
 			continue
 		}
+		if i == 0 && m.GetUnused() < 0 {
+			if charged, ok := o.share.Owe(now, p.reservation, -m.GetUnused()); ok {
+				h.countDebt(-m.GetUnused(), charged)
+			}
+			continue
+		}
 		o.share.RefundUnits(now, p.reservation, part)
 	}
 }
 
+func (h *Holder) countDebt(tokens, charged int64) {
+	h.metrics.debts.Add(1)
+	h.metrics.debtTokens.Add(charged)
+	h.metrics.debtTokensDropped.Add(tokens - charged)
+}
+
 // shareOfPart returns the share that was charged, or nil if it is gone.
 func shareOfPart(usable []*lease, organisation string, p chargedPart) *orgShare {
 	for _, l := range usable {
