Make a gateway ready only when it knows the limit holders

A gateway that had just started was ready with its first configuration, but read the lease rows up to 15 s later (the first round ended without a configuration, and the next came an interval later), and refused its first requests with limits_unavailable. The rows are now read within 50 ms of the configuration, and then every half second until every partition has a holder. Readiness waits for that, for a failed read, or for 5 s.

A request that finds no holder asks for a read and waits for it up to 500 ms. The read used to start after 0.5 to 1.5 s; it now starts after 125 to 375 ms if none was made within the last second. Readiness that is lost again with a holder was ruled out: one dead partition would take every gateway out.

--- a/cmd/pomelo-gateway/duties.go
+++ b/cmd/pomelo-gateway/duties.go
@@ -64,6 +64,9 @@
 	return limiter{limitholder.NewClient(p.limits)}
 }
 
+// limitsReady reports whether the limit holder is ready. It is, after a bounded time, also without holders.
+func (p *parts) limitsReady() bool { return p.limits == nil || p.limits.Ready() }
+
 // configFresh reports whether the copy holds every change that is older than configPropagation. During an
 // outage of the table service no change is accepted, so the copy stays good.
 func (p *parts) configFresh() bool {
--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -119,6 +119,7 @@
 		Address: p.identity.GetAddress(), DataCentre: s.Process.DataCentre, Config: p.config, Limiter: limits, Sidecars: p.sidecars,
 		Policy: route.Policy(s.Routing.Policy), ProbeCount: s.Routing.ProbeCount,
 		ProbeTimeout: s.Routing.ProbeTimeout.D(), MaxAttempts: s.Routing.MaxAttempts, Log: p.log,
+		Ready: p.limitsReady,
 	})
 	p.callers = callers.New(callers.Options{
 		Gateway: p.gateway, DefaultService: s.Callers.DefaultService, MaxBody: int64(s.Callers.MaxBody),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,9 @@
 	ProbeTimeout time.Duration
 	MaxAttempts  int
 	Log          *slog.Logger
+	// Ready reports whether the rest of the process is ready, which it must be after a bounded time. Nil
+	// means yes.
+	Ready func() bool
 }
 
 // Gateway runs requests of callers. It is safe for concurrent use.
@@ -108,9 +111,9 @@
 // Drain refuses new work from now on. Running requests go on.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// Ready reports whether the gateway has a configuration and is not draining.
+// Ready reports whether the gateway has a configuration, is not draining and the option Ready agrees.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.opts.Config.Snapshot().Version() > 0
+	return !g.draining.Load() && g.opts.Config.Snapshot().Version() > 0 && (g.opts.Ready == nil || g.opts.Ready())
 }
 
 // InFlight returns the number of running requests.
--- a/internal/limitholder/client.go
+++ b/internal/limitholder/client.go
@@ -44,7 +44,7 @@
 }
 
 // Reserve charges tokens at the holder in this process, else at the data centre's holder, else at one of
-// another data centre. It fails with a RateLimitError of kind RateLimited, or with kind RequestTooLarge or
+// another data centre. If none answers, it waits for NoHolderWait for the lease rows to be read again. It fails with a RateLimitError of kind RateLimited, or with kind RequestTooLarge or
 // LimitsUnavailable.
 func (c *Client) Reserve(ctx context.Context, requestID string, org config.Organisation, tokens int64) (Reservation, error) {
 	if tokens > org.Burst {
@@ -52,11 +52,31 @@
 	}
 	h := c.holder
 	partition := Partition(org.Name, h.opts.Partitions)
+	waitCtx, cancel := context.WithTimeout(ctx, h.opts.NoHolderWait)
+	defer cancel()
+	for {
+		r, asked, err := c.try(ctx, requestID, org, partition, tokens)
+		if asked {
+			return r, err
+		}
+		if !h.awaitRound(waitCtx) {
+			h.metrics.refusals.Add(errkind.LimitsUnavailable.String(), 1)
+			return nil, errkind.New(errkind.LimitsUnavailable, "no holder of partition %d answered", partition)
+		}
+	}
+}
+
+// try asks the known holders once, and reports whether one decided.
+func (c *Client) try(
+	ctx context.Context, requestID string, org config.Organisation, partition int, tokens int64,
+) (r Reservation, decided bool, err error) {
+	h := c.holder
 	if h.Holds(partition) {
 		sentAt := h.opts.Now()
 		grant := h.reserve(ctx, org, tokens)
 		if errkind.Kind(grant.GetKind()) != errkind.LimitsUnavailable {
-			return c.result(grant, sentAt, "", org)
+			r, err = c.result(grant, sentAt, "", org)
+			return r, true, err
 		}
 	}
 	request := &wirepb.LimitReserve{RequestId: requestID, Organisation: org.Name, Tokens: tokens}
@@ -67,11 +87,10 @@
 		if grant == nil || errkind.Kind(grant.GetKind()) == errkind.LimitsUnavailable {
 			continue
 		}
-		return c.result(grant, sentAt, address, org)
+		r, err = c.result(grant, sentAt, address, org)
+		return r, true, err
 	}
-	h.Refresh()
-	h.metrics.refusals.Add(errkind.LimitsUnavailable.String(), 1)
-	return nil, errkind.New(errkind.LimitsUnavailable, "no holder of partition %d answered", partition)
+	return nil, false, nil
 }
 
 // call returns nil if there was no answer. A charge whose answer was lost stays charged.
--- a/internal/limitholder/holder.go
+++ b/internal/limitholder/holder.go
@@ -34,8 +34,16 @@
 	writes       int64                    // for change IDs
 	loans        int64                    // for loan IDs
 	closing      bool
-	members      membership               // of the snapshot seen last
-	checkedAt    time.Duration            // when the snapshot was looked at last
+	members      membership    // of the snapshot seen last
+	checkedAt    time.Duration // when the snapshot was looked at last
+	running      bool          // Run keeps the leases
+	roundDone    chan struct{} // closed at the end of the next round
+	readAt       time.Duration // end of the last round
+	away         bool          // the table service did not answer the last read
+	tried        bool          // a round ended, so that the configuration had arrived
+	ready        bool
+	configured   bool
+	configuredAt time.Duration            // when the configuration was first seen
 	avoided      map[string]time.Duration // until when an address that did not answer is tried last
 }
 
@@ -43,7 +51,7 @@
 func New(opts Options) *Holder {
 	opts.setDefaults()
 	h := &Holder{
-		opts: opts, kick: make(chan struct{}, 1), avoided: make(map[string]time.Duration),
+		opts: opts, kick: make(chan struct{}, 1), roundDone: make(chan struct{}), avoided: make(map[string]time.Duration),
 		leases: newLeases(opts.DataCentre, opts.Partitions), foreign: make(map[string][]*lease),
 		abandoned: make(map[string]time.Duration), attended: make(map[string]bool),
 	}
@@ -53,11 +61,13 @@
 
 // Run keeps the leases until ctx ends, and then hands them back.
 func (h *Holder) Run(ctx context.Context) error {
+	h.setRunning(true)
+	defer h.setRunning(false)
 	for {
 		if err := h.Round(ctx); err != nil {
 			h.opts.Log.Warn("limit leases not refreshed", "error", err)
 		}
-		timer := time.NewTimer(jitter(h.opts.Interval))
+		timer := time.NewTimer(h.pause())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -65,7 +75,7 @@
 		case <-timer.C:
 		case <-h.kick:
 			timer.Stop()
-			if !sleep(ctx, jitter(h.opts.Interval/10)) {
+			if !sleep(ctx, h.kickPause()) {
 				return h.HandBack(context.WithoutCancel(ctx))
 			}
 		}
@@ -99,14 +109,22 @@
 	}
 	h.roundMu.Lock()
 	defer h.roundMu.Unlock()
+	err := h.round(ctx)
+	h.finished()
+	return err
+}
+
+func (h *Holder) round(ctx context.Context) error {
 	h.mu.Lock()
 	h.membership()
 	h.mu.Unlock()
 	rows, err := h.read(ctx)
+	h.mu.Lock()
+	h.away = err != nil
 	if err != nil {
+		h.mu.Unlock()
 		return err
 	}
-	h.mu.Lock()
 	h.rows = rows
 	now := h.opts.Now()
 	var due []*lease
--- a/internal/limitholder/holder_test.go
+++ b/internal/limitholder/holder_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,7 @@
 
 // testStore is a table service in memory whose next write can fail.
 type testStore struct {
+	mu     sync.Mutex
 	rows   map[string]tablestore.Row
 	writes int
 	fail   func() error // called before a write; an ErrUnknown is returned after the write took effect
@@ -38,6 +40,8 @@
 func (s *testStore) Get(context.Context, tablestore.Key) (tablestore.Row, error) { panic("unused") }
 
 func (s *testStore) Query(_ context.Context, _, after string, limit int) ([]tablestore.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.away {
 		return nil, tablestore.ErrUnavailable
 	}
@@ -60,6 +64,8 @@
 	if result != nil && result != tablestore.ErrUnknown {
 		return result
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var conflicts []tablestore.Key
 	for _, op := range ops {
 		if s.rows[op.Key.Sort].Version != op.IfVersion {
--- a/internal/limitholder/options.go
+++ b/internal/limitholder/options.go
@@ -50,6 +50,8 @@
 	BorrowTimeout time.Duration        // longest wait for loans; default 50 ms
 	BorrowPause   time.Duration        // between two rounds of borrowing for one organisation; default 250 ms
 	CallTimeout   time.Duration        // of one reserve at another gateway; default 150 ms
+	ReadyWithin   time.Duration        // from the configuration; Ready after it even without holders; default 5 s
+	NoHolderWait  time.Duration        // of a request that finds no holder; default 500 ms
 	Now           func() time.Duration // the monotonic clock; default the time since New
 }
 
@@ -60,6 +62,8 @@
 	setDefault(&o.BorrowTimeout, 50*time.Millisecond)
 	setDefault(&o.BorrowPause, 250*time.Millisecond)
 	setDefault(&o.CallTimeout, 150*time.Millisecond)
+	setDefault(&o.ReadyWithin, 5*time.Second)
+	setDefault(&o.NoHolderWait, 500*time.Millisecond)
 	if o.Now == nil {
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
