Test that prompt tokens beyond the estimate are charged

A request whose engine reports 500 prompt tokens is charged 501 with its output. Without the negative refund the test fails with what was reserved.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -100,6 +100,17 @@
 		Expect(string(w.sent()[0].GetHttp().GetBody())).To(ContainSubstring(`"max_tokens":9`))
 	})
 
+	It("guards against prompt tokens beyond the estimate that are not charged", func() {
+		w := start(usual, 3, 1, func(t *talk) {
+			t.accept()
+			t.chunk("red", 1)
+			t.endWith(errkind.None, 500)
+		})
+		r, body := w.do(bg, "POST", chatPath, wholeBody)
+		Expect(r.StatusCode).To(Equal(200), body)
+		Expect(w.limiter.reserved.Load() - w.limiter.refunded.Load()).To(BeEquivalentTo(501))
+	})
+
 	It("tries another replica when the first did not run the request", func() {
 		w := start(usual, 3, 2, func(t *talk) {
 			if t.submit.Attempt == 1 {
--- a/internal/callers/fake_sidecar_test.go
+++ b/internal/callers/fake_sidecar_test.go
@@ -55,10 +55,12 @@
 		RequestId: t.submit.RequestId, Attempt: t.submit.Attempt}}})
 }
 
-func (t *talk) end(k errkind.Kind) {
+func (t *talk) end(k errkind.Kind) { t.endWith(k, 5) }
+
+func (t *talk) endWith(k errkind.Kind, promptTokens int64) {
 	_ = t.Send(&wirepb.Envelope{Message: &wirepb.Envelope_End{End: &wirepb.End{
 		RequestId: t.submit.RequestId, Attempt: t.submit.Attempt, Sequence: t.next + 1, Kind: int32(k),
-		FinishReason: "stop", PromptTokens: 5}}})
+		FinishReason: "stop", PromptTokens: promptTokens}}})
 }
 
 // world is a gateway with fake sidecars that follow one script.
