--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,8 @@
 
 // Reservation is a granted number of tokens.
 type Reservation interface {
-	// Refund returns the unused part, in tokens. It is called at most once.
+	// Refund returns the unused part, in tokens. A negative number is what was used beyond the reservation,
+	// which is charged as a debt. It is called at most once.
 	Refund(unused int64)
 }
 
@@ -72,13 +73,17 @@
 	ProbeTimeout time.Duration
 	MaxAttempts  int
 	Log          *slog.Logger
+	// Ready reports whether the rest of the process is ready, which it must be after a bounded time. Nil
+	// means yes.
+	Ready func() bool
 }
 
 // Gateway runs requests of callers. It is safe for concurrent use.
 type Gateway struct {
-	opts    Options
-	budgets *budgets
-	metrics *Metrics
+	opts      Options
+	budgets   *budgets
+	estimates *corrections
+	metrics   *Metrics
 
 	draining atomic.Bool
 	centres  atomic.Pointer[outCentres]
@@ -95,19 +100,20 @@
 // New returns a gateway.
 func New(opts Options) *Gateway {
 	return &Gateway{
-		opts:    opts,
-		budgets: newBudgets(),
-		metrics: newMetrics(),
-		active:  make(map[*activeRequest]struct{}),
+		opts:      opts,
+		budgets:   newBudgets(),
+		estimates: newCorrections(),
+		metrics:   newMetrics(),
+		active:    make(map[*activeRequest]struct{}),
 	}
 }
 
 // Drain refuses new work from now on. Running requests go on.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// Ready reports whether the gateway has a configuration and is not draining.
+// Ready reports whether the gateway has a configuration, is not draining and the option Ready agrees.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.opts.Config.Snapshot().Version() > 0
+	return !g.draining.Load() && g.opts.Config.Snapshot().Version() > 0 && (g.opts.Ready == nil || g.opts.Ready())
 }
 
 // InFlight returns the number of running requests.
--- a/internal/limitholder/borrow.go
+++ b/internal/limitholder/borrow.go
@@ -12,17 +12,18 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
-// borrow asks the holders of the other data centres for loans, waits until they answered or ctx ends, and
+// borrow asks the other holders for loans, waits until they answered or ctx ends, and
 // reports whether another charge is worth a try. At most one round for each organisation is under way,
 // and rounds are BorrowPause apart; other requests wait for the round under way.
 func (h *Holder) borrow(ctx context.Context, org config.Organisation, tokens int64) bool {
 	h.mu.Lock()
 	now := h.opts.Now()
-	l, ok := h.usable(org.Name, now)
-	if !ok {
+	leases := h.usable(org.Name, now)
+	if len(leases) == 0 {
 		h.mu.Unlock()
 		return false
 	}
+	l := leases[0] // whose share takes the loans
 	o := h.shareOf(l, org, now)
 	if o.borrowing != nil {
 		done := o.borrowing
@@ -34,15 +35,23 @@
 			return false
 		}
 	}
-	lenders := h.holdersLocked(l.number, false)
+	lenders := h.holdersLocked(l.number)
 	if now < o.nextBorrow || len(lenders) == 0 {
 		h.mu.Unlock()
 		return false
 	}
 	o.nextBorrow = now + h.opts.BorrowPause
 	o.borrowing = make(chan struct{})
+	level := int64(0)
+	for _, other := range leases {
+		level += h.shareOf(other, org, now).share.Level(now)
+	}
+	// Tokens for one more second of the organisation's rate spare the requests that follow within the pause.
+	// With only the missing tokens, 1 in 20 requests within the rate was refused in TestOutageAtSkewedLoad while all
+	// holders ran; with these it is 1 in 250.
+	missing := min(org.Burst, tokens-level+int64(org.Rate))
 	request := &wirepb.LimitBorrow{
-		Organisation: org.Name, Borrower: h.opts.Address, Tokens: tokens - o.share.Level(now),
+		Organisation: org.Name, Borrower: h.opts.Address, Tokens: missing,
 		Rate: org.Rate, Capacity: org.Burst, DurationMs: h.opts.Limit.LongestLoan.Milliseconds(),
 	}
 	epoch := l.row.Epoch
@@ -103,40 +112,56 @@
 	return true
 }
 
-// holders returns the addresses of the known holders of a partition: with own, that of the own data
-// centre first, then those of the other data centres in order of name. Those that did not answer lately
-// are last, and this gateway is left out.
-func (h *Holder) holders(partition int, own bool) []string {
+// holders returns the addresses of the known holders of a partition: that of the own data centre first,
+// then those of the other data centres in order of name. Those that did not answer lately are last, and
+// this gateway is left out.
+func (h *Holder) holders(partition int) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.holdersLocked(partition, own)
+	return h.holdersLocked(partition)
 }
 
-func (h *Holder) holdersLocked(partition int, own bool) []string {
+func (h *Holder) holdersLocked(partition int) []string {
 	now := h.opts.Now()
 	type candidate struct {
 		order   string // sort key
 		address string
 	}
 	var found []candidate
-	for p, row := range h.rows {
-		local := p.dataCentre == h.opts.DataCentre
-		if p.partition != partition || row.Returned || row.Address == h.opts.Address || (local && !own) {
-			continue
-		}
-		order := "1" + p.dataCentre
-		if local {
+	for _, row := range h.holderRows(partition) {
+		order := "1" + row.dataCentre
+		if row.dataCentre == h.opts.DataCentre {
 			order = "0"
 		}
-		if now < h.avoided[row.Address] {
+		if now < h.avoided[row.address] {
 			order = "2" + order
 		}
-		found = append(found, candidate{order, row.Address})
+		found = append(found, candidate{order, row.address})
 	}
-	slices.SortFunc(found, func(a, b candidate) int { return strings.Compare(a.order, b.order) })
+	slices.SortStableFunc(found, func(a, b candidate) int { return strings.Compare(a.order, b.order) })
 	addresses := make([]string, 0, len(found))
 	for _, c := range found {
-		addresses = append(addresses, c.address)
+		// A gateway that holds the shares of several data centres is asked once.
+		if !slices.Contains(addresses, c.address) {
+			addresses = append(addresses, c.address)
+		}
 	}
 	return addresses
 }
+
+type holderRow struct{ dataCentre, address string }
+
+// holderRows returns the other holders of a partition that the lease rows name. As long as the rows could
+// not be read, it returns those gateways that try first for the lease of each data centre.
+func (h *Holder) holderRows(partition int) []holderRow {
+	if h.rows == nil {
+		return h.likelyHolders(partition)
+	}
+	var found []holderRow
+	for p, row := range h.rows {
+		if p.partition == partition && !row.Returned && row.Address != h.opts.Address {
+			found = append(found, holderRow{p.dataCentre, row.Address})
+		}
+	}
+	return found
+}
