--- /dev/null
+++ b/internal/capacity/meter.go
@@ -0,0 +1,167 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// headerBytes is what one TCP/IP segment adds on Ethernet: 14 + 20 + 32 bytes with time stamps.
+const headerBytes = 66
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// processorTime returns the user and system time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memory returns the bytes in use on the heap and on goroutine stacks after a collection.
+func memory() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+func descriptors() int {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
+// traffic counts both directions of connections, as the kernel reports them.
+type traffic struct{ bytes, segments float64 }
+
+func (t traffic) minus(o traffic) traffic { return traffic{t.bytes - o.bytes, t.segments - o.segments} }
+
+// onWire returns the bytes with headers of every segment, acknowledgements included.
+func (t traffic) onWire() float64 { return t.bytes + headerBytes*t.segments }
+
+// meter records the connections that listeners accept.
+type meter struct {
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+type meteredListener struct {
+	net.Listener
+	meter *meter
+}
+
+// Accept implements net.Listener.
+func (l meteredListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		l.meter.mu.Lock()
+		l.meter.conns = append(l.meter.conns, tcp)
+		l.meter.mu.Unlock()
+	}
+	return conn, nil
+}
+
+// read returns the traffic of the open connections so far.
+func (m *meter) read() traffic {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var t traffic
+	for _, c := range m.conns {
+		raw, err := c.SyscallConn()
+		if err != nil {
+			continue
+		}
+		_ = raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			if err != nil {
+				return
+			}
+			t.bytes += float64(info.Bytes_sent + info.Bytes_received)
+			t.segments += float64(info.Segs_out) + float64(info.Segs_in)
+		})
+	}
+	return t
+}
+
+func (m *meter) listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return meteredListener{l, m}, nil
+}
+
+// cluster is a number of transport servers on loopback that share a meter.
+type cluster struct {
+	meter     meter
+	addresses []string
+	servers   []*transport.Server
+}
+
+// startCluster starts n servers; handler returns the handler of the one with that address.
+func startCluster(n int, handler func(i int, address string) transport.Handler) (*cluster, error) {
+	c := new(cluster)
+	for i := range n {
+		l, err := c.meter.listen()
+		if err != nil {
+			c.close()
+			return nil, err
+		}
+		address := l.Addr().String()
+		s := transport.NewServer(l, nil, handler(i, address), quiet)
+		go func() { _ = s.Serve(context.Background()) }()
+		c.addresses = append(c.addresses, address)
+		c.servers = append(c.servers, s)
+	}
+	return c, nil
+}
+
+func (c *cluster) close() {
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+}
+
+// answering returns a handler that answers every frame of a stream.
+func answering(answer func(e *wirepb.Envelope) *wirepb.Envelope) transport.Handler {
+	return func(_ context.Context, s *transport.Stream) {
+		for {
+			e, err := s.Recv()
+			if err != nil {
+				return
+			}
+			if reply := answer(e); reply != nil && s.Send(reply) != nil {
+				return
+			}
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,69 @@
+// Package capacity measures how memory, traffic and processor time grow with the size of the system. Each
+// slope is measured at several sizes in one process over loopback; docs/CAPACITY.md extrapolates from them.
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Table is the result of one slope.
+type Table struct {
+	Slope   string     `json:"slope"`
+	Note    string     `json:"note"`
+	Columns []string   `json:"columns"` // with units
+	Rows    [][]string `json:"rows"`
+}
+
+// add appends a row. Floats are written with three significant digits or as whole numbers.
+func (t *Table) add(values ...any) {
+	row := make([]string, len(values))
+	for i, v := range values {
+		f, ok := v.(float64)
+		switch {
+		case ok && (f >= 1000 || f <= -1000):
+			row[i] = fmt.Sprintf("%.0f", f)
+		case ok:
+			row[i] = fmt.Sprintf("%.3g", f)
+		default:
+			row[i] = fmt.Sprint(v)
+		}
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+// Markdown writes the table.
+func (t *Table) Markdown(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "### %s\n\n%s\n\n", t.Slope, t.Note)
+	fmt.Fprintf(&b, "| %s |\n|%s\n", strings.Join(t.Columns, " | "), strings.Repeat("---|", len(t.Columns)))
+	for _, row := range t.Rows {
+		fmt.Fprintf(&b, "| %s |\n", strings.Join(row, " | "))
+	}
+	_, err := fmt.Fprintln(w, b.String())
+	return err
+}
+
+// JSON writes the table as one line.
+func (t *Table) JSON(w io.Writer) error { return json.NewEncoder(w).Encode(t) }
+
+// Slope is one measurement.
+type Slope struct {
+	Name    string
+	Limit   time.Duration // bound on the time of one run
+	Measure func(ctx context.Context) (*Table, error)
+}
+
+// Slopes returns every slope in the order in which -all runs them.
+func Slopes() []Slope {
+	return []Slope{
+		{"sessions", time.Minute, measureSessions},
+		{"status-memory", time.Minute, measureStatusMemory},
+		{"status-traffic", 2 * time.Minute, measureStatusTraffic},
+		{"configuration", time.Minute, measureConfiguration},
+	}
+}
--- /dev/null
+++ b/internal/capacity/status.go
@@ -0,0 +1,138 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/route"
+	"github.com/pomelowheel/pomelowheel/internal/sidecars"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// The sizes of a status at full size. Models follows section 2 of the design page; the rest are assumptions.
+const (
+	fullModels      = 230
+	residentModels  = 4
+	loadedAdapters  = 12
+	statusPrefixes  = 32
+	trafficWindow   = 5 * time.Second
+	statusInterval  = time.Second
+	statusMaxAge    = 5 * time.Second
+	hexPrefixLength = 16
+)
+
+func identity(role, address string) *wirepb.Identity {
+	return &wirepb.Identity{Host: "host-0123", DataCentre: "walled-city", Role: role, Address: address,
+		Incarnation: "6f1d0c9e-5a53-4d0c-8b0f-0c1f1f0e7a11"}
+}
+
+// sampleStatus returns the status of replica i with lists of full size.
+func sampleStatus(i int, address string) *wirepb.Status {
+	s := &wirepb.Status{Identity: identity("sidecar", address), Service: "brush-assistant", Kind: "model", Ready: true,
+		Running: 3, Queued: 1, Limit: 16, QueueMs: 40, ConfigVersion: 21000, MemoryTotalMb: 81920, MemoryFreeMb: 9000,
+		BackendIncarnation: fmt.Sprintf("engine-%d", i)}
+	for k := range residentModels + loadedAdapters {
+		name := fmt.Sprintf("model-%03d", (i*residentModels+k)%fullModels)
+		if k < residentModels {
+			s.Resident = append(s.Resident, name)
+		} else {
+			s.Adapters = append(s.Adapters, name)
+		}
+		s.ModelLoads = append(s.ModelLoads, &wirepb.ModelLoad{Model: name, Requests: 1000, Tokens: 400000, Running: 1})
+	}
+	for k := range statusPrefixes {
+		s.Prefixes = append(s.Prefixes, strings.Repeat(fmt.Sprintf("%04x", (i*31+k)%65536), hexPrefixLength/4))
+	}
+	return s
+}
+
+func measureStatusMemory(ctx context.Context) (*Table, error) {
+	t := &Table{Slope: "status-memory", Note: "Heap and stacks of a gateway's status table, one process, no sessions.",
+		Columns: []string{"statuses", "bytes", "bytes per status"}}
+	for _, n := range []int{100, 500, 1900} {
+		before := memory()
+		c := sidecars.New(sidecars.Options{Policy: route.PolicyLoad, Log: quiet})
+		for i := range n {
+			address := fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250)
+			c.Update(address, sampleStatus(i, address), time.Now())
+		}
+		used := memory() - before
+		t.add(n, used, used/float64(n))
+		runtime.KeepAlive(c)
+	}
+	return t, ctx.Err()
+}
+
+type hostList []string
+
+// Sidecars implements sidecars.HostList.
+func (h hostList) Sidecars() []string { return h }
+
+func measureStatusTraffic(ctx context.Context) (*Table, error) {
+	t := &Table{Slope: "status-traffic",
+		Note: fmt.Sprintf("One gateway's status polls with the default settings for %s after the first statuses arrived; the "+
+			"sidecars are stubs in the same process. The processor time counts both ends.", trafficWindow),
+		Columns: []string{"sidecars", "known at start", "bytes/s", "segments/s", "KB/s with headers", "processor % (both ends)",
+			"descriptors (both ends)"}}
+	for _, n := range []int{15, 100, 400, 1900} {
+		if err := statusTraffic(ctx, t, n); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func statusTraffic(ctx context.Context, t *Table, n int) error {
+	cluster, err := startCluster(n, func(i int, address string) transport.Handler { return statusHandler(sampleStatus(i, address)) })
+	if err != nil {
+		return err
+	}
+	defer cluster.close()
+	pool := transport.NewPool(nil)
+	defer pool.Close()
+	c := sidecars.New(statusOptions(pool, cluster.addresses))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	for deadline := time.Now().Add(15 * time.Second); c.Known() < n && time.Now().Before(deadline); {
+		if err := wait(ctx, 100*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	if err := wait(ctx, 2*statusInterval); err != nil {
+		return err
+	}
+	known, before, cpu, start := c.Known(), cluster.meter.read(), processorTime(), time.Now()
+	if err := wait(ctx, trafficWindow); err != nil {
+		return err
+	}
+	seconds := time.Since(start).Seconds()
+	used, spent := cluster.meter.read().minus(before), processorTime()-cpu
+	t.add(n, known, used.bytes/seconds, used.segments/seconds, used.onWire()/seconds/1000,
+		100*spent.Seconds()/seconds, descriptors())
+	cancel()
+	<-done
+	return nil
+}
+
+func statusOptions(pool *transport.Pool, addresses []string) sidecars.Options {
+	return sidecars.Options{Pool: pool, HostList: hostList(addresses), Policy: route.PolicyLoad, Log: quiet,
+		StatusInterval: statusInterval, StatusMaxAge: statusMaxAge, Identity: identity("gateway", "10.0.0.1:7000")}
+}
+
+func statusHandler(s *wirepb.Status) transport.Handler {
+	return answering(func(e *wirepb.Envelope) *wirepb.Envelope {
+		if e.GetStatusRequest() == nil {
+			return nil
+		}
+		return &wirepb.Envelope{Message: &wirepb.Envelope_Status{Status: s}}
+	})
+}
