--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -105,6 +105,7 @@
 	p.sidecars = sidecars.New(sidecars.Options{
 		Pool: p.pool, Static: s.Peers.Sidecars, HostList: p.hosts, Policy: route.Policy(s.Routing.Policy), Log: p.log,
 		StatusInterval: s.Routing.StatusInterval.D(), StatusMaxAge: s.Routing.StatusMaxAge.D(), Identity: p.identity,
+		StatusPolls: s.Routing.StatusPolls,
 	})
 	p.gateway = gateway.New(gateway.Options{
 		DataCentre: s.Process.DataCentre, Config: p.config, Limiter: gateway.NoLimit{}, Sidecars: p.sidecars,
--- a/internal/capacity/status.go
+++ b/internal/capacity/status.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"runtime"
 	"strings"
+	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pomelowheel/pomelowheel/internal/route"
 	"github.com/pomelowheel/pomelowheel/internal/sidecars"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -76,7 +80,7 @@
 	t := &Table{Slope: "status-traffic",
 		Note: fmt.Sprintf("One gateway's status polls with the default settings for %s after the first statuses arrived; the "+
 			"sidecars are stubs in the same process. The processor time counts both ends.", trafficWindow),
-		Columns: []string{"sidecars", "known at start", "bytes/s", "segments/s", "KB/s with headers", "processor % (both ends)",
+		Columns: []string{"sidecars", "known at start", "polls/s", "bytes/s", "segments/s", "KB/s with headers", "processor % (both ends)",
 			"descriptors (both ends)"}}
 	for _, n := range []int{15, 100, 400, 1900} {
 		if err := statusTraffic(ctx, t, n); err != nil {
@@ -110,13 +114,15 @@
 	if err := wait(ctx, 2*statusInterval); err != nil {
 		return err
 	}
+	polls, _ := c.Polls()
 	known, before, cpu, start := c.Known(), cluster.meter.read(), processorTime(), time.Now()
 	if err := wait(ctx, trafficWindow); err != nil {
 		return err
 	}
 	seconds := time.Since(start).Seconds()
 	used, spent := cluster.meter.read().minus(before), processorTime()-cpu
-	t.add(n, known, used.bytes/seconds, used.segments/seconds, used.onWire()/seconds/1000,
+	pollsAfter, _ := c.Polls()
+	t.add(n, known, float64(pollsAfter-polls)/seconds, used.bytes/seconds, used.segments/seconds, used.onWire()/seconds/1000,
 		100*spent.Seconds()/seconds, descriptors())
 	cancel()
 	<-done
@@ -128,11 +134,19 @@
 		StatusInterval: statusInterval, StatusMaxAge: statusMaxAge, Identity: identity("gateway", "10.0.0.1:7000")}
 }
 
+// statusHandler answers as a busy sidecar does: its prefixes and loads change between two polls.
 func statusHandler(s *wirepb.Status) transport.Handler {
+	var mu sync.Mutex
 	return answering(func(e *wirepb.Envelope) *wirepb.Envelope {
-		if e.GetStatusRequest() == nil {
+		r := e.GetStatusRequest()
+		if r == nil {
 			return nil
 		}
-		return &wirepb.Envelope{Message: &wirepb.Envelope_Status{Status: s}}
+		mu.Lock()
+		defer mu.Unlock()
+		s.Prefixes = append(s.Prefixes[1:len(s.Prefixes):len(s.Prefixes)], s.Prefixes[0])
+		s.ModelLoads[0].Requests++
+		status, _ := proto.Clone(s).(*wirepb.Status)
+		return &wirepb.Envelope{Message: &wirepb.Envelope_Status{Status: wire.TrimStatus(status, r)}}
 	})
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -195,7 +195,7 @@
 
 // choose picks a backend server and logs the decision.
 func (g *Gateway) choose(ctx context.Context, d *dispatch) (string, error) {
-	decision := g.opts.Sidecars.Choose(d.route)
+	decision := g.opts.Sidecars.Select(ctx, d.route)
 	if g.opts.Policy == route.PolicyProbe && len(decision.Candidates) > 1 {
 		decision = g.probe(ctx, d, decision)
 	}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -56,7 +56,8 @@
 	Base       string // base model if Model is an adapter
 	DataCentre string // of this process
 	PrefixHash string
-	MaxAge     time.Duration // status older than this excludes a replica
+	MaxAge     time.Duration // status older than this is old
+	KnownAge   time.Duration // status older than this and than MaxAge excludes a replica; zero if old ones are excluded
 	OutCentres []string      // data centres that are out of service
 	Tried      []string      // addresses that earlier attempts used
 	Count      int           // candidates that the probe policy asks
@@ -71,6 +72,7 @@
 type Scored struct {
 	Address string
 	Figure  float64
+	Old     bool // the status is older than Request.MaxAge, so the replica must be asked first
 }
 
 // Decision is the outcome of a choice. Candidates are ordered, the best first.
@@ -134,7 +136,7 @@
 		return Decision{Reason: t.whyNone(now, r, lists), Known: known}
 	}
 	reason := t.score(r, p, rng)
-	return t.decide(r, p, reason, known)
+	return t.decide(now, r, p, reason, known)
 }
 
 func (t *Table) listsFor(r Request) [2]*list {
@@ -229,7 +231,7 @@
 // unfit returns why e is no candidate, or "".
 func unfit(now time.Time, r Request, e *entry) string {
 	switch {
-	case now.Sub(e.At) > r.MaxAge:
+	case now.Sub(e.At) > max(r.MaxAge, r.KnownAge):
 		return "stale"
 	case e.Draining:
 		return "draining"
@@ -304,7 +306,7 @@
 	return figure, false
 }
 
-func (t *Table) decide(r Request, p Policy, reason string, known int) Decision {
+func (t *Table) decide(now time.Time, r Request, p Policy, reason string, known int) Decision {
 	slices.SortFunc(t.scratch, func(a, b scored) int {
 		switch {
 		case a.figure < b.figure:
@@ -320,7 +322,7 @@
 	}
 	d := Decision{Candidates: make([]Scored, len(chosen)), Reason: reason, Known: known}
 	for i, c := range chosen {
-		d.Candidates[i] = Scored{Address: c.entry.Address, Figure: c.figure}
+		d.Candidates[i] = Scored{Address: c.entry.Address, Figure: c.figure, Old: now.Sub(c.entry.At) > r.MaxAge}
 	}
 	if chosen[0].hit {
 		d.Reason = "least estimated wait with prefix hit"
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,7 +43,8 @@
 	ProbeCount     int      `yaml:"probe_count"`
 	ProbeTimeout   Duration `yaml:"probe_timeout"`
 	StatusInterval Duration `yaml:"status_interval"` // between two status polls of a sidecar
-	StatusMaxAge   Duration `yaml:"status_max_age"`  // above it a sidecar is no candidate
+	StatusMaxAge   Duration `yaml:"status_max_age"`  // above it a sidecar is asked before it is chosen
+	StatusPolls    float64  `yaml:"status_polls"`    // most polls a second, over all sidecars
 	MaxAttempts    int      `yaml:"max_attempts"`    // of one request, the first included
 }
 
@@ -77,6 +78,7 @@
 		Routing: Routing{
 			Policy: "load", ProbeCount: 2, ProbeTimeout: Duration(50 * time.Millisecond),
 			StatusInterval: Duration(time.Second), StatusMaxAge: Duration(5 * time.Second), MaxAttempts: 3,
+			StatusPolls: 25,
 		},
 		Limits: Limits{
 			Enabled: true, Partitions: 4, LeaseTerm: Duration(90 * time.Minute), LoanTerm: Duration(5 * time.Second),
@@ -109,6 +111,7 @@
 	c.positive("$.routing.max_attempts", g.Routing.MaxAttempts >= 1, "a whole number above zero")
 	c.positive("$.routing.status_interval", g.Routing.StatusInterval > 0, "a duration above zero")
 	c.positive("$.routing.status_max_age", g.Routing.StatusMaxAge >= g.Routing.StatusInterval, "at least status_interval")
+	c.positive("$.routing.status_polls", g.Routing.StatusPolls > 0, "a number above zero")
 	c.positive("$.limits.partitions", g.Limits.Partitions >= 1 && g.Limits.Partitions <= 64, "a whole number from 1 to 64")
 	c.positive("$.limits.lease_term", g.Limits.LeaseTerm > g.Limits.LoanTerm, "a duration above loan_term")
 	c.positive("$.planner.load_rate", g.Planner.LoadRate > 0, "a number above zero")
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -20,6 +20,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -129,30 +130,41 @@
 
 func (s *Server) isModel() bool { return s.opts.Settings.Backend.Kind == kindModel }
 
-// Handle serves one conversation. It is a transport.Handler.
+// Handle serves one conversation: one request, or any number of status requests and probes. It is a
+// transport.Handler.
 func (s *Server) Handle(ctx context.Context, stream *transport.Stream) {
-	first, err := stream.Recv()
-	if err != nil {
-		return
+	for {
+		e, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if m, ok := e.GetMessage().(*wirepb.Envelope_Submit); ok {
+			s.submit(ctx, stream, m.Submit)
+			return
+		}
+		reply := s.answer(ctx, e)
+		if reply == nil {
+			s.log.Warn("conversation refused", "reason", "unexpected frame", "kind", errkind.ProtocolError.String())
+			return
+		}
+		if err := stream.Send(reply); err != nil {
+			s.log.Debug("reply not sent", "error", err)
+			return
+		}
 	}
-	var reply *wirepb.Envelope
-	switch m := first.GetMessage().(type) {
-	case *wirepb.Envelope_Submit:
-		s.submit(ctx, stream, m.Submit)
-		return
+}
+
+func (s *Server) answer(ctx context.Context, e *wirepb.Envelope) *wirepb.Envelope {
+	switch m := e.GetMessage().(type) {
 	case *wirepb.Envelope_Probe:
-		reply = &wirepb.Envelope{Message: &wirepb.Envelope_ProbeReply{ProbeReply: s.probe(ctx, m.Probe)}}
+		return &wirepb.Envelope{Message: &wirepb.Envelope_ProbeReply{ProbeReply: s.probe(ctx, m.Probe)}}
 	case *wirepb.Envelope_StatusRequest:
-		reply = &wirepb.Envelope{Message: &wirepb.Envelope_Status{Status: s.Status()}}
+		status := wire.TrimStatus(s.Status(), m.StatusRequest)
+		return &wirepb.Envelope{Message: &wirepb.Envelope_Status{Status: status}}
 	case *wirepb.Envelope_ModelOrder:
-		reply = &wirepb.Envelope{Message: &wirepb.Envelope_OrderReply{OrderReply: s.order(ctx, m.ModelOrder)}}
-	default:
-		s.log.Warn("conversation refused", "reason", "unexpected first frame", "kind", errkind.ProtocolError.String())
-		return
-	}
-	if err := stream.Send(reply); err != nil {
-		s.log.Debug("reply not sent", "error", err)
+		return &wirepb.Envelope{Message: &wirepb.Envelope_OrderReply{OrderReply: s.order(ctx, m.ModelOrder)}}
 	}
+	return nil
 }
 
 // watch hands back queued requests and ends running streams that the configuration no longer allows.
--- a/internal/sidecars/client.go
+++ b/internal/sidecars/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/route"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -30,7 +31,9 @@
 	HostList       HostList // may be nil
 	Policy         route.Policy
 	StatusInterval time.Duration
-	StatusMaxAge   time.Duration
+	StatusMaxAge   time.Duration // an older status is confirmed by Select before its sidecar is chosen
+	StatusPolls    float64       // most polls a second; 25 if zero
+	Loads          func() bool   // reports whether polls ask for model loads; nil for only in a small fleet
 	Log            *slog.Logger
 }
 
@@ -43,13 +46,19 @@
 	rng      *rand.Rand
 	statuses map[string]*wirepb.Status
 	polling  map[string]*pollState
+	large    bool // the last round could not poll every sidecar
 
+	polls          atomic.Int64
+	asks           atomic.Int64
 	pollFailures   atomic.Int64
 	protocolErrors atomic.Int64
 }
 
 // New returns a client that knows no status yet; Run polls for it.
 func New(opts Options) *Client {
+	if opts.StatusPolls <= 0 {
+		opts.StatusPolls = defaultStatusPolls
+	}
 	return &Client{
 		opts:     opts,
 		table:    route.NewTable(),
@@ -59,7 +68,7 @@
 	}
 }
 
-// Choose orders candidates for r.
+// Choose orders candidates for r among those with a status that is not old.
 func (c *Client) Choose(r route.Request) route.Decision {
 	r.MaxAge = c.opts.StatusMaxAge
 	c.mu.Lock()
@@ -67,21 +76,31 @@
 	return c.table.Choose(time.Now(), r, c.opts.Policy, c.rng)
 }
 
-// Update stores a status that was requested at the given time.
+// Update stores a status that was requested at the given time. A status without some of its parts is
+// completed from the last one; it is dropped if there is none. The message must not be used afterwards.
 func (c *Client) Update(address string, s *wirepb.Status, at time.Time) {
 	if s == nil {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !wire.CompleteStatus(s, c.statuses[address]) {
+		return
+	}
+	wire.SetVersions(s)
 	r := route.Replica{
 		Address: address, DataCentre: s.GetIdentity().GetDataCentre(), Service: s.GetService(),
 		Plain: s.GetKind() == "plain", Resident: s.GetResident(), Adapters: s.GetAdapters(), Prefixes: s.GetPrefixes(),
 		Running: s.GetRunning(), Queued: s.GetQueued(), Limit: s.GetLimit(), QueueMS: s.GetQueueMs(),
 		Draining: s.GetDraining(), Out: s.GetDataCentreOut(), Ready: s.GetReady(), At: at,
 	}
-	slices.Sort(r.Resident)
-	slices.Sort(r.Adapters)
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	// Lists that were taken over from the last status are shared with readers, and sorted already.
+	if !slices.IsSorted(r.Resident) {
+		slices.Sort(r.Resident)
+	}
+	if !slices.IsSorted(r.Adapters) {
+		slices.Sort(r.Adapters)
+	}
 	c.table.Set(r)
 	c.statuses[address] = s
 }
@@ -104,6 +123,9 @@
 	return c.table.Len()
 }
 
+// Polls returns how many status polls were sent, and how many statuses were asked for by Select.
+func (c *Client) Polls() (polls, asks int64) { return c.polls.Load(), c.asks.Load() }
+
 // PollFailures returns how many status polls failed.
 func (c *Client) PollFailures() int64 { return c.pollFailures.Load() }
 
@@ -114,6 +136,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Start(address)
+	if s := c.polling[address]; s != nil {
+		s.used = time.Now()
+	}
 }
 
 // expire keeps a sidecar that cannot be reached out of routing until it answers a poll.
--- a/internal/sidecars/poll.go
+++ b/internal/sidecars/poll.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
 )
 
 const (
@@ -16,15 +16,20 @@
 	forgetAfter = time.Minute
 	// maxPolls bounds the polls at once.
 	maxPolls = 64
+	// defaultStatusPolls covers a fleet of 21 replicas every second with the default interval.
+	defaultStatusPolls = 25
 )
 
 type pollState struct {
-	failures int
-	running  bool
-	last     time.Time // last answer, or first sight
+	failures  int
+	running   bool
+	last      time.Time         // last answer, or first sight
+	attempted time.Time         // last poll
+	used      time.Time         // last request
+	stream    *transport.Stream // left open by the last poll; nil if there is none or it is in use
 }
 
-// Run polls the status of every known sidecar until ctx ends.
+// Run polls the status of the known sidecars within the poll budget until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	slots := make(chan struct{}, maxPolls)
 	var wg sync.WaitGroup
@@ -70,12 +75,10 @@
 			c.polling[a] = &pollState{last: now}
 		}
 	}
-	var addresses []string
+	candidates := make([]dueSidecar, 0, len(c.polling))
 	for a, s := range c.polling {
-		if !listed[a] && now.Sub(s.last) > forgetAfter {
-			delete(c.polling, a)
-			delete(c.statuses, a)
-			c.table.Remove(a)
+		if !listed[a] && s.failures > 0 && now.Sub(s.last) > forgetAfter {
+			c.forget(a, s)
 			continue
 		}
 		r, known := c.table.Get(a)
@@ -83,20 +86,35 @@
 		if s.running || (known && now.Sub(r.At) < c.opts.StatusInterval/2) {
 			continue
 		}
-		s.running = true
-		addresses = append(addresses, a)
+		candidates = append(candidates, dueSidecar{
+			address: a, attempted: s.attempted, unknown: !known,
+			urgent: known && (s.failures > 0 || r.At.IsZero() || now.Sub(s.used) < usedFor),
+		})
+	}
+	rounds := c.opts.StatusPolls * c.opts.StatusInterval.Seconds()
+	c.large = float64(len(c.polling)) > rounds
+	addresses := pick(candidates, max(1, int(rounds)))
+	for _, a := range addresses {
+		c.polling[a].running, c.polling[a].attempted = true, now
 	}
 	return addresses
 }
 
+func (c *Client) forget(address string, s *pollState) {
+	if s.stream != nil {
+		_ = s.stream.Close()
+	}
+	delete(c.polling, address)
+	delete(c.statuses, address)
+	c.table.Remove(address)
+}
+
 func (c *Client) poll(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.StatusInterval)
 	defer cancel()
-	at := time.Now()
-	reply, err := c.Ask(ctx, address, &wirepb.Envelope{Message: &wirepb.Envelope_StatusRequest{
-		StatusRequest: &wirepb.StatusRequest{Identity: c.opts.Identity}}})
-	if err == nil && reply.GetStatus() != nil {
-		c.Update(address, reply.GetStatus(), at)
+	c.polls.Add(1)
+	err := c.refresh(ctx, address, false)
+	if err == nil {
 		c.polled(address, true)
 		return
 	}
@@ -122,5 +140,8 @@
 		return false
 	}
 	s.failures++
+	if r, known := c.table.Get(address); known && time.Since(r.At) > c.opts.StatusMaxAge {
+		c.table.Expire(address)
+	}
 	return s.failures%dropAfter == 0
 }
