--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(&coalescingConn{Conn: conn}, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("open session to %s: %w", address, err)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -93,7 +93,7 @@
 			}
 			return fmt.Errorf("accept peer session: %w", err)
 		}
-		session, err := yamux.Server(conn, sessionConfig())
+		session, err := yamux.Server(&coalescingConn{Conn: conn}, sessionConfig())
 		if err != nil {
 			_ = conn.Close()
 			s.log.Warn("peer session refused", "peer", conn.RemoteAddr().String(), "error", err)
