--- /dev/null
+++ b/internal/capacity/exchanges.go
@@ -0,0 +1,291 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/configsync"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/fake/platform"
+	"github.com/pomelowheel/pomelowheel/internal/limit"
+	"github.com/pomelowheel/pomelowheel/internal/limitholder"
+	"github.com/pomelowheel/pomelowheel/internal/tablestore"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+const (
+	holderAddress   = "10.0.0.1:7000"
+	exchangeRounds  = 3000
+	leaseRounds     = 100
+	fleetSize       = 500 // entities
+	limitPartitions = 4
+	// settleTime lets delayed acknowledgements arrive, which Linux sends after 40 ms.
+	settleTime = 200 * time.Millisecond
+)
+
+// world is one peer with every handler and a table service on loopback.
+type world struct {
+	cluster  *cluster
+	pool     *transport.Pool
+	snapshot *config.Snapshot
+	holder   *limitholder.Holder
+	http     meter
+	server   *http.Server
+	store    *tablestore.DynamoDB
+}
+
+func startWorld(ctx context.Context) (*world, error) {
+	w := &world{pool: transport.NewPool(nil)}
+	listener, err := w.http.listen()
+	if err != nil {
+		return nil, err
+	}
+	w.server = &http.Server{Handler: platform.New(platform.Options{}), ReadHeaderTimeout: time.Second}
+	go func() { _ = w.server.Serve(listener) }()
+	w.store = tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
+		Endpoint: "http://" + listener.Addr().String(), Region: "local", Table: "pomelowheel"})
+	if w.snapshot, err = storeFleet(ctx, w.store); err != nil {
+		return nil, err
+	}
+	w.holder = w.newHolder(holderAddress, "1")
+	if err := w.holder.Round(ctx); err != nil {
+		return nil, err
+	}
+	copied := configsync.New(configsync.Options{Store: w.store, Identity: identity("gateway", "10.0.0.1:7000")})
+	if err := copied.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	status := sampleStatus(0, "10.0.0.2:7100")
+	w.cluster, err = startCluster(1, func(int, string) transport.Handler { return w.handler(copied, status) })
+	return w, err
+}
+
+// storeFleet accepts the fleet's entities in parts and returns their snapshot.
+func storeFleet(ctx context.Context, store tablestore.Store) (*config.Snapshot, error) {
+	entities, err := fleetEntities(fleetSize)
+	if err != nil {
+		return nil, err
+	}
+	for i := range entities {
+		entities[i].Version = 0 // as the author of the first change sees them
+	}
+	log := config.NewLog(store)
+	for i := 0; i < len(entities); i += config.MaxEntities {
+		version := int64(i / config.MaxEntities)
+		part := entities[i:min(i+config.MaxEntities, len(entities))]
+		change := config.Change{ID: fmt.Sprint("load-", version), Author: "capacity", Reason: "load", Action: "load", Affects: "all", Version: version, Entities: part}
+		if _, err := log.Accept(ctx, change); err != nil {
+			return nil, err
+		}
+	}
+	// The last change has one entity, so that a delta of one change can be asked for.
+	version := int64((len(entities) + config.MaxEntities - 1) / config.MaxEntities)
+	last := entities[len(entities)-1]
+	last.Version = version
+	change := config.Change{ID: "last", Author: "capacity", Reason: "one", Action: "withdraw", Affects: "all", Version: version, Entities: []config.Entity{withdrawn(last)}}
+	if _, err := log.Accept(ctx, change); err != nil {
+		return nil, err
+	}
+	return log.Load(ctx)
+}
+
+// withdrawn returns the key's entity after its withdrawal.
+func withdrawn(e config.Entity) config.Entity {
+	var key config.Key
+	if err := json.Unmarshal(e.Value, &key); err != nil {
+		return e
+	}
+	key.Withdrawn = true
+	changed, err := config.NewEntity(key)
+	if err != nil {
+		return e
+	}
+	changed.Version = e.Version
+	return changed
+}
+
+func (w *world) newHolder(address, incarnation string) *limitholder.Holder {
+	return limitholder.New(limitholder.Options{
+		Address: address, DataCentre: "dc-0", Incarnation: incarnation, Partitions: limitPartitions, LeaseTerm: 90 * time.Minute,
+		Limit: limit.Options{LongestLoan: 5 * time.Second, Margin: time.Second, Propagation: 16 * time.Second},
+		Store: w.store, Caller: limitholder.PoolCaller{Pool: w.pool}, Snapshot: func() *config.Snapshot { return w.snapshot },
+		Gateways: func() []string { return []string{address} }, Removed: func(string) bool { return false }, Log: quiet,
+	})
+}
+
+func (w *world) handler(copied *configsync.Copy, status *wirepb.Status) transport.Handler {
+	return func(ctx context.Context, s *transport.Stream) {
+		statuses := statusAnswer(status)
+		answering(func(e *wirepb.Envelope) *wirepb.Envelope {
+			switch m := e.GetMessage().(type) {
+			case *wirepb.Envelope_StatusRequest:
+				return statuses(e)
+			case *wirepb.Envelope_ConfigRequest:
+				return &wirepb.Envelope{Message: &wirepb.Envelope_ConfigDelta{ConfigDelta: copied.ServeConfig(m.ConfigRequest)}}
+			case *wirepb.Envelope_Probe:
+				return &wirepb.Envelope{Message: &wirepb.Envelope_ProbeReply{ProbeReply: &wirepb.ProbeReply{QueueMs: 40, Resident: true}}}
+			}
+			return w.holder.Serve(ctx, e)
+		})(ctx, s)
+	}
+}
+
+func (w *world) close() {
+	w.pool.Close()
+	w.cluster.close()
+	_ = w.server.Close()
+}
+
+// exchange is one kind of message pair or call.
+type exchange struct {
+	name   string
+	meter  *meter
+	rounds int
+	run    func(ctx context.Context) error
+}
+
+func measureExchanges(ctx context.Context) (*Table, error) {
+	t := &Table{Slope: "exchanges",
+		Note: "One exchange after the other on a warm session, both directions. Bytes are the TCP payload; with headers adds " +
+			"66 bytes for each segment that the kernel counted. The processor time is that of both ends.",
+		Columns: []string{"exchange", "rounds", "bytes", "segments", "bytes with headers", "connections opened", "µs processor (both ends)", "µs elapsed"}}
+	w, err := startWorld(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	list, err := w.exchanges(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, x := range list {
+		if err := x.measure(ctx, t); err != nil {
+			return nil, fmt.Errorf("%s: %w", x.name, err)
+		}
+	}
+	return t, nil
+}
+
+func (x exchange) measure(ctx context.Context, t *Table) error {
+	if err := x.run(ctx); err != nil {
+		return err
+	}
+	if err := wait(ctx, settleTime); err != nil {
+		return err
+	}
+	before, opened, cpu, start := x.meter.read(), x.meter.connections(), processorTime(), time.Now()
+	for range x.rounds {
+		if err := x.run(ctx); err != nil {
+			return err
+		}
+	}
+	elapsed, spent := time.Since(start), processorTime()-cpu
+	if err := wait(ctx, settleTime); err != nil {
+		return err
+	}
+	used, n := x.meter.read().minus(before), float64(x.rounds)
+	t.add(x.name, x.rounds, used.bytes/n, used.segments/n, used.onWire()/n, float64(x.meter.connections()-opened)/n,
+		float64(spent.Microseconds())/n, float64(elapsed.Microseconds())/n)
+	return nil
+}
+
+func (w *world) exchanges(ctx context.Context) ([]exchange, error) {
+	address, m, n := w.cluster.addresses[0], &w.cluster.meter, exchangeRounds
+	stream, err := w.pool.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	full, err := ask(stream, &wirepb.StatusRequest{})
+	if err != nil {
+		return nil, err
+	}
+	same := &wirepb.StatusRequest{KnownLists: full.GetListsVersion(), OmitPrefixes: true, OmitLoads: true}
+	before := &wirepb.StatusRequest{KnownLists: full.GetListsVersion(), OmitLoads: true}
+	version := w.snapshot.Version()
+	client := limitholder.NewClient(w.holder)
+	org, _ := w.snapshot.Organisation("org-0")
+	log := config.NewLog(w.store)
+	return []exchange{
+		{"status, whole", m, n, func(context.Context) error { _, err := ask(stream, &wirepb.StatusRequest{}); return err }},
+		{"status poll, lists unchanged", m, n, func(context.Context) error { _, err := ask(stream, same); return err }},
+		{"status before a choice, prefixes changed", m, n, func(context.Context) error { _, err := ask(stream, before); return err }},
+		{"configuration poll, nothing new", m, n, func(ctx context.Context) error { return w.askConfig(ctx, address, version) }},
+		{"configuration poll, one change", m, n, func(ctx context.Context) error { return w.askConfig(ctx, address, version-1) }},
+		{"probe", m, n, func(ctx context.Context) error { return w.probe(ctx, address) }},
+		{"limit reserve and refund", m, n, func(ctx context.Context) error { return w.reserve(ctx, address, org) }},
+		{"limit reserve and refund, in the holder itself", m, n, func(ctx context.Context) error { return reserveLocal(ctx, client, org) }},
+		{"table service: head read", &w.http, n, func(ctx context.Context) error { _, err := log.Head(ctx); return err }},
+		{"table service: round of a holder without a renewal", &w.http, n / 10, w.holder.Round},
+		{"table service: round of a holder with the renewal of 4 leases", &w.http, leaseRounds, w.renewing()},
+	}, nil
+}
+
+func ask(stream *transport.Stream, r *wirepb.StatusRequest) (*wirepb.Status, error) {
+	if err := stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_StatusRequest{StatusRequest: r}}); err != nil {
+		return nil, err
+	}
+	reply, err := stream.Recv()
+	return reply.GetStatus(), err
+}
+
+func (w *world) askConfig(ctx context.Context, address string, since int64) error {
+	_, err := configsync.AskPeer(ctx, w.pool, address, &wirepb.ConfigRequest{Identity: identity("sidecar", "10.0.0.2:7100"), Since: since})
+	return err
+}
+
+func (w *world) probe(ctx context.Context, address string) error {
+	_, err := configsync.Converse(ctx, w.pool, address, &wirepb.Envelope{Message: &wirepb.Envelope_Probe{Probe: &wirepb.Probe{
+		RequestId: "6f1d0c9e-5a53-4d0c-8b0f-0c1f1f0e7a11", Organisation: "org-0", Service: "brush-assistant",
+		Profile: "standard", Model: "model-001", Tokens: 900, PrefixHash: "0123456789abcdef"}}})
+	return err
+}
+
+// reserve sends what a gateway sends to the holder at another gateway: one stream for each message.
+func (w *world) reserve(ctx context.Context, address string, org config.Organisation) error {
+	caller := limitholder.PoolCaller{Pool: w.pool}
+	reply, err := caller.Call(ctx, address, &wirepb.Envelope{Message: &wirepb.Envelope_LimitReserve{LimitReserve: &wirepb.LimitReserve{
+		RequestId: "6f1d0c9e-5a53-4d0c-8b0f-0c1f1f0e7a11", Organisation: org.Name, Tokens: 10}}})
+	if err != nil {
+		return err
+	}
+	grant := reply.GetLimitGrant()
+	if grant.GetKind() != 0 {
+		return fmt.Errorf("refused: %s %s", errkind.Kind(grant.GetKind()), grant.GetDetail())
+	}
+	return w.refund(ctx, address, org, grant)
+}
+
+func (w *world) refund(ctx context.Context, address string, org config.Organisation, grant *wirepb.LimitGrant) error {
+	stream, err := w.pool.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	return stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_LimitRefund{LimitRefund: &wirepb.LimitRefund{
+		ReservationId: grant.GetReservationId(), Organisation: org.Name, Epoch: grant.GetEpoch(), Unused: 10}}})
+}
+
+func reserveLocal(ctx context.Context, client *limitholder.Client, org config.Organisation) error {
+	r, err := client.Reserve(ctx, "r", org, 10)
+	if err != nil {
+		return err
+	}
+	r.Refund(10)
+	return nil
+}
+
+// renewing returns a round that writes every lease: that of a new incarnation at the same address, which
+// takes its leases over.
+func (w *world) renewing() func(ctx context.Context) error {
+	incarnation := 1
+	return func(ctx context.Context) error {
+		incarnation++
+		return w.newHolder(holderAddress, strconv.Itoa(incarnation)).Round(ctx)
+	}
+}
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -56,10 +56,47 @@
 // onWire returns the bytes with headers of every segment, acknowledgements included.
 func (t traffic) onWire() float64 { return t.bytes + headerBytes*t.segments }
 
-// meter records the connections that listeners accept.
+// meter counts the traffic of the connections that listeners accept.
 type meter struct {
-	mu    sync.Mutex
-	conns []*net.TCPConn
+	mu       sync.Mutex
+	open     map[*meteredConn]struct{}
+	closed   traffic
+	accepted int
+}
+
+type meteredConn struct {
+	*net.TCPConn
+	meter *meter
+}
+
+// Close implements net.Conn. It keeps what the connection counted, because the kernel forgets it.
+func (c *meteredConn) Close() error {
+	c.meter.mu.Lock()
+	if _, ok := c.meter.open[c]; ok {
+		delete(c.meter.open, c)
+		t := c.traffic()
+		c.meter.closed.bytes += t.bytes
+		c.meter.closed.segments += t.segments
+	}
+	c.meter.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (c *meteredConn) traffic() traffic {
+	var t traffic
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return t
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		t.bytes = float64(info.Bytes_sent + info.Bytes_received)
+		t.segments = float64(info.Segs_out) + float64(info.Segs_in)
+	})
+	return t
 }
 
 type meteredListener struct {
@@ -73,36 +110,41 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		l.meter.mu.Lock()
-		l.meter.conns = append(l.meter.conns, tcp)
-		l.meter.mu.Unlock()
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	c := &meteredConn{tcp, l.meter}
+	l.meter.mu.Lock()
+	defer l.meter.mu.Unlock()
+	if l.meter.open == nil {
+		l.meter.open = make(map[*meteredConn]struct{})
 	}
-	return conn, nil
+	l.meter.open[c] = struct{}{}
+	l.meter.accepted++
+	return c, nil
 }
 
-// read returns the traffic of the open connections so far.
+// read returns the traffic so far.
 func (m *meter) read() traffic {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var t traffic
-	for _, c := range m.conns {
-		raw, err := c.SyscallConn()
-		if err != nil {
-			continue
-		}
-		_ = raw.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			if err != nil {
-				return
-			}
-			t.bytes += float64(info.Bytes_sent + info.Bytes_received)
-			t.segments += float64(info.Segs_out) + float64(info.Segs_in)
-		})
+	t := m.closed
+	for c := range m.open {
+		o := c.traffic()
+		t.bytes += o.bytes
+		t.segments += o.segments
 	}
 	return t
 }
 
+// connections returns how many connections were accepted.
+func (m *meter) connections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.accepted
+}
+
 func (m *meter) listen() (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -65,5 +65,10 @@
 		{"status-memory", time.Minute, measureStatusMemory},
 		{"status-traffic", 2 * time.Minute, measureStatusTraffic},
 		{"configuration", time.Minute, measureConfiguration},
+		{"exchanges", time.Minute, measureExchanges},
+		{"spread", 2 * time.Minute, measureSpread},
+		{"requests", 2 * time.Minute, measureRequests},
+		{"planner", time.Minute, measurePlanner},
+		{"limits", time.Minute, measureLimits},
 	}
 }
--- a/internal/capacity/status.go
+++ b/internal/capacity/status.go
@@ -134,10 +134,12 @@
 		StatusInterval: statusInterval, StatusMaxAge: statusMaxAge, Identity: identity("gateway", "10.0.0.1:7000")}
 }
 
-// statusHandler answers as a busy sidecar does: its prefixes and loads change between two polls.
-func statusHandler(s *wirepb.Status) transport.Handler {
+func statusHandler(s *wirepb.Status) transport.Handler { return answering(statusAnswer(s)) }
+
+// statusAnswer answers as a busy sidecar does: its prefixes and loads change between two polls.
+func statusAnswer(s *wirepb.Status) func(e *wirepb.Envelope) *wirepb.Envelope {
 	var mu sync.Mutex
-	return answering(func(e *wirepb.Envelope) *wirepb.Envelope {
+	return func(e *wirepb.Envelope) *wirepb.Envelope {
 		r := e.GetStatusRequest()
 		if r == nil {
 			return nil
@@ -148,5 +150,5 @@
 		s.ModelLoads[0].Requests++
 		status, _ := proto.Clone(s).(*wirepb.Status)
 		return &wirepb.Envelope{Message: &wirepb.Envelope_Status{Status: wire.TrimStatus(status, r)}}
-	})
+	}
 }
