--- a/internal/sidecars/budget.go
+++ b/internal/sidecars/budget.go
@@ -21,8 +21,8 @@
 	urgent    bool      // it was used lately or did not answer
 }
 
-// pick returns the sidecars to poll. Half of the budget is kept for those that are not urgent, so that each
-// of them has its turn. Within a group the longest wait goes first.
+// pick returns the sidecars to poll. Urgent ones and others each have at least half of the
+// budget, rounded down, as far as they need it, so that every sidecar has its turn. Within a group the longest wait goes first.
 func pick(due []dueSidecar, budget int) []string {
 	slices.SortFunc(due, func(a, b dueSidecar) int {
 		if c := a.attempted.Compare(b.attempted); c != 0 {
@@ -45,7 +45,7 @@
 			others++
 		}
 	}
-	urgent = min(urgent, max(budget-others, (budget+1)/2))
+	urgent = min(urgent, max(budget-others, budget/2))
 	others = min(others, budget-urgent)
 	for _, d := range due {
 		left := &others
--- /dev/null
+++ b/internal/sidecars/budget_test.go
@@ -0,0 +1,54 @@
+package sidecars
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestPickIsFair guards against polls beyond the budget and against a sidecar that is never polled because
+// urgent ones take every turn.
+func TestPickIsFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.IntRange(2, 30).Draw(t, "budget")
+		n := rapid.IntRange(1, 200).Draw(t, "sidecars")
+		urgent := rapid.IntRange(0, n).Draw(t, "urgent")
+		all := make([]dueSidecar, n)
+		for i := range all {
+			all[i] = dueSidecar{address: fmt.Sprint("s", i), urgent: i < urgent}
+		}
+		now, polled := time.Unix(1000, 0), make(map[string]bool)
+		// Each group has at least half of the budget, rounded down.
+		for range n/(budget/2) + 1 {
+			now = now.Add(time.Second)
+			picked := pick(append([]dueSidecar(nil), all...), budget)
+			if len(picked) > budget || len(picked) < min(n, budget) {
+				t.Fatalf("%d polls with a budget of %d for %d sidecars", len(picked), budget, n)
+			}
+			for _, a := range picked {
+				polled[a] = true
+				for i := range all {
+					if all[i].address == a {
+						all[i].attempted = now
+					}
+				}
+			}
+		}
+		if len(polled) != n {
+			t.Fatalf("%d of %d sidecars were polled", len(polled), n)
+		}
+	})
+}
+
+// TestPickLearnsFaster guards against a gateway that needs a whole round to learn a fleet after its start.
+func TestPickLearnsFaster(t *testing.T) {
+	all := make([]dueSidecar, 1900)
+	for i := range all {
+		all[i] = dueSidecar{address: fmt.Sprint("s", i), unknown: true}
+	}
+	if n := len(pick(all, 25)); n != 25*learnFactor {
+		t.Fatalf("%d polls in the first second, expected %d", n, 25*learnFactor)
+	}
+}
