--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -40,6 +40,19 @@
 	return float64(m.HeapAlloc + m.StackInuse)
 }
 
+// residentMB returns the resident size of this process in megabytes.
+func residentMB() float64 {
+	raw, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident float64
+	if _, err := fmt.Sscan(string(raw), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * float64(os.Getpagesize()) / 1e6
+}
+
 func descriptors() int {
 	entries, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -128,6 +128,7 @@
 	}
 	spent := processorTime() - cpu
 	t.add(n, float64(spent.Microseconds())/debitRounds, (memory()-before)/float64(n))
+	runtime.KeepAlive(client)
 	runtime.KeepAlive(organisations)
 	runtime.KeepAlive(entities)
 	return nil
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -66,6 +66,7 @@
 		{"status-traffic", 2 * time.Minute, measureStatusTraffic},
 		{"configuration", time.Minute, measureConfiguration},
 		{"exchanges", time.Minute, measureExchanges},
+		{"host-list", time.Minute, measureHostList},
 		{"spread", 2 * time.Minute, measureSpread},
 		{"requests", 2 * time.Minute, measureRequests},
 		{"planner", time.Minute, measurePlanner},
--- a/internal/capacity/status.go
+++ b/internal/capacity/status.go
@@ -81,7 +81,7 @@
 		Note: fmt.Sprintf("One gateway's status polls with the default settings for %s after the first statuses arrived; the "+
 			"sidecars are stubs in the same process. The processor time counts both ends.", trafficWindow),
 		Columns: []string{"sidecars", "known at start", "polls/s", "bytes/s", "segments/s", "KB/s with headers", "processor % (both ends)",
-			"descriptors (both ends)"}}
+			"descriptors (both ends)", "resident MB (both ends)"}}
 	for _, n := range []int{15, 100, 400, 1900} {
 		if err := statusTraffic(ctx, t, n); err != nil {
 			return nil, err
@@ -123,7 +123,7 @@
 	used, spent := cluster.meter.read().minus(before), processorTime()-cpu
 	pollsAfter, _ := c.Polls()
 	t.add(n, known, float64(pollsAfter-polls)/seconds, used.bytes/seconds, used.segments/seconds, used.onWire()/seconds/1000,
-		100*spent.Seconds()/seconds, descriptors())
+		100*spent.Seconds()/seconds, descriptors(), residentMB())
 	cancel()
 	<-done
 	return nil
--- a/internal/sidecar/model_test.go
+++ b/internal/sidecar/model_test.go
@@ -114,6 +114,20 @@
 		}
 	}
 
+	It("answers status requests on one stream and leaves out what the gateway holds", func() {
+		stream := h.open(&wirepb.Envelope{Message: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
+		first, err := stream.Recv()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.GetStatus().GetResident()).NotTo(BeEmpty())
+		again := &wirepb.StatusRequest{KnownLists: first.GetStatus().GetListsVersion()}
+		Expect(stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_StatusRequest{StatusRequest: again}})).To(Succeed())
+		second, err := stream.Recv()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.GetStatus().GetSameLists()).To(BeTrue())
+		Expect(second.GetStatus().GetResident()).To(BeEmpty())
+		Expect(second.GetStatus().GetReady()).To(BeTrue())
+	})
+
 	It("streams an answer and fills the status", func() {
 		Expect(h.do(chat("m", "x")).kind).To(Equal(errkind.ModelNotResident))
 		Expect(h.do(chat("none", "x")).kind).To(Equal(errkind.ModelUnknown))
