--- a/internal/sidecar/model_test.go
+++ b/internal/sidecar/model_test.go
@@ -115,6 +115,7 @@
 	}
 
 	It("answers status requests on one stream and leaves out what the gateway holds", func() {
+		load()
 		stream := h.open(&wirepb.Envelope{Message: &wirepb.Envelope_StatusRequest{StatusRequest: &wirepb.StatusRequest{}}})
 		first, err := stream.Recv()
 		Expect(err).NotTo(HaveOccurred())
