--- /dev/null
+++ b/internal/bench/live/live.go
@@ -0,0 +1,292 @@
+// Package live sends a scenario's demand to running processes as an open loop: arrivals do not wait for
+// answers. Only loopback addresses are taken, and the load is bounded in count and time.
+package live
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/bench/report"
+	"github.com/pomelowheel/pomelowheel/internal/bench/scenario"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+const (
+	// mostCalls and longestTime bound what a run may ask for, maxInFlight what is open at once.
+	mostCalls   = 100_000
+	longestTime = 10 * time.Minute
+	maxInFlight = 256
+)
+
+// Options of a run.
+type Options struct {
+	URL   string // of a gateway, with a loopback IP address
+	Seed  uint64
+	Count int           // most calls
+	Time  time.Duration // longest time of sending
+}
+
+// call is one planned call.
+type call struct {
+	at      time.Duration
+	org     string
+	traffic scenario.Traffic
+	profile scenario.Profile
+	model   string
+	key     string
+	plain   bool
+	number  int
+}
+
+type runner struct {
+	opts   Options
+	base   string
+	client *http.Client
+	mu     sync.Mutex
+	out    *report.Recorder
+}
+
+// Run sends the calls of every organisation with an entry under live.
+func Run(ctx context.Context, s *scenario.Scenario, opts Options) (*report.Report, error) {
+	base, err := loopback(opts.URL)
+	if err != nil {
+		return nil, err
+	}
+	if opts.Count < 1 || opts.Count > mostCalls || opts.Time <= 0 || opts.Time > longestTime {
+		return nil, fmt.Errorf("expected 1 to %d calls within at most %v", mostCalls, longestTime)
+	}
+	calls := plan(s, opts)
+	if len(calls) == 0 {
+		return nil, fmt.Errorf("the scenario has no organisation under live")
+	}
+	replicas := 0
+	for _, v := range s.Services {
+		if v.Kind == "model" {
+			replicas += v.Replicas
+		}
+	}
+	r := &runner{
+		opts: opts, base: base, out: report.NewRecorder(s.Name, opts.Seed, opts.Time, replicas),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight, Proxy: nil}},
+	}
+	r.send(ctx, calls)
+	return r.out.Report(), nil
+}
+
+// loopback checks that the address is an IP address of the loopback interface.
+func loopback(text string) (string, error) {
+	u, err := url.Parse(text)
+	if err != nil {
+		return "", fmt.Errorf("-live: %w", err)
+	}
+	address, err := netip.ParseAddr(u.Hostname())
+	if err != nil || !address.IsLoopback() || u.Scheme != "http" {
+		return "", fmt.Errorf("-live %q: expected http and a loopback IP address", text)
+	}
+	return strings.TrimSuffix(text, "/"), nil
+}
+
+// plan draws the arrivals of all organisations in order of time.
+func plan(s *scenario.Scenario, opts Options) []call {
+	rng := rand.New(rand.NewPCG(opts.Seed, 0))
+	profiles := make(map[string]scenario.Profile)
+	for _, p := range s.Profiles {
+		profiles[p.Name] = p
+	}
+	plain := make(map[string]bool)
+	for _, v := range s.Services {
+		plain[v.Name] = v.Kind == "plain"
+	}
+	var orgs []scenario.Organisation
+	total := 0.0
+	for _, o := range s.Organisations {
+		if _, ok := s.Live[o.Name]; ok {
+			orgs = append(orgs, o)
+			total += o.Requests
+		}
+	}
+	var calls []call
+	for at := time.Duration(0); len(orgs) > 0 && len(calls) < opts.Count; {
+		at += time.Duration(rng.ExpFloat64() / total * float64(time.Second))
+		if at >= opts.Time {
+			break
+		}
+		o := pick(rng, orgs, func(o scenario.Organisation) float64 { return o.Requests })
+		t := pick(rng, o.Mix, func(t scenario.Traffic) float64 { return t.Share })
+		calls = append(calls, call{
+			at: at, org: o.Name, traffic: t, profile: profiles[t.Profile], plain: plain[t.Service],
+			model: s.Live[o.Name].Model, key: s.Live[o.Name].Key, number: len(calls),
+		})
+	}
+	return calls
+}
+
+func pick[T any](rng *rand.Rand, all []T, weight func(T) float64) T {
+	total := 0.0
+	for _, v := range all {
+		total += weight(v)
+	}
+	at := rng.Float64() * total
+	for _, v := range all {
+		if at -= weight(v); at < 0 {
+			return v
+		}
+	}
+	return all[len(all)-1]
+}
+
+// send starts each call at its time. Above the bound of open calls, one is counted as refused here.
+func (r *runner) send(ctx context.Context, calls []call) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, maxInFlight)
+	start := time.Now()
+	for _, c := range calls {
+		timer := time.NewTimer(time.Until(start.Add(c.at)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		r.arrived(c)
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.ended(c, report.Outcome{Kind: errkind.CallerCancelled})
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			r.ended(c, r.call(ctx, c))
+		})
+	}
+}
+
+func (r *runner) arrived(c call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.Arrived(c.at, c.org, !c.plain, false)
+}
+
+func (r *runner) ended(c call, out report.Outcome) {
+	out.Organisation, out.Class, out.Model, out.At, out.Booking = c.org, c.profile.Class, !c.plain, c.at, c.traffic.Booking
+	out.Met = out.Kind == errkind.None && within(out.FirstToken, c.profile.FirstToken.D()) &&
+		within(out.BetweenTokens, c.profile.BetweenTokens.D())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.Ended(out)
+}
+
+func within(figure, target time.Duration) bool { return target == 0 || figure <= target }
+
+// call makes one call and reads its answer to the end.
+func (r *runner) call(ctx context.Context, c call) report.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, c.profile.Deadline.D())
+	defer cancel()
+	request, err := r.request(ctx, c)
+	if err != nil {
+		return report.Outcome{Kind: errkind.Internal}
+	}
+	begin := time.Now()
+	response, err := r.client.Do(request)
+	if err != nil {
+		return report.Outcome{Kind: errkind.OutcomeUnknown, Ran: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return report.Outcome{Kind: kindOf(response.Body), Ran: response.Header.Get("Pomelo-Ran") != string(errkind.RanNo)}
+	}
+	if c.plain {
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return report.Outcome{Kind: errkind.OutcomeUnknown, Ran: true}
+		}
+		return report.Outcome{FirstToken: time.Since(begin)}
+	}
+	return readStream(response.Body, begin)
+}
+
+func (r *runner) request(ctx context.Context, c call) (*http.Request, error) {
+	path, body := "/services/"+c.traffic.Service+"/bookings", fmt.Sprintf(`{"booking":"bench-%d-%d"}`, r.opts.Seed, c.number)
+	if !c.plain {
+		path = "/services/" + c.traffic.Service + "/v1/chat/completions"
+		prompt := strings.Repeat("word ", int(max(c.traffic.PromptTokens, 1)))
+		encoded, err := json.Marshal(map[string]any{
+			"model": c.model, "stream": true, "max_tokens": c.traffic.OutputTokens,
+			"messages": []map[string]string{{"role": "user", "content": fmt.Sprintf("%d %s", c.number, prompt)}},
+		})
+		if err != nil {
+			return nil, err
+		}
+		body = string(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.base+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	if c.traffic.Booking {
+		request.Header.Set("Idempotency-Key", fmt.Sprintf("bench-%d-%d", r.opts.Seed, c.number))
+	} else if !c.plain {
+		request.Header.Set("Pomelo-Profile", c.traffic.Profile)
+	}
+	return request, nil
+}
+
+// kindOf reads the error form.
+func kindOf(body io.Reader) errkind.Kind {
+	const longestError = 64 << 10
+	var form struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if err := json.NewDecoder(io.LimitReader(body, longestError)).Decode(&form); err == nil {
+		for _, kind := range errkind.All() {
+			if kind.String() == form.Error.Code {
+				return kind
+			}
+		}
+	}
+	return errkind.Internal
+}
+
+// readStream reads server-sent events. Only an explicit end makes an answer whole.
+func readStream(body io.Reader, begin time.Time) report.Outcome {
+	var first, last time.Time
+	parts := 0
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			out := report.Outcome{FirstToken: first.Sub(begin)}
+			if parts > 1 {
+				out.BetweenTokens = last.Sub(first) / time.Duration(parts-1)
+			}
+			return out
+		}
+		if strings.HasPrefix(data, `{"error"`) {
+			return report.Outcome{Kind: kindOf(strings.NewReader(data)), Ran: true}
+		}
+		last = time.Now()
+		if parts++; parts == 1 {
+			first = last
+		}
+	}
+	return report.Outcome{Kind: errkind.OutcomeUnknown, Ran: true}
+}
