Charge the judging bucket for all that it grants; reserve the most output tokens

A bucket that got refused requests back was never empty, so that every refusal counted as within the rate. The judged requests are now the same under every policy.

--- a/internal/bench/compare/compare.go
+++ b/internal/bench/compare/compare.go
@@ -29,6 +29,7 @@
 		{"worst org %", "%.2f", func(r *report.Report) float64 { return 100 * r.WorstPart }},
 		{"worst org/acc-s", "%.4f", func(r *report.Report) float64 { return r.WorstAttainment }},
 		{"refused within rate", "%.1f", func(r *report.Report) float64 { return float64(r.Wrongful) }},
+		{"served above rate", "%.1f", func(r *report.Report) float64 { return float64(r.ServedAbove) }},
 		{"late", "%.1f", func(r *report.Report) float64 { return float64(r.Late) }},
 		{"lost", "%.1f", lost},
 		{"missed around changes", "%.1f", func(r *report.Report) float64 { return float64(r.MissedAroundChanges()) }},
--- a/internal/bench/report/recorder.go
+++ b/internal/bench/report/recorder.go
@@ -118,6 +118,9 @@
 	switch {
 	case out.Kind == errkind.None:
 		r.report.Served++
+		if !out.Within {
+			r.report.ServedAbove++
+		}
 		if !out.Met {
 			r.report.Late++
 			second.Late++
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -30,12 +30,17 @@
 	WorstPart       float64 `json:"worst_part"`
 	WorstAttainment float64 `json:"worst_attainment_per_accelerator_second"`
 
-	Offered          int            `json:"offered"`
-	Within           int            `json:"within_rate"`
-	Served           int            `json:"served"`
-	Met              int            `json:"met"`
-	Late             int            `json:"late"`
-	Refused          int            `json:"refused_above_rate"`
+	Offered int `json:"offered"`
+	Within  int `json:"within_rate"`
+	Served  int `json:"served"`
+	Met     int `json:"met"`
+	Late    int `json:"late"`
+	Refused int `json:"refused_above_rate"`
+	// ServedAbove counts requests that the exact bucket would have refused. A holder that grants one of
+	// them has less for a later request, which is then counted as refused within the rate.
+	ServedAbove int `json:"served_above_rate"`
+	// Wrongful counts requests that the exact bucket of the organisation, charged for all that it grants,
+	// would have granted and that did not run.
 	Wrongful         int            `json:"refused_within_rate"`
 	WrongfulRefusals map[string]int `json:"refused_within_rate_by_cause"`
 	Failures         map[string]int `json:"failures_by_cause"` // after a part of the answer or with an unknown outcome
@@ -150,8 +155,8 @@
 	fmt.Fprintf(&b, "attainment per accelerator-second  %.4f\n", r.Attainment)
 	fmt.Fprintf(&b, "worst-served organisation          %s: %.2f%% of its requests within its rate met their targets, %.4f per accelerator-second\n",
 		r.Worst, 100*r.WorstPart, r.WorstAttainment)
-	fmt.Fprintf(&b, "offered %d, within rate %d, served %d, met %d, late %d, refused above rate %d\n",
-		r.Offered, r.Within, r.Served, r.Met, r.Late, r.Refused)
+	fmt.Fprintf(&b, "offered %d, within rate %d, served %d, met %d, late %d, refused above rate %d, served above rate %d\n",
+		r.Offered, r.Within, r.Served, r.Met, r.Late, r.Refused, r.ServedAbove)
 	fmt.Fprintf(&b, "refused within rate                %d %v\n", r.Wrongful, r.WrongfulRefusals)
 	fmt.Fprintf(&b, "failures                           %v\n", r.Failures)
 	fmt.Fprintf(&b, "bookings                           %d of %d done\n", r.Bookings.Done, r.Bookings.Offered)
--- a/internal/bench/scenario/models.go
+++ b/internal/bench/scenario/models.go
@@ -42,3 +42,6 @@
 	}
 	return all
 }
+
+// MostOutput returns the output tokens that the callers allow: three times the mean, which no request exceeds.
+func (t Traffic) MostOutput() int64 { return 3 * t.OutputTokens }
--- a/internal/bench/sim/org.go
+++ b/internal/bench/sim/org.go
@@ -30,6 +30,7 @@
 	model    *scenario.Model // nil for plain services
 	prompt   int64
 	output   int64
+	most     int64 // output tokens that the caller allows
 	prefix   string
 	arrived  time.Duration
 	deadline time.Duration
@@ -78,6 +79,7 @@
 	r.profile = o.w.profiles[r.traffic.Profile]
 	r.deadline = r.arrived + r.profile.Deadline.D()
 	r.prompt, r.output = o.spread(r.traffic.PromptTokens), o.spread(r.traffic.OutputTokens)
+	r.most = max(r.output, r.traffic.MostOutput())
 	r.model = o.pickModel(r.traffic.Service)
 	if r.model != nil && o.rng.Float64() < r.traffic.PrefixReuse {
 		r.prefix = fmt.Sprintf("%s/%s/%d", o.Name, r.model.Name, o.rng.IntN(r.traffic.Prefixes))
@@ -89,7 +91,7 @@
 	o.w.after(o.w.s.ClientDelay.D(), func() { g.take(r) })
 }
 
-func (r *request) reserved() int64 { return max(r.prompt+r.output, 1) }
+func (r *request) reserved() int64 { return max(r.prompt+r.most, 1) }
 
 func (o *org) pick() scenario.Traffic {
 	total := 0.0
@@ -191,7 +193,8 @@
 		r.charge(unused)
 	}
 	if r.within {
-		o.judge.Refund(o.w.now, r.judged, unused)
+		// The bucket is charged for refused requests too, so that a policy does not change what is judged.
+		o.judge.Refund(o.w.now, r.judged, r.most-r.output)
 	}
 	out := report.Outcome{
 		Organisation: o.Name, Class: r.profile.Class, Model: r.model != nil, Within: r.within, Kind: kind,
