--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -109,6 +109,19 @@
 		Expect(q.Next(1, always)).To(BeIdenticalTo(early))
 	})
 
+	It("starts late requests of an organisation last, so that an overload does not make all of them late", func() {
+		q := New(Options{Policy: Fair, MaxQueue: 10})
+		late, timely, other := newItem("a", 1), newItem("a", 1), newItem("b", 1)
+		late.Deadline = t0.Add(time.Minute)
+		late.StartBy, timely.StartBy = t0.Add(time.Second), StartBy(t0, 10*time.Second)
+		offer(q, late, timely, other)
+		q.MarkLate(t0.Add(2 * time.Second))
+		Expect(q.Next(9, always)).To(BeIdenticalTo(timely))
+		q.MarkLate(t0.Add(2 * time.Second))
+		Expect(q.Next(9, always)).To(BeIdenticalTo(other))
+		Expect(q.Next(9, always)).To(BeIdenticalTo(late))
+	})
+
 	It("orders by priority and by arrival under the other policies", func() {
 		for policy, want := range map[Policy]int{Priority: 1, FIFO: 0} {
 			q := New(Options{Policy: policy, MaxQueue: 10})
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -14,7 +14,7 @@
 
 // The policies.
 const (
-	Fair     Policy = "fair"     // the worst-served organisation first, then the earliest deadline
+	Fair     Policy = "fair"     // the worst-served organisation first, then what is not late, then the earliest deadline
 	FIFO     Policy = "fifo"     // the order of arrival
 	Priority Policy = "priority" // the highest priority first, then the order of arrival
 )
@@ -23,6 +23,9 @@
 // starts, so that batch work progresses under steady interactive load.
 const maxInteractiveStreak = 8
 
+// engineParts says which part of the first token's target is left to the engine: one in engineParts.
+const engineParts = 2
+
 // serviceTimeWeight is the weight of one observation in the mean service time.
 const serviceTimeWeight = 0.2
 
@@ -33,13 +36,23 @@
 	Batch        bool
 	Priority     int // higher is earlier
 	Deadline     time.Time
-	Tokens       int64 // estimate of the tokens that the request takes
+	StartBy      time.Time // a later start misses the target for the first token; none if zero
+	Tokens       int64     // estimate of the tokens that the request takes
 
 	arrival uint64
+	late    bool
 	queued  bool
 	running bool
 }
 
+// StartBy returns when a request must start to meet its target for the first token, or zero without a target.
+func StartBy(arrived time.Time, target time.Duration) time.Time {
+	if target <= 0 {
+		return time.Time{}
+	}
+	return arrived.Add(target - target/engineParts)
+}
+
 // Options configures a Queue.
 type Options struct {
 	Policy           Policy
@@ -145,6 +158,7 @@
 		case q.opts.Policy == Priority && other.Priority < item.Priority:
 		case q.opts.Policy == Fair && other.Organisation != item.Organisation:
 			others[other.Organisation]++
+		case q.opts.Policy == Fair && other.late && !item.late:
 		case q.opts.Policy == Fair && other.Deadline.After(item.Deadline):
 		default:
 			own++
@@ -172,6 +186,15 @@
 	return item
 }
 
+// MarkLate notes which queued requests have passed StartBy. Under the fair policy they start after the others
+// of their organisation: in an overload, the earliest deadline first makes every request late, and a late
+// one loses nothing more by waiting until its deadline. It is called before Next.
+func (q *Queue) MarkLate(now time.Time) {
+	for _, item := range q.items {
+		item.late = !item.StartBy.IsZero() && now.After(item.StartBy)
+	}
+}
+
 func (q *Queue) due() *Item {
 	interactive, batch := q.best(false), q.best(true)
 	mayBatch := q.runningBatch < q.opts.BatchConcurrency
@@ -214,6 +237,9 @@
 		}
 		return a.arrival < b.arrival
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	if !a.Deadline.Equal(b.Deadline) {
 		return a.Deadline.Before(b.Deadline)
 	}
--- a/internal/bench/sim/task.go
+++ b/internal/bench/sim/task.go
@@ -42,6 +42,7 @@
 	return &task{r: r, req: req, number: r.w.added, item: &admission.Item{
 		Organisation: req.org.Name, Weight: req.org.Weight, Batch: req.profile.Class == "batch",
 		Priority: req.profile.Priority, Deadline: epoch.Add(deadline), Tokens: req.reserved(),
+		StartBy: admission.StartBy(epoch.Add(req.arrived), req.profile.FirstToken.D()),
 	}}
 }
 
@@ -117,6 +118,7 @@
 
 // dispatch starts the requests that may start.
 func (r *replica) dispatch() {
+	r.queue.MarkLate(r.w.time())
 	for {
 		var blocked *admission.Item
 		item := r.queue.Next(r.ramp.Limit(), func(due *admission.Item) bool {
--- a/internal/sidecar/check.go
+++ b/internal/sidecar/check.go
@@ -180,10 +180,20 @@
 	t.item = &admission.Item{
 		Organisation: r.GetOrganisation(), Weight: organisation.Weight, Batch: t.profile.Class == config.ClassBatch,
 		Priority: t.profile.Priority, Deadline: t.deadline, Tokens: tokens,
+		StartBy: startBy(t),
 	}
 	return nil
 }
 
+// startBy returns when the task must start for its first token's target, which counts from the arrival at the
+// gateway. The deadline tells that arrival.
+func startBy(t *task) time.Time {
+	if t.profile.DeadlineMS <= 0 {
+		return time.Time{}
+	}
+	return admission.StartBy(t.deadline.Add(-t.profile.Deadline()), time.Duration(t.profile.FirstTokenMS)*time.Millisecond)
+}
+
 // recheck makes the checks that may have changed while the request was queued or the process was paused.
 func (s *Server) recheck(ctx context.Context, t *task) error {
 	snapshot, err := s.confirmed(ctx, t.submit.GetConfigVersion())
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -140,6 +140,7 @@
 
 // dispatch starts the requests that may start. The caller holds the lock.
 func (s *Server) dispatch() {
+	s.queue.MarkLate(time.Now())
 	for {
 		var blocked *admission.Item
 		var full error
