--- a/internal/bench/sim/planner.go
+++ b/internal/bench/sim/planner.go
@@ -154,6 +154,7 @@
 		p.underWay[c] = true
 		w.out.Evictions++
 		delete(r.resident, o.Model)
+		r.dropAdapters(o.Model)
 		r.ledger.UnloadTaken(o.Model, r.ledger.Unload(o.Model))
 		w.after(w.s.WeightStore.UnloadTime.D(), func() {
 			delete(p.underWay, c)
@@ -176,3 +177,10 @@
 		r.observe()
 	})
 }
+
+// dropAdapters unloads the adapters of a base model with it.
+func (r *replica) dropAdapters(base string) {
+	before := len(r.adapters.names)
+	r.adapters.names = slices.DeleteFunc(r.adapters.names, func(name string) bool { return r.w.byModel[name].Base == base })
+	r.w.out.AdapterEvictions += before - len(r.adapters.names)
+}
