--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,7 +24,7 @@
 const maxInteractiveStreak = 8
 
 // engineParts says which part of the first token's target is left to the engine: one in engineParts.
-const engineParts = 2
+const engineParts = 4
 
 // serviceTimeWeight is the weight of one observation in the mean service time.
 const serviceTimeWeight = 0.2
