--- a/internal/bench/live/live.go
+++ b/internal/bench/live/live.go
@@ -19,6 +19,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/bench/report"
 	"github.com/pomelowheel/pomelowheel/internal/bench/scenario"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/limit"
 )
 
 const (
@@ -46,6 +47,7 @@
 	key     string
 	plain   bool
 	number  int
+	within  bool // the organisation's rate, by one exact bucket
 }
 
 type runner struct {
@@ -109,7 +111,9 @@
 	}
 	var orgs []scenario.Organisation
 	total := 0.0
+	judges := make(map[string]*limit.Share)
 	for _, o := range s.Organisations {
+		judges[o.Name] = limit.NewFull(0, limit.Options{}, limit.Base{Rate: o.Rate, Burst: o.Burst, DataCentres: 1})
 		if _, ok := s.Live[o.Name]; ok {
 			orgs = append(orgs, o)
 			total += o.Requests
@@ -123,8 +127,10 @@
 		}
 		o := pick(rng, orgs, func(o scenario.Organisation) float64 { return o.Requests })
 		t := pick(rng, o.Mix, func(t scenario.Traffic) float64 { return t.Share })
+		reservation, _ := judges[o.Name].Reserve(at, max(t.PromptTokens+t.OutputTokens, 1))
 		calls = append(calls, call{
-			at: at, org: o.Name, traffic: t, profile: profiles[t.Profile], plain: plain[t.Service],
+			within: reservation != 0,
+			at:     at, org: o.Name, traffic: t, profile: profiles[t.Profile], plain: plain[t.Service],
 			model: s.Live[o.Name].Model, key: s.Live[o.Name].Key, number: len(calls),
 		})
 	}
@@ -176,11 +182,12 @@
 func (r *runner) arrived(c call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.out.Arrived(c.at, c.org, !c.plain, false)
+	r.out.Arrived(c.at, c.org, !c.plain, c.within)
 }
 
 func (r *runner) ended(c call, out report.Outcome) {
-	out.Organisation, out.Class, out.Model, out.At, out.Booking = c.org, c.profile.Class, !c.plain, c.at, c.traffic.Booking
+	out.Organisation, out.Class, out.Model, out.Within = c.org, c.profile.Class, !c.plain, c.within
+	out.At, out.Booking = c.at, c.traffic.Booking
 	out.Met = out.Kind == errkind.None && within(out.FirstToken, c.profile.FirstToken.D()) &&
 		within(out.BetweenTokens, c.profile.BetweenTokens.D())
 	r.mu.Lock()
--- a/internal/bench/sim/org.go
+++ b/internal/bench/sim/org.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/bench/report"
@@ -86,11 +87,24 @@
 	}
 	r.judged, _ = o.judge.Reserve(o.w.now, r.reserved())
 	r.within = r.judged != 0
+	if r.within {
+		// The bucket is charged for refused requests too and gets the rest back after the time of an idle
+		// server, so that a policy does not change what is judged.
+		o.w.after(o.w.alone(r), func() { o.judge.Refund(o.w.now, r.judged, r.most-r.output) })
+	}
 	o.w.out.Arrived(o.w.now, o.Name, r.model != nil, r.within)
 	g := o.gateway()
 	o.w.after(o.w.s.ClientDelay.D(), func() { g.take(r) })
 }
 
+// alone returns the time of a request on a warm server without other load.
+func (w *world) alone(r *request) time.Duration {
+	i := slices.IndexFunc(w.s.Services, func(v scenario.Service) bool { return v.Name == r.traffic.Service })
+	v := w.s.Services[i]
+	return v.ServiceTime.D() + v.FirstToken.D() + time.Duration(r.prompt)*v.PromptToken.D() +
+		time.Duration(r.output)*v.BetweenTokens.D()
+}
+
 func (r *request) reserved() int64 { return max(r.prompt+r.most, 1) }
 
 func (o *org) pick() scenario.Traffic {
@@ -192,10 +206,6 @@
 	if r.charge != nil {
 		r.charge(unused)
 	}
-	if r.within {
-		// The bucket is charged for refused requests too, so that a policy does not change what is judged.
-		o.judge.Refund(o.w.now, r.judged, r.most-r.output)
-	}
 	out := report.Outcome{
 		Organisation: o.Name, Class: r.profile.Class, Model: r.model != nil, Within: r.within, Kind: kind,
 		Ran: r.started, Booking: r.traffic.Booking, At: r.arrived,
--- /dev/null
+++ b/internal/bench/sim/world_test.go
@@ -0,0 +1,98 @@
+package sim
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/bench/report"
+	"github.com/pomelowheel/pomelowheel/internal/bench/scenario"
+	"github.com/pomelowheel/pomelowheel/internal/settings"
+)
+
+func TestSim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sim")
+}
+
+func load(site string) *scenario.Scenario {
+	GinkgoHelper()
+	s, err := scenario.Load("../../../examples/scenarios/" + site + ".yml")
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+func text(r *report.Report) string {
+	GinkgoHelper()
+	var b bytes.Buffer
+	Expect(r.JSON(&b)).To(Succeed())
+	return b.String()
+}
+
+// ended returns how many requests have an outcome.
+func ended(r *report.Report) int {
+	n := r.Served + r.Refused + r.Wrongful
+	for _, count := range r.Failures {
+		n += count
+	}
+	return n
+}
+
+var _ = Describe("a run in virtual time", func() {
+	DescribeTable("gives the same figures for the same seed, so that a comparison shows only the policy", func(site string) {
+		first := text(Run(load(site), 3))
+		Expect(text(Run(load(site), 3))).To(Equal(first))
+		Expect(text(Run(load(site), 4))).NotTo(Equal(first))
+	}, Entry(nil, "lantern-works"), Entry(nil, "halvorsen"))
+
+	It("offers the same requests under every policy and loses none of them", func() {
+		s := load("halvorsen")
+		s.Duration = settings.Duration(65 * time.Second)
+		s.Events = s.Events[:2] // a shift of demand, and a data centre that leaves
+		base := Run(s, 1)
+		Expect(ended(base)).To(Equal(base.Offered))
+		for decision, values := range scenario.Choices() {
+			for _, value := range values[1:] {
+				varied := *s
+				Expect(varied.SetPolicy(decision, value)).To(Succeed())
+				r := Run(&varied, 1)
+				Expect([]int{r.Offered, r.Within}).To(Equal([]int{base.Offered, base.Within}), value)
+				Expect(ended(r)).To(Equal(r.Offered), value)
+			}
+		}
+	})
+
+	It("refuses nothing within the rate by the exact bucket, so that a judged refusal is a real one", func() {
+		s := load("lantern-works")
+		s.Events = nil
+		Expect(s.SetPolicy("limits", "exact")).To(Succeed())
+		// Without a client delay and refunds, the bucket of the run and the judging one hold the same. A refund
+		// that only one of them gets lets a request change sides, and another in its place.
+		s.ClientDelay = 0
+		for i := range s.Organisations {
+			s.Organisations[i].Rate /= 4
+			s.Organisations[i].Mix = s.Organisations[i].Mix[:1] // model requests
+			s.Organisations[i].Mix[0].OutputTokens = 0
+		}
+		r := Run(s, 2)
+		Expect(r.Refused).To(BeNumerically(">", 0))
+		Expect(r.WrongfulRefusals).NotTo(HaveKey("rate_limited"))
+	})
+
+	It("refuses bookings while the table service is away, and none before or after", func() {
+		s := load("lantern-works")
+		s.Events = []scenario.Event{
+			{At: settings.Duration(20 * time.Second), Kind: scenario.EventTableAway},
+			{At: settings.Duration(30 * time.Second), Kind: scenario.EventTableBack},
+		}
+		r := Run(s, 1)
+		refused := r.WrongfulRefusals["store_unavailable"]
+		Expect(refused).To(BeNumerically(">", 0))
+		Expect(r.Bookings.Offered - r.Bookings.Done).To(BeNumerically(">=", refused))
+		s.Events = nil
+		Expect(Run(s, 1).WrongfulRefusals).NotTo(HaveKey("store_unavailable"))
+	})
+})
