--- a/internal/callers/refuse.go
+++ b/internal/callers/refuse.go
@@ -108,6 +108,9 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Pomelo-Ran", string(ranOf(answer, result)))
+	if answer.HTTPStatus == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if wait := retryAfter(answer, result, err); wait > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
@@ -124,10 +127,10 @@
 	if x.secret != "" {
 		text = strings.ReplaceAll(text, x.secret, "[key]")
 	}
-	level := slog.LevelDebug
+	level := slog.LevelInfo
 	if !kind.NotRun() && kind != errkind.CallerCancelled {
 		level = slog.LevelWarn
 	}
 	s.opts.Log.Log(x.r.Context(), level, "request failed", "request_id", x.id, "kind", kind.String(),
-		"ran", string(ranOf(kind.Answer(), result)), "attempts", result.Attempts, "error", text)
+		"ran", string(ranOf(kind.Answer(), result)), "attempts", result.Attempts, "reason", text)
 }
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -169,6 +169,8 @@
 		f.clock.advance(9 * time.Second)
 		Expect(kind(g1)).To(Equal(errkind.ConfigStale)) // g2 has not noticed the outage yet
 		Expect(g2.Confirm(ctx)).To(Succeed())           // g1 has
+		Expect(kind(g1)).To(Equal(errkind.ConfigStale)) // a refusal stands for a moment
+		f.clock.advance(time.Second)
 		Expect(g1.Confirm(ctx)).To(Succeed())
 		f.cut["g1"] = true
 		f.clock.advance(9 * time.Second)
@@ -207,6 +209,7 @@
 		f.cut["g"] = true
 		Expect(kind(s2)).To(Equal(errkind.ConfigStale))
 		Expect(kind(s1)).To(Equal(errkind.ConfigStale))
+		f.clock.advance(time.Second)
 		Expect(kind(s2)).To(Equal(errkind.ConfigStale))
 	})
 
@@ -245,6 +248,24 @@
 		f.clock.advance(9 * time.Second)
 		_ = g.Confirm(ctx)
 		Expect(g.Version()).To(Equal(int64(2)))
+		age, _ := g.ConfirmedAge()
+		Expect(age).To(Equal(9 * time.Second)) // such an answer confirms nothing
+	})
+
+	// Guards against a peer that is behind and vouches for a copy that it does not hold.
+	It("takes no confirmation from a peer with an older version", func() {
+		f.accept()
+		f.accept()
+		g := configsync.New(configsync.Options{
+			Store: f.store, Peers: func() []string { return []string{"behind"} }, Now: f.clock.Now,
+			Ask: func(context.Context, string, *wirepb.ConfigRequest) (*wirepb.ConfigDelta, error) {
+				return &wirepb.ConfigDelta{Version: 1}, nil
+			},
+		})
+		Expect(g.Confirm(ctx)).To(Succeed())
+		f.store.SetAway(true)
+		f.clock.advance(9 * time.Second)
+		Expect(kind(g)).To(Equal(errkind.ConfigStale))
 	})
 
 	It("refuses an entity newer than its delta", func() {
@@ -260,6 +281,50 @@
 		Expect(kind(c)).To(Equal(errkind.NotReady))
 	})
 
+	// Guards against a table service that gets a read for each request that is refused.
+	It("does not ask again for each request while nothing is reachable", func() {
+		f.accept()
+		g := f.add("g", f.store, "x")
+		f.cut["x"] = true
+		Expect(g.Confirm(ctx)).To(Succeed())
+		f.store.SetAway(true)
+		f.clock.advance(time.Minute)
+		Expect(kind(g)).To(Equal(errkind.ConfigStale))
+		calls := f.store.Calls()
+		for range 100 {
+			Expect(kind(g)).To(Equal(errkind.ConfigStale))
+		}
+		Expect(f.store.Calls()).To(Equal(calls))
+	})
+
+	// Guards against a deadlock between the copy and a subscriber that asks it something.
+	// Guards against a refusal of a request that came with a newer version than the sidecar has polled yet.
+	It("pulls the version that a request needs from the gateway that sent it", func() {
+		f.accept()
+		g1, g2 := f.add("g1", f.store), f.add("g2", f.store)
+		s := f.add("s", nil, "g1")
+		Expect(g1.Confirm(ctx)).To(Succeed())
+		Expect(s.Confirm(ctx)).To(Succeed())
+		version := f.accept()
+		Expect(g2.Confirm(ctx)).To(Succeed())
+		Expect(s.Pull(ctx, "g2", version)).To(Succeed())
+		Expect(s.Version()).To(Equal(version))
+		f.cut["g2"] = true
+		Expect(errkind.Of(s.Pull(ctx, "g2", version+1))).To(Equal(errkind.ConfigStale))
+	})
+
+	It("lets a subscriber use the copy", func() {
+		f.accept()
+		g := f.add("g", f.store)
+		var seen []int64
+		g.Subscribe(func(s *config.Snapshot) {
+			_, _ = g.ConfirmedAge()
+			seen = append(seen, s.Version(), g.ServeConfig(&wirepb.ConfigRequest{}).GetVersion())
+		})
+		Expect(g.Confirm(ctx)).To(Succeed())
+		Expect(seen).To(Equal([]int64{1, 1}))
+	})
+
 	It("pulls from a peer over a session", func() {
 		f.accept()
 		g := f.add("g", f.store)
--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -74,7 +75,7 @@
 	if storeErr != nil && c.log != nil {
 		c.opts.Log.Debug("table service not read", "error", storeErr)
 	}
-	c.setAwayUntil(d, started)
+	c.conclude(d, started)
 	return d
 }
 
@@ -101,14 +102,17 @@
 	c.storeAway = c.log != nil && c.storeReadAt.Before(started)
 }
 
-// setAwayUntil lets a Continue decision stand for half the freshness bound. A peer's report of the outage
+// conclude records the decision of a round. It lets a Continue decision stand for half the freshness bound. A peer's report of the outage
 // is up to a poll interval old itself; the two together stay within the bound of a withdrawal.
-func (c *Copy) setAwayUntil(d Decision, started time.Time) {
+func (c *Copy) conclude(d Decision, started time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awayUntil = time.Time{}
-	if d == Continue {
+	c.awayUntil, c.refuseUntil = time.Time{}, time.Time{}
+	switch d {
+	case Continue:
 		c.awayUntil = started.Add(c.opts.FreshFor / 2)
+	case Refuse, NotReady:
+		c.refused, c.refuseUntil = d, c.opts.Now().Add(refuseHold)
 	}
 }
 
@@ -170,6 +174,28 @@
 	delta *wirepb.ConfigDelta
 }
 
+// Pull asks the peer at address (IP:port) for the changes up to version, which that peer has, without
+// waiting for the next poll. It returns nil if the copy is at version or newer afterwards; otherwise the
+// error has the kind errkind.ConfigStale.
+func (c *Copy) Pull(ctx context.Context, address string, version int64) error {
+	if c.Version() >= version {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	results := make(chan *peerAnswer, 1)
+	c.askOne(ctx, address, results)
+	if r := <-results; r != nil {
+		if err := c.merge(*r); err != nil {
+			return errkind.Wrap(errkind.ConfigStale, err, "apply the configuration of %s", address)
+		}
+	}
+	if held := c.Version(); held < version {
+		return errkind.New(errkind.ConfigStale, "held version %d, wanted %d from %s", held, version, address)
+	}
+	return nil
+}
+
 // askPeers asks one peer, and the other chosen ones if it does not make the copy fresh soon.
 func (c *Copy) askPeers(ctx context.Context, a *answers) {
 	peers, known := c.choosePeers()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,8 +25,7 @@
 	Data(b []byte) error
 }
 
-// RunPlain runs a call of a plain service and passes its response to sink.
-func (g *Gateway) RunPlain(ctx context.Context, p *Principal, call PlainCall, sink PlainSink) (Result, error) {
+func (g *Gateway) runPlain(ctx context.Context, p *Principal, call PlainCall, sink PlainSink) (Result, error) {
 	ctx, end, err := g.begin(ctx, p, call.Arrived)
 	if err != nil {
 		return Result{Ran: errkind.RanNo}, err
@@ -37,7 +36,7 @@
 		g: g, p: p, to: &plainReceiver{sink: sink},
 		submit: &wirepb.Submit{
 			RequestId: call.RequestID, Organisation: p.Organisation.Name, KeyId: p.KeyID,
-			ConfigVersion: p.Snapshot.Version(), Service: p.Service.Name, Profile: p.Profile.Name,
+			ConfigVersion: p.Snapshot.Version(), GatewayAddress: g.opts.Address, Service: p.Service.Name, Profile: p.Profile.Name,
 			Http: call.HTTP, IdempotencyKey: call.IdempotencyKey,
 			Repeatable: p.Service.Repeatable(call.HTTP.GetMethod()),
 		},
--- a/internal/sidecar/model_test.go
+++ b/internal/sidecar/model_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,6 +19,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/config"
 	"github.com/pomelowheel/pomelowheel/internal/engine"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -32,10 +37,8 @@
 		e.chat(w, r)
 		return
 	case r.URL.Path == "/engine/state":
-	case r.URL.Path == "/v1/load_lora_adapter":
-		e.mu.Lock()
-		e.state.Adapters = append(e.state.Adapters, "m-a")
-		e.mu.Unlock()
+	case strings.HasSuffix(r.URL.Path, "_lora_adapter"):
+		e.adapter(w, r)
 	default:
 		e.order(name, strings.HasSuffix(r.URL.Path, "/load"))
 	}
@@ -44,6 +47,19 @@
 	_ = json.NewEncoder(w).Encode(e.state)
 }
 
+func (e *testEngine) adapter(_ http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Name string `json:"lora_name"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&order)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Adapters = slices.DeleteFunc(e.state.Adapters, func(name string) bool { return name == order.Name })
+	if r.URL.Path == "/v1/load_lora_adapter" {
+		e.state.Adapters = append(e.state.Adapters, order.Name)
+	}
+}
+
 func (e *testEngine) order(name string, load bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -133,6 +149,19 @@
 		Expect(h.server.Status().GetMemoryFreeMb()).To(BeEquivalentTo(580))
 	})
 
+	// Guards against a refusal of a request whose adapter fits as soon as the report shows an unload. The idle
+	// adapter was loaded before the sidecar started, so no late load order can bring it back.
+	It("waits for the memory of an idle adapter that another request displaces", func() {
+		load()
+		e.mu.Lock()
+		e.state.Adapters = []string{"m-a"}
+		e.mu.Unlock()
+		Eventually(func() []string { return h.server.Status().GetAdapters() }).Should(ConsistOf("m-a"))
+		Expect(order("load", "m-c", 1)).To(Equal(errkind.MemoryFull), "an order displaces nothing")
+		Expect(h.do(chat("m-b", "x")).kind).To(Equal(errkind.None))
+		Expect(h.server.Status().GetAdapters()).To(ConsistOf("m-b"))
+	})
+
 	It("refuses orders that would overcommit memory and orders of an older planner", func() {
 		load()
 		Expect(order("load", "big", 1)).To(Equal(errkind.MemoryFull))
@@ -161,6 +190,35 @@
 		Eventually(func() int64 { return h.server.Status().GetMemoryFreeMb() }).Should(BeEquivalentTo(1000))
 	})
 
+	// Guards against the eviction of the last living copy because the row still names a dead sidecar.
+	It("counts only copies whose sidecar serves the model now before an unload", func() {
+		load()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		serve := func(_ context.Context, s *transport.Stream) {
+			_, _ = s.Recv()
+			_ = s.Send(&wirepb.Envelope{Message: &wirepb.Envelope_Status{
+				Status: &wirepb.Status{Ready: true, Resident: []string{"m"}}}})
+		}
+		other := transport.NewServer(listener, nil, serve, slog.New(slog.DiscardHandler))
+		go func() { _ = other.Serve(context.Background()) }()
+		serves := AskServes(h.pool, &wirepb.Identity{Role: "sidecar"})
+		book := &copies{store: h.store, timeout: time.Second, self: Copy{Address: h.addr}, serves: serves}
+		entry := &copies{store: h.store, timeout: time.Second, self: Copy{Address: other.Addr().String()}}
+		Expect(entry.add(context.Background(), "m")).To(Succeed())
+
+		Expect(other.Close()).To(Succeed())
+		Expect(errkind.Of(book.remove(context.Background(), "m", 1))).To(Equal(errkind.BadRequest))
+
+		listener, err = net.Listen("tcp", entry.self.Address)
+		Expect(err).NotTo(HaveOccurred())
+		again := transport.NewServer(listener, nil, serve, slog.New(slog.DiscardHandler))
+		go func() { _ = again.Serve(context.Background()) }()
+		DeferCleanup(again.Close)
+		Expect(book.remove(context.Background(), "m", 1)).To(Succeed())
+		Expect(row()).To(ConsistOf(entry.self))
+	})
+
 	It("keeps the memory of a lost load order reserved", func() {
 		e.mu.Lock()
 		e.loseNext = true
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -28,6 +28,9 @@
 	watchInterval = 200 * time.Millisecond
 	// orderLife exceeds the timeout of an order's HTTP call, after which its connection is closed.
 	orderLife = 10 * time.Second
+	// rampIdle is long against the gaps between tokens of a busy server, so that only an idle one is tried
+	// out again.
+	rampIdle  = 5 * time.Second
 	kindModel = "model"
 )
 
@@ -39,9 +42,10 @@
 	Confirm(ctx context.Context) error
 }
 
-// Puller is implemented by a Config that can pull up to a version before its next poll.
+// Puller is implemented by a Config that can pull up to a version before its next poll, from the gateway at
+// address (IP:port), which has that version.
 type Puller interface {
-	Pull(ctx context.Context, version int64) error
+	Pull(ctx context.Context, address string, version int64) error
 }
 
 // Options configures a Server.
@@ -52,6 +56,9 @@
 	Log         *slog.Logger
 	Incarnation string // new at each start
 	Address     string // listen address, IP:port
+	// Serves asks the sidecar at address whether it serves a model now. It is asked about the other copies
+	// before this one is unloaded. Nil trusts the copies row.
+	Serves func(ctx context.Context, address, model string) bool
 }
 
 // Server is the sidecar of one backend server.
@@ -92,7 +99,7 @@
 		engine:   engine.New(s.Backend.URL),
 		plain:    plainservice.New(s.Backend.URL, plainservice.DefaultMaxResponse),
 		book:     booking.New(booking.Options{Store: opts.Store, Log: opts.Log, Timeout: s.TableService.Timeout.D()}),
-		copies:   &copies{store: opts.Store, timeout: s.TableService.Timeout.D(), self: copyOf(opts)},
+		copies:   &copies{store: opts.Store, timeout: s.TableService.Timeout.D(), self: copyOf(opts), serves: opts.Serves},
 		slots:    make(chan struct{}, max(s.Backend.AdapterSlots, 1)),
 		poke:     make(chan struct{}, 1),
 		tasks:    make(map[*admission.Item]*task),
@@ -108,6 +115,7 @@
 	})
 	server.ramp = admission.NewRamp(admission.RampOptions{
 		Cold: s.Admission.ColdConcurrency, Max: s.Admission.MaxConcurrency, Step: s.Admission.RampStep.D(),
+		Idle: rampIdle,
 	})
 	server.ledger = ledger.New(ledger.Options{
 		TotalMB: s.Backend.MemoryMB, ChecksOrders: s.Backend.ChecksOrders,
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/admission"
@@ -144,7 +145,7 @@
 	for {
 		var blocked *admission.Item
 		var full error
-		item := s.queue.Next(s.ramp.Limit(), func(due *admission.Item) bool {
+		item := s.queue.Next(s.ramp.LimitAt(time.Now()), func(due *admission.Item) bool {
 			if !s.isModel() {
 				return true
 			}
@@ -224,8 +225,13 @@
 		}}}
 	}
 	err := t.stream.Send(frame)
-	s.log.Debug("request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(), "kind", kind.String(),
-		"handed_over", !o.notRun, "detail", detail, "send_error", err)
+	level := slog.LevelDebug
+	if kind != errkind.None || err != nil {
+		level = slog.LevelInfo
+	}
+	s.log.Log(context.Background(), level, "request ended", "request_id", r.GetRequestId(), "attempt", r.GetAttempt(),
+		"organisation", r.GetOrganisation(), "profile", r.GetProfile(), "model", r.GetModel(), "kind", kind.String(),
+		"handed_over", !o.notRun, "reason", detail, "error", err)
 }
 
 // logAdmission writes the line of one admission decision.
--- a/internal/tablestore/contract_test.go
+++ b/internal/tablestore/contract_test.go
@@ -39,6 +39,7 @@
 	return subject{
 		store: tablestore.NewDynamoDB(tablestore.DynamoDBOptions{
 			Endpoint: server.URL, Region: "local", Table: "test", Timeout: 5 * time.Second,
+			AccessKeyID: "test", SecretAccessKey: "test", // signed requests
 		}),
 		away: func(b bool) { p.Apply(platform.Control{Away: &b}) },
 		lose: func(n int) { p.Apply(platform.Control{LoseAnswers: &n}) },
@@ -53,11 +54,12 @@
 
 var _ = Describe("store contract", func() {
 	for name, build := range map[string]func() subject{"memory": memorySubject, "dynamodb": dynamoSubject} {
-		Context(name, func() { contract(build) })
+		Context(name, func() { contractWrites(build) })
+		Context(name, func() { contractReadsAndFaults(build) })
 	}
 })
 
-func contract(build func() subject) {
+func contractWrites(build func() subject) {
 	var s subject
 	ctx := context.Background()
 	BeforeEach(func() { s = build() })
@@ -96,6 +98,12 @@
 		Expect(s.store.Write(ctx, "c1", put("a", tablestore.Absent, "1"))).To(Succeed())
 		Expect(s.store.Write(ctx, "c1", put("b", tablestore.Absent, "1"))).NotTo(Succeed())
 	})
+}
+
+func contractReadsAndFaults(build func() subject) {
+	var s subject
+	ctx := context.Background()
+	BeforeEach(func() { s = build() })
 
 	It("reads a partition in order, in bounded pages", func() {
 		for i := range 7 {
@@ -165,3 +173,19 @@
 		}))).To(MatchError(tablestore.ErrUnknown))
 	})
 })
+
+// Guards against a failure of the table service that the metrics of a process do not show.
+var _ = It("counts calls and failures by cause", func() {
+	memory := tablestore.NewMemory()
+	store := tablestore.NewCounted(memory)
+	ctx := context.Background()
+	Expect(store.Write(ctx, "1", put("a", tablestore.Absent, "x"))).To(Succeed())
+	Expect(store.Write(ctx, "2", put("a", tablestore.Absent, "x"))).NotTo(Succeed())
+	_, err := store.Get(ctx, key("b"))
+	Expect(err).To(MatchError(tablestore.ErrNotFound))
+	memory.SetAway(true)
+	_, err = store.Query(ctx, "p", "", 10)
+	Expect(err).To(MatchError(tablestore.ErrUnavailable))
+	Expect(store.Vars().String()).To(MatchJSON(`{"calls": {"get": 1, "query": 1, "write": 2},
+		"failures": {"other": 0, "precondition": 1, "unavailable": 1, "unknown": 0}}`))
+})
