Plan in a fleet whose poll round is longer than the status age

Cause: with a poll budget, 1,900 sidecars are polled once in 76 s, and the planner used no status older than 5 s, so it would have found no usable sidecar. Model loads were asked for only in a small fleet.

Ruled out: polling everything for the planner, which costs its gateway over 100 KB/s by the measured slope.

Before: the new spec sends no order with statuses of 60 s. After: it sends orders when two poll rounds cover the age, and the polls of the gateway that holds the planner lease ask for model loads.

--- a/cmd/pomelo-gateway/duties.go
+++ b/cmd/pomelo-gateway/duties.go
@@ -152,7 +152,7 @@
 		Interval: s.Planner.Interval.D(), LeaseTerm: s.Planner.LeaseTerm.D(),
 		LoadRate: s.Planner.LoadRate, LoadSlots: s.Planner.LoadSlots, StatusMaxAge: s.Routing.StatusMaxAge.D(),
 		StoreTimeout: s.TableService.Timeout.D(), Store: p.store, Sidecars: fleet{p.sidecars},
-		Snapshot: p.config.Snapshot, Copies: p.readCopies, Log: p.log,
+		Snapshot: p.config.Snapshot, Copies: p.readCopies, PollRound: p.sidecars.PollRound, Log: p.log,
 	})
 }
 
--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -121,7 +121,7 @@
 	p.sidecars = sidecars.New(sidecars.Options{
 		Pool: p.pool, Static: s.Peers.Sidecars, HostList: p.hosts, Policy: route.Policy(s.Routing.Policy), Log: p.log,
 		StatusInterval: s.Routing.StatusInterval.D(), StatusMaxAge: s.Routing.StatusMaxAge.D(), Identity: p.identity,
-		StatusPolls: s.Routing.StatusPolls,
+		StatusPolls: s.Routing.StatusPolls, Loads: func() bool { return p.planner != nil && p.planner.Holds() },
 	})
 	p.gateway = gateway.New(gateway.Options{
 		Address: p.identity.GetAddress(), DataCentre: s.Process.DataCentre, Config: p.config, Limiter: limits, Sidecars: p.sidecars,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -56,7 +57,8 @@
 	Demand       placement.DemandOptions // default 200 tokens/s, 30 s, 5 min
 	WeightsPart  float64                 // of an accelerator's memory; default 0.8
 	AdapterLoads int                     // at once; default 16
-	StatusMaxAge time.Duration           // default 5 s
+	StatusMaxAge time.Duration           // default 5 s; raised to two poll rounds in a large fleet
+	PollRound    func() time.Duration    // the time in which every sidecar is polled once; optional
 	OrderExpiry  time.Duration           // after which an order without effect is given up; default 2 min
 	StoreTimeout time.Duration           // default 1 s
 	OrderTimeout time.Duration           // of one order's reply; default 2 s
@@ -72,6 +74,9 @@
 	setDefault(&o.OrderExpiry, 2*time.Minute)
 	setDefault(&o.StoreTimeout, time.Second)
 	setDefault(&o.OrderTimeout, 2*time.Second)
+	if o.PollRound == nil {
+		o.PollRound = func() time.Duration { return 0 }
+	}
 	if o.Now == nil {
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
@@ -85,12 +90,13 @@
 	}
 }
 
-// Planner plans while it holds the lease. Its methods are for one goroutine.
+// Planner plans while it holds the lease. Its methods but Holds and Vars are for one goroutine.
 type Planner struct {
 	opts   Options
 	lease  lease
 	state  *state
 	orders int64
+	holds  atomic.Bool
 
 	vars                        expvar.Map
 	sent, refused, lost, rounds expvar.Int
@@ -111,6 +117,9 @@
 // Vars returns the planner's metrics for /debug/vars.
 func (p *Planner) Vars() expvar.Var { return &p.vars }
 
+// Holds reports whether the planner held a valid lease in its last round. It is safe for concurrent use.
+func (p *Planner) Holds() bool { return p.holds.Load() }
+
 // Run plans until ctx ends, and then hands the lease back.
 func (p *Planner) Run(ctx context.Context) error {
 	for {
@@ -135,7 +144,8 @@
 		p.state = newState(p.opts, now)
 		p.state.readCopies(ctx, p.opts)
 	}
-	if !p.lease.valid(now) {
+	p.holds.Store(p.lease.valid(now))
+	if !p.holds.Load() {
 		return leaseErr
 	}
 	p.rounds.Add(1)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -210,6 +210,20 @@
 		Expect(sidecars.orders).To(HaveLen(2))
 	})
 
+	It("guards against a planner without usable sidecars in a fleet whose poll round is longer than the status age", func() {
+		for i := range sidecars.statuses {
+			sidecars.statuses[i].Age = time.Minute
+		}
+		p := start("g1", "i1", 0)
+		rounds(p, 4)
+		Expect(sidecars.orders).To(BeEmpty())
+		Expect(p.Holds()).To(BeTrue())
+		p.opts.PollRound = func() time.Duration { return 76 * time.Second }
+		p.state.opts.PollRound = p.opts.PollRound
+		rounds(p, 4)
+		Expect(sidecars.orders).NotTo(BeEmpty())
+	})
+
 	It("guards against demand that does not reach the plan, and a restarted sidecar counted as demand", func() {
 		p := start("g1", "i1", 0)
 		for i := range 30 {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -122,6 +122,10 @@
 	return max(0, min(loads, int(math.Floor(s.tokens)))), max(0, adapterLoads)
 }
 
+// maxAge is the age above which a status is not used. In a large fleet a poll round takes longer than
+// StatusMaxAge, and most sidecars would never be usable.
+func (s *state) maxAge() time.Duration { return max(s.opts.StatusMaxAge, 2*s.opts.PollRound()) }
+
 func (s *state) server(snapshot *config.Snapshot, x SidecarStatus) placement.Server {
 	status := x.Status
 	dc := status.GetIdentity().GetDataCentre()
@@ -129,7 +133,7 @@
 	server := placement.Server{
 		ID: x.Address, DataCentre: dc, MemoryMB: status.GetMemoryTotalMb(), FreeMB: status.GetMemoryFreeMb(),
 		Resident: slices.Concat(status.GetResident(), status.GetAdapters()),
-		Usable: x.Age <= s.opts.StatusMaxAge && status.GetReady() && !status.GetDraining() &&
+		Usable: x.Age <= s.maxAge() && status.GetReady() && !status.GetDraining() &&
 			!status.GetDataCentreOut() && known && !configured.Out,
 	}
 	slices.Sort(server.Resident)
@@ -150,7 +154,7 @@
 // unheard returns servers that the copies rows name and that have not sent a status since the epoch
 // began. They count as holders for a short time, so that a new planner does not load what is resident.
 func (s *state) unheard(now time.Duration, snapshot *config.Snapshot, statuses []SidecarStatus) []placement.Server {
-	if now >= s.since+2*s.opts.StatusMaxAge {
+	if now >= s.since+2*s.maxAge() {
 		return nil
 	}
 	heard := make(map[string]bool, len(statuses))
--- a/internal/sidecars/age.go
+++ b/internal/sidecars/age.go
@@ -9,3 +9,9 @@
 	r, ok := c.table.Get(address)
 	return time.Since(r.At), ok
 }
+
+// PollRound returns the time in which every known sidecar is polled once.
+func (c *Client) PollRound() time.Duration {
+	round := time.Duration(float64(c.Known()) / c.opts.StatusPolls * float64(time.Second))
+	return max(round, c.opts.StatusInterval)
+}
