Refuse fewer requests within the rate: lend free capacity only, wait for due tokens

Share.Lend lent up to half of its capacity with few tokens and was then clipped to the rest, so tokens that nobody had spent were lost. And a gateway refused at once what the bucket could grant within milliseconds, although the first token was not due yet.

Ruled out: reserving less than the maximum output, because the bound would then rest on guesses.

With a patience of zero the new spec of the callers' package fails.

--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -178,7 +178,7 @@
 		"admission": {"on", "off"},
 		"retries":   {"on", "off"},
 		"placement": {"demand", "static"},
-		"limits":    {"loans", "static", "exact"},
+		"limits":    {"loans", "loans_no_wait", "static", "exact"},
 	}
 }
 
--- a/internal/bench/sim/limits.go
+++ b/internal/bench/sim/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/limit"
@@ -67,31 +68,44 @@
 
 func (h *holders) reserve(g *gateway, r *request, answer func(ok bool)) {
 	s := h.local(g, r.org.Name)
-	if h.try(s, r) {
+	if ok, _ := h.try(s, r); ok {
 		answer(true)
 		return
 	}
-	if h.policy != "loans" || (!s.borrowing && h.w.now < s.nextBorrow) {
-		answer(false)
+	if h.borrows() && (s.borrowing || h.w.now >= s.nextBorrow) {
+		s.waiting = append(s.waiting, func() { h.tryLater(g, s, r, answer) })
+		if !s.borrowing {
+			h.borrow(s, r)
+		}
 		return
 	}
-	s.waiting = append(s.waiting, func() { answer(h.try(s, r)) })
-	if !s.borrowing {
-		h.borrow(s, r)
+	h.tryLater(g, s, r, answer)
+}
+
+func (h *holders) borrows() bool { return strings.HasPrefix(h.policy, "loans") }
+
+// tryLater tries again now, and once more when the tokens are due if the request can wait for them.
+func (h *holders) tryLater(g *gateway, s *orgShare, r *request, answer func(ok bool)) {
+	ok, wait := h.try(s, r)
+	patient := h.w.now+wait <= r.arrived+limit.Patience(r.profile.FirstToken.D())
+	if ok || !patient || h.policy != "loans" {
+		answer(ok)
+		return
 	}
+	h.w.after(max(wait, time.Millisecond), func() { h.reserve(g, r, answer) })
 }
 
-func (h *holders) try(s *orgShare, r *request) bool {
-	reservation, _ := s.share.Reserve(h.w.now, r.reserved())
+func (h *holders) try(s *orgShare, r *request) (ok bool, wait time.Duration) {
+	reservation, wait := s.share.Reserve(h.w.now, r.reserved())
 	if reservation == 0 {
-		return false
+		return false, wait
 	}
 	r.charge = func(unused int64) {
 		if unused > 0 {
 			s.share.Refund(h.w.now, reservation, unused)
 		}
 	}
-	return true
+	return true, 0
 }
 
 // borrow asks every other holder at once. The requests that wait try again after the last answer.
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -179,6 +179,18 @@
 		}
 	})
 
+	// Guards against refusals within the rate when the tokens are due before the first token is.
+	It("lets a request wait for its tokens if they are due early enough for its target", func() {
+		patient := usual
+		patient.FirstTokenMS = 10000
+		w := start(patient, 3, 1, answerWhole)
+		w.limiter.refuseFirst = 2
+		w.limiter.refusal = &gateway.RetryError{Err: errkind.New(errkind.RateLimited, "x"), After: 5 * time.Millisecond}
+		r, body := w.do(bg, "POST", chatPath, wholeBody)
+		Expect(r.StatusCode).To(Equal(200), body)
+		Expect(w.limiter.calls.Load()).To(BeEquivalentTo(3))
+	})
+
 	It("advises the wait that the limit's holder gave", func() {
 		w := start(usual, 3, 1, answerWhole)
 		w.limiter.refusal = &gateway.RetryError{Err: errkind.New(errkind.RateLimited, "empty"), After: 6100 * time.Millisecond}
--- a/internal/callers/fake_sidecar_test.go
+++ b/internal/callers/fake_sidecar_test.go
@@ -102,10 +102,12 @@
 type countingLimiter struct {
 	reserved, refunded atomic.Int64
 	refusal            error
+	refuseFirst        int64 // refuse only this many calls; all of them if zero
+	calls              atomic.Int64
 }
 
 func (l *countingLimiter) Reserve(_ context.Context, _ string, _ config.Organisation, n int64) (gateway.Reservation, error) {
-	if l.refusal != nil {
+	if calls := l.calls.Add(1); l.refusal != nil && (l.refuseFirst == 0 || calls <= l.refuseFirst) {
 		return nil, l.refusal
 	}
 	l.reserved.Add(n)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 type Gateway struct {
 	opts      Options
 	budgets   *budgets
+	waiting   *waiting
 	estimates *corrections
 	metrics   *Metrics
 
@@ -102,6 +103,7 @@
 	return &Gateway{
 		opts:      opts,
 		budgets:   newBudgets(),
+		waiting:   newWaiting(),
 		estimates: newCorrections(),
 		metrics:   newMetrics(),
 		active:    make(map[*activeRequest]struct{}),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 type Metrics struct {
 	requests   expvar.Int
 	retries    expvar.Int
+	limitWaits expvar.Int
 	resumes    expvar.Int
 	decisions  expvar.Int
 	refusals   expvar.Map
@@ -32,6 +33,7 @@
 	m.Set("requests", &g.metrics.requests)
 	m.Set("refusals", &g.metrics.refusals)
 	m.Set("retries", &g.metrics.retries)
+	m.Set("limit_waits", &g.metrics.limitWaits)
 	m.Set("resumes", &g.metrics.resumes)
 	m.Set("routing_decisions", &g.metrics.decisions)
 	m.Set("attainment", g.metrics.attainment.expvar())
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -64,7 +64,7 @@
 	g.metrics.requests.Add(1)
 	estimate := g.estimates.apply(model.Name, call.PromptTokens)
 	reserved := reservedTokens(call, estimate, p.Organisation.Burst)
-	reservation, err := g.reserve(ctx, p, call.RequestID, reserved)
+	reservation, err := g.reserve(ctx, p, call, reserved)
 	if err != nil {
 		return Result{Ran: errkind.RanNo}, err
 	}
@@ -100,13 +100,6 @@
 	return min(estimate+call.MaxOutputTokens, max(call.PromptTokens+call.MaxOutputTokens, burst))
 }
 
-func (g *Gateway) reserve(ctx context.Context, p *Principal, requestID string, tokens int64) (Reservation, error) {
-	if p.KeyID == "" {
-		return NoLimit{}, nil // an open route has no organisation to charge
-	}
-	return g.opts.Limiter.Reserve(ctx, requestID, p.Organisation, tokens)
-}
-
 // settle refunds what the request did not use, and charges what it used beyond the reservation. A request
 // with an unknown outcome is charged what it reserved, because the tokens that it used cannot be known.
 func settle(r Reservation, reserved int64, d *dispatch) {
--- a/internal/limit/loan.go
+++ b/internal/limit/loan.go
@@ -42,6 +42,9 @@
 		Capacity: min(max(0, want.Capacity, want.Tokens), capacity),
 		Duration: min(max(0, want.Duration), s.opts.LongestLoan),
 	}
+	// Capacity beyond the free part would clip tokens that nobody has spent, for both sides.
+	free := max(0, s.capacity()-s.level) / microTokens
+	loan.Capacity = min(loan.Capacity, loan.Tokens+free)
 	rate = min(rate, int64(math.Floor(max(0, want.Rate)*microTokens)))
 	loan.Rate = float64(rate) / microTokens
 	if loan.Empty() || loan.Duration == 0 {
--- a/internal/limit/reserve.go
+++ b/internal/limit/reserve.go
@@ -100,3 +100,8 @@
 func (s *Share) markOf(id uint64) int {
 	return sort.Search(len(s.marks), func(i int) bool { return s.marks[i].id > id }) - 1
 }
+
+// Patience returns how long a request may wait for tokens of its organisation before it is refused, given the
+// target for its first token. Half of the target is left for routing, the queue and the engine. Zero means that
+// the request does not wait.
+func Patience(firstToken time.Duration) time.Duration { return max(0, firstToken) / 2 }
