Share the stand-ins' HTTP server and record of requests

Cause: the same server loop stood in two commands and the same record of requests in two stand-ins; fake-platform ended without finishing running requests.

Ruled out: one binary for all stand-ins, because each is started and stopped on its own.

--- a/cmd/fake-engine/main.go
+++ b/cmd/fake-engine/main.go
@@ -3,11 +3,9 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"strconv"
@@ -16,11 +14,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/fake/engine"
-)
-
-const (
-	headerTimeout = 5 * time.Second
-	shutdownGrace = 5 * time.Second
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 func main() {
@@ -28,7 +22,7 @@
 	opts.Logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := serve(ctx, listen, engine.New(opts)); err != nil {
+	if err := standin.Serve(ctx, listen, engine.New(opts)); err != nil {
 		opts.Logger.Error("fake-engine stopped", "error", err)
 		os.Exit(1)
 	}
@@ -67,19 +61,3 @@
 	flag.Parse()
 	return listen, o
 }
-
-// serve answers until ctx ends, and then finishes running requests.
-func serve(ctx context.Context, listen string, handler http.Handler) error {
-	server := &http.Server{Addr: listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
-	stopped := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-		defer cancel()
-		stopped <- server.Shutdown(ctx)
-	}()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return <-stopped
-}
--- a/cmd/fake-platform/main.go
+++ b/cmd/fake-platform/main.go
@@ -2,21 +2,20 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"log/slog"
-	"net"
-	"net/http"
 	"os"
-	"time"
+	"os/signal"
+	"syscall"
 
 	"github.com/pomelowheel/pomelowheel/internal/fake/platform"
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
-const headerTimeout = 5 * time.Second
-
 func main() {
 	if err := run(os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "fake-platform:", err)
@@ -46,11 +45,8 @@
 			return fmt.Errorf("decode host list %s: %w", *hostsFile, err)
 		}
 	}
-	listener, err := net.Listen("tcp", *listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	slog.Info("fake platform listens", "address", listener.Addr().String())
-	server := &http.Server{Handler: platform.New(opts), ReadHeaderTimeout: headerTimeout}
-	return server.Serve(listener)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	slog.Info("fake platform listens", "address", *listen)
+	return standin.Serve(ctx, *listen, platform.New(opts))
 }
--- a/internal/fake/engine/chat.go
+++ b/internal/fake/engine/chat.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 const (
@@ -171,7 +173,7 @@
 	}
 	message := &delta{Role: "assistant", Content: c.gen.text.Slice(c.gen.from, c.gen.to)}
 	reason := c.gen.finishReason()
-	writeJSON(w, http.StatusOK, completion{
+	standin.WriteJSON(w, http.StatusOK, completion{
 		ID: "chatcmpl-" + c.id, Object: "chat.completion", Created: time.Now().Unix(), Model: c.request.Model,
 		Choices: []choice{{Message: message, FinishReason: &reason}}, Usage: c.gen.usage(),
 	})
--- a/internal/fake/engine/control.go
+++ b/internal/fake/engine/control.go
@@ -4,13 +4,12 @@
 	"encoding/json"
 	"net/http"
 	"time"
-)
 
-const (
-	maxRecorded     = 4096 // requests kept for GET /control/requests
-	maxControlBytes = 64 << 10
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
+const maxControlBytes = 64 << 10
+
 // Faults are the faults that POST /control sets. A field that is absent from the body keeps its value.
 type Faults struct {
 	LoseOrders       int   `json:"lose_orders"`        // orders without effect whose connection is cut
@@ -36,14 +35,6 @@
 	return true
 }
 
-// SeenRequest is one request as the engine received it.
-type SeenRequest struct {
-	Method string      `json:"method"`
-	Path   string      `json:"path"`
-	Query  string      `json:"query"`
-	Header http.Header `json:"header"`
-}
-
 func (s *Server) handleControl(w http.ResponseWriter, r *http.Request) {
 	var action struct {
 		Restart bool `json:"restart"`
@@ -68,24 +59,14 @@
 		writeError(w, http.StatusBadRequest, "invalid control body: "+err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, faults)
-}
-
-func (s *Server) handleSeen(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	seen := append([]SeenRequest{}, s.seen...)
-	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, seen)
+	standin.WriteJSON(w, http.StatusOK, faults)
 }
 
 // observe records the request and holds it while the engine does not answer.
 func (s *Server) observe(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.seen.Record(r)
 		s.mu.Lock()
-		s.seen = append(s.seen, SeenRequest{r.Method, r.URL.Path, r.URL.RawQuery, r.Header.Clone()})
-		if len(s.seen) > maxRecorded {
-			s.seen = s.seen[1:]
-		}
 		for s.faults.StopAnswering {
 			changed := s.changed
 			s.mu.Unlock()
--- a/internal/fake/engine/repository.go
+++ b/internal/fake/engine/repository.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 const maxOrderBytes = 64 << 10
@@ -53,7 +55,7 @@
 }
 
 func (s *Server) handleState(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.State())
+	standin.WriteJSON(w, http.StatusOK, s.State())
 }
 
 func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
@@ -78,7 +80,7 @@
 		}
 	}
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": data})
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"object": "list", "data": data})
 }
 
 func (s *Server) handleIndex(w http.ResponseWriter, _ *http.Request) {
@@ -94,7 +96,7 @@
 		rows = append(rows, row{name, e.state, e.reason})
 	}
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, rows)
+	standin.WriteJSON(w, http.StatusOK, rows)
 }
 
 // order is one load or unload of a model.
--- a/internal/fake/engine/server.go
+++ b/internal/fake/engine/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +10,8 @@
 
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 // Causes with which running requests are ended.
@@ -37,7 +38,7 @@
 	adapterBusy int // adapter loads in flight
 	badResumes  int
 	faults      Faults
-	seen        []SeenRequest
+	seen        standin.Recorder
 }
 
 // New returns a cold server with the models of opts resident.
@@ -46,7 +47,7 @@
 	s.startLocked(s.opts.Models)
 	r := mux.NewRouter()
 	r.HandleFunc("/control", s.handleControl).Methods(http.MethodPost)
-	r.HandleFunc("/control/requests", s.handleSeen).Methods(http.MethodGet)
+	r.Handle("/control/requests", &s.seen).Methods(http.MethodGet)
 	api := r.NewRoute().Subrouter()
 	api.Use(s.observe)
 	api.HandleFunc("/v1/chat/completions", s.handleChat).Methods(http.MethodPost)
@@ -154,13 +155,7 @@
 	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // writeError answers in the error form of the chat-completions API.
 func writeError(w http.ResponseWriter, status int, message string) {
-	writeJSON(w, status, map[string]any{"error": map[string]any{"message": message, "type": http.StatusText(status), "code": status}})
+	standin.WriteJSON(w, status, map[string]any{"error": map[string]any{"message": message, "type": http.StatusText(status), "code": status}})
 }
--- a/internal/fake/engine/server_test.go
+++ b/internal/fake/engine/server_test.go
@@ -14,6 +14,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 func TestEngine(t *testing.T) {
@@ -147,7 +149,7 @@
 		response, err := http.Get(url + "/control/requests")
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = response.Body.Close() }()
-		var seen []SeenRequest
+		var seen []standin.SeenRequest
 		Expect(json.NewDecoder(response.Body).Decode(&seen)).To(Succeed())
 		Expect(seen).To(HaveLen(1))
 		Expect(seen[0].Header.Get("Authorization")).To(Equal("Bearer unused"))
--- a/internal/fake/service/booking.go
+++ b/internal/fake/service/booking.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 type bookingFault struct {
@@ -86,7 +88,7 @@
 // answer sends the booking, or only its first half before the connection is cut.
 func answer(w http.ResponseWriter, b Booking, cut bool) {
 	if !cut {
-		writeJSON(w, http.StatusCreated, b)
+		standin.WriteJSON(w, http.StatusCreated, b)
 		return
 	}
 	raw, err := json.Marshal(b)
--- a/internal/fake/service/server.go
+++ b/internal/fake/service/server.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 const (
 	maxBodyBytes         = 1 << 20
 	idempotencyKeyHeader = "Idempotency-Key"
 	requestIDHeader      = "X-Request-Id"
-	maxRecorded          = 4096 // requests kept for GET /control/requests
 )
 
 // Options configures a Server.
@@ -50,14 +51,6 @@
 	Executions int    `json:"executions"`
 }
 
-// SeenRequest is one request as the service received it.
-type SeenRequest struct {
-	Method string      `json:"method"`
-	Path   string      `json:"path"`
-	Query  string      `json:"query"`
-	Header http.Header `json:"header"`
-}
-
 // Server is the stand-in. It implements http.Handler.
 type Server struct {
 	opts    Options
@@ -66,7 +59,7 @@
 	mu     sync.Mutex
 	stats  Stats
 	faults Faults
-	seen   []SeenRequest
+	seen   standin.Recorder
 }
 
 // New returns a service without bookings.
@@ -77,7 +70,7 @@
 	s := &Server{opts: opts, stats: Stats{Executions: make(map[string]int)}}
 	r := mux.NewRouter()
 	r.HandleFunc("/control", s.handleControl).Methods(http.MethodPost)
-	r.HandleFunc("/control/requests", s.handleSeen).Methods(http.MethodGet)
+	r.Handle("/control/requests", &s.seen).Methods(http.MethodGet)
 	r.HandleFunc("/stats", s.handleStats).Methods(http.MethodGet)
 	api := r.NewRoute().Subrouter()
 	api.Use(s.observe)
@@ -101,7 +94,7 @@
 }
 
 func (s *Server) handleStats(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Stats())
+	standin.WriteJSON(w, http.StatusOK, s.Stats())
 }
 
 func (s *Server) handleControl(w http.ResponseWriter, r *http.Request) {
@@ -116,25 +109,13 @@
 		http.Error(w, "invalid control body: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, http.StatusOK, faults)
-}
-
-func (s *Server) handleSeen(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	seen := append([]SeenRequest{}, s.seen...)
-	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, seen)
+	standin.WriteJSON(w, http.StatusOK, faults)
 }
 
 // observe records the request and repeats its request ID in the answer.
 func (s *Server) observe(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		s.seen = append(s.seen, SeenRequest{r.Method, r.URL.Path, r.URL.RawQuery, r.Header.Clone()})
-		if len(s.seen) > maxRecorded {
-			s.seen = s.seen[1:]
-		}
-		s.mu.Unlock()
+		s.seen.Record(r)
 		if id := r.Header.Get(requestIDHeader); id != "" {
 			w.Header().Set(requestIDHeader, id)
 		}
@@ -152,11 +133,5 @@
 		http.Error(w, "no such booking", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, Booking{id, "booked", n})
-}
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	standin.WriteJSON(w, http.StatusOK, Booking{id, "booked", n})
 }
