Watch the planner's lease row less often than the plan's interval

Cause: each gateway read the lease row at the interval of the plan, 2 s. At 400 gateways that is 200 reads a second of about 2,000, by 1 read in 2 s each.

Ruled out: a longer interval for the holder, because demand moves tenfold within an hour.

Before and after, by arithmetic from the intervals: 400 / 2 s = 200 reads a second, 400 / 5 s = 80. The new spec fails with the former interval, as the watcher's pause is then at most 3 s. A takeover still waits for the lease term of 20 s, so a watch every 5 s adds at most a part of it.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -21,6 +21,9 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
+// watchParts is the part of the lease term after which a gateway without the lease reads the row again.
+const watchParts = 4
+
 // SidecarStatus is the last status of one sidecar.
 type SidecarStatus struct {
 	Address string
@@ -126,7 +129,7 @@
 		if err := p.Round(ctx); err != nil {
 			p.opts.Log.Warn("placement round failed", "error", err)
 		}
-		timer := time.NewTimer(p.opts.Interval/2 + rand.N(p.opts.Interval))
+		timer := time.NewTimer(p.pause())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -136,6 +139,16 @@
 	}
 }
 
+// pause returns the time until the next round. A gateway without the lease only watches the row: 400 of them at
+// the plan's interval of 2 s would be 200 reads a second.
+func (p *Planner) pause() time.Duration {
+	interval := p.opts.Interval
+	if !p.Holds() {
+		interval = max(interval, p.opts.LeaseTerm/watchParts)
+	}
+	return interval/2 + rand.N(interval)
+}
+
 // Round keeps the lease and, while it is valid, makes one plan and sends its orders.
 func (p *Planner) Round(ctx context.Context) error {
 	taken, leaseErr := p.keep(ctx)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -210,6 +210,17 @@
 		Expect(sidecars.orders).To(HaveLen(2))
 	})
 
+	It("guards against every gateway reading the lease row at the interval of the plan", func() {
+		holder, watcher := start("g1", "i1", 0), start("g2", "i2", 0)
+		rounds(holder, 1)
+		rounds(watcher, 1)
+		for range 100 {
+			Expect(holder.pause()).To(BeNumerically("<=", 3*time.Second))
+			Expect(watcher.pause()).To(BeNumerically(">=", 2500*time.Millisecond))
+			Expect(watcher.pause()).To(BeNumerically("<=", 7500*time.Millisecond))
+		}
+	})
+
 	It("guards against a planner without usable sidecars in a fleet whose poll round is longer than the status age", func() {
 		for i := range sidecars.statuses {
 			sidecars.statuses[i].Age = time.Minute
