--- a/internal/capacity/exchanges.go
+++ b/internal/capacity/exchanges.go
@@ -115,7 +115,7 @@
 		Address: address, DataCentre: "dc-0", Incarnation: incarnation, Partitions: limitPartitions, LeaseTerm: 90 * time.Minute,
 		Limit: limit.Options{LongestLoan: 5 * time.Second, Margin: time.Second, Propagation: 16 * time.Second},
 		Store: w.store, Caller: limitholder.PoolCaller{Pool: w.pool}, Snapshot: func() *config.Snapshot { return w.snapshot },
-		Gateways: func() []string { return []string{address} }, Removed: func(string) bool { return false }, Log: quiet,
+		Gateways: func() []string { return []string{address} }, Removed: func(string) bool { return false }, Fresh: func() bool { return true }, Log: quiet,
 	})
 }
 
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -109,7 +109,7 @@
 		Address: holderAddress, DataCentre: "dc-0", Incarnation: "1", Partitions: limitPartitions, LeaseTerm: time.Hour,
 		Limit: limit.Options{LongestLoan: 5 * time.Second, Margin: time.Second}, Store: tablestore.NewMemory(),
 		Snapshot: func() *config.Snapshot { return snapshot }, Gateways: func() []string { return []string{holderAddress} },
-		Removed: func(string) bool { return false }, Log: quiet,
+		Removed: func(string) bool { return false }, Fresh: func() bool { return true }, Log: quiet,
 	})
 	if err := holder.Round(ctx); err != nil {
 		return err
