Keep the streams of calls to limit holders, and do not wait for the answer of a refund

Cause of the traffic: a yamux stream was opened and closed for each message. Up to 4 idle streams to a peer now stay open for a minute, one call at a time on each. After any error the stream is closed, so that a late answer is not taken for the next one. A message goes out again only if yamux refused its first byte; a charge whose answer is lost is not repeated.

Fault found on the way: a refund waited for the peer to close the stream, which the gateway's handler never does, so after CallTimeout each remote refund dropped the session with everything else on it. Seen in a trial with gateway.PeerHandlers: deadline after 150 ms and no session left. The stand-in of the PoolCaller spec closed the stream after one message, which hid this; it now serves any number, as a gateway does. Its expectations are unchanged.

Ruled out: a reserve that carries the refund of an earlier request. At 1.6 requests/s a gateway would hold refunds back for 600 ms to save one segment.

--- a/cmd/pomelo-gateway/duties.go
+++ b/cmd/pomelo-gateway/duties.go
@@ -58,7 +58,7 @@
 		Limit: limit.Options{
 			LongestLoan: s.Limits.LoanTerm.D(), Margin: loanMargin, Propagation: configPropagation,
 		},
-		Store: p.store, Caller: limitholder.PoolCaller{Pool: p.pool}, Snapshot: p.config.Snapshot,
+		Store: p.store, Caller: limitholder.NewPoolCaller(p.pool), Snapshot: p.config.Snapshot,
 		Fresh: p.configFresh, Gateways: p.gatewaysHere, Peers: p.knownGateways, Removed: p.hosts.Removed, Log: p.log,
 	})
 	return limiter{limitholder.NewClient(p.limits)}
--- a/internal/capacity/exchanges.go
+++ b/internal/capacity/exchanges.go
@@ -114,7 +114,7 @@
 	return limitholder.New(limitholder.Options{
 		Address: address, DataCentre: "dc-0", Incarnation: incarnation, Partitions: limitPartitions, LeaseTerm: 90 * time.Minute,
 		Limit: limit.Options{LongestLoan: 5 * time.Second, Margin: time.Second, Propagation: 16 * time.Second},
-		Store: w.store, Caller: limitholder.PoolCaller{Pool: w.pool}, Snapshot: func() *config.Snapshot { return w.snapshot },
+		Store: w.store, Caller: limitholder.NewPoolCaller(w.pool), Snapshot: func() *config.Snapshot { return w.snapshot },
 		Gateways: func() []string { return []string{address} }, Removed: func(string) bool { return false }, Fresh: func() bool { return true }, Log: quiet,
 	})
 }
@@ -208,7 +208,7 @@
 	same := &wirepb.StatusRequest{KnownLists: full.GetListsVersion(), OmitPrefixes: true, OmitLoads: true}
 	before := &wirepb.StatusRequest{KnownLists: full.GetListsVersion(), OmitLoads: true}
 	version := w.snapshot.Version()
-	client := limitholder.NewClient(w.holder)
+	client, caller := limitholder.NewClient(w.holder), limitholder.NewPoolCaller(w.pool)
 	org, _ := w.snapshot.Organisation("org-0")
 	log := config.NewLog(w.store)
 	return []exchange{
@@ -218,7 +218,7 @@
 		{"configuration poll, nothing new", m, n, func(ctx context.Context) error { return w.askConfig(ctx, address, version) }},
 		{"configuration poll, one change", m, n, func(ctx context.Context) error { return w.askConfig(ctx, address, version-1) }},
 		{"probe", m, n, func(ctx context.Context) error { return w.probe(ctx, address) }},
-		{"limit reserve and refund", m, n, func(ctx context.Context) error { return w.reserve(ctx, address, org) }},
+		{"limit reserve and refund", m, n, func(ctx context.Context) error { return w.reserve(ctx, caller, address, org) }},
 		{"limit reserve and refund, in the holder itself", m, n, func(ctx context.Context) error { return reserveLocal(ctx, client, org) }},
 		{"table service: head read", &w.http, n, func(ctx context.Context) error { _, err := log.Head(ctx); return err }},
 		{"table service: round of a holder without a renewal", &w.http, n / 10, w.holder.Round},
@@ -246,9 +246,8 @@
 	return err
 }
 
-// reserve sends what a gateway sends to the holder at another gateway: one stream for each message.
-func (w *world) reserve(ctx context.Context, address string, org config.Organisation) error {
-	caller := limitholder.PoolCaller{Pool: w.pool}
+// reserve sends what a gateway sends to the holder at another gateway.
+func (w *world) reserve(ctx context.Context, caller *limitholder.PoolCaller, address string, org config.Organisation) error {
 	reply, err := caller.Call(ctx, address, &wirepb.Envelope{Message: &wirepb.Envelope_LimitReserve{LimitReserve: &wirepb.LimitReserve{
 		RequestId: "6f1d0c9e-5a53-4d0c-8b0f-0c1f1f0e7a11", Organisation: org.Name, Tokens: 10}}})
 	if err != nil {
@@ -258,17 +257,9 @@
 	if grant.GetKind() != 0 {
 		return fmt.Errorf("refused: %s %s", errkind.Kind(grant.GetKind()), grant.GetDetail())
 	}
-	return w.refund(ctx, address, org, grant)
-}
-
-func (w *world) refund(ctx context.Context, address string, org config.Organisation, grant *wirepb.LimitGrant) error {
-	stream, err := w.pool.Open(ctx, address)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = stream.Close() }()
-	return stream.Send(&wirepb.Envelope{Message: &wirepb.Envelope_LimitRefund{LimitRefund: &wirepb.LimitRefund{
+	_, err = caller.Call(ctx, address, &wirepb.Envelope{Message: &wirepb.Envelope_LimitRefund{LimitRefund: &wirepb.LimitRefund{
 		ReservationId: grant.GetReservationId(), Organisation: org.Name, Epoch: grant.GetEpoch(), Unused: 10}}})
+	return err
 }
 
 func reserveLocal(ctx context.Context, client *limitholder.Client, org config.Organisation) error {
--- a/internal/limitholder/holder_test.go
+++ b/internal/limitholder/holder_test.go
@@ -353,22 +353,23 @@
 		Expect(err).NotTo(HaveOccurred())
 		reply := &wirepb.Envelope{Message: &wirepb.Envelope_LimitLoan{LimitLoan: &wirepb.LimitLoan{Tokens: 7}}}
 		server := transport.NewServer(l, nil, func(ctx context.Context, s *transport.Stream) {
-			m, err := s.Recv()
-			if err != nil || m.GetLimitRefund() != nil {
-				return
+			// Serves any number of messages on a stream, as a gateway does.
+			for m, err := s.Recv(); err == nil; m, err = s.Recv() {
+				if m.GetLimitReserve() != nil {
+					<-ctx.Done() // never answers
+					return
+				}
+				if m.GetLimitBorrow() != nil {
+					_ = s.Send(reply)
+				}
 			}
-			if m.GetLimitReserve() != nil {
-				<-ctx.Done() // never answers
-				return
-			}
-			_ = s.Send(reply)
 		}, slog.New(slog.DiscardHandler))
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go func() { _ = server.Serve(ctx) }()
 		pool := transport.NewPool(nil)
 		defer pool.Close()
-		caller := PoolCaller{Pool: pool}
+		caller := NewPoolCaller(pool)
 		got, err := caller.Call(ctx, l.Addr().String(), &wirepb.Envelope{Message: &wirepb.Envelope_LimitBorrow{LimitBorrow: &wirepb.LimitBorrow{}}})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.GetLimitLoan().GetTokens()).To(BeEquivalentTo(7))
