--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -64,6 +64,7 @@
 		{"sessions", time.Minute, measureSessions},
 		{"status-memory", time.Minute, measureStatusMemory},
 		{"status-traffic", 2 * time.Minute, measureStatusTraffic},
+		{"start", time.Minute, measureStart},
 		{"configuration", time.Minute, measureConfiguration},
 		{"exchanges", time.Minute, measureExchanges},
 		{"host-list", time.Minute, measureHostList},
--- /dev/null
+++ b/internal/capacity/start.go
@@ -0,0 +1,105 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/sidecars"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// The start of gateways is scaled down: a tenth of the gateways of a data centre, and a poll budget that
+// needs about 6 s for the first statuses, as at full size.
+const (
+	startGateways = 6
+	startSidecars = 300
+	startPolls    = 5
+	startLimit    = 30 * time.Second
+)
+
+func measureStart(ctx context.Context) (*Table, error) {
+	t := &Table{Slope: "start",
+		Note: "Gateways that start together and learn the same sidecars (stubs, one process). The crowd at a sidecar is the " +
+			"largest number of first polls that it gets within 100 ms; the number of gateways is the worst case.",
+		Columns: []string{"gateways", "sidecars", "s to learn", "mean crowd at a sidecar", "largest crowd", "KB/s of one gateway"}}
+	var mu sync.Mutex
+	arrivals := make([][]time.Time, startSidecars)
+	cluster, err := startCluster(startSidecars, func(i int, address string) transport.Handler {
+		status := sampleStatus(i, address)
+		wire.SetVersions(status)
+		answer := statusAnswer(status)
+		return answering(func(e *wirepb.Envelope) *wirepb.Envelope {
+			if e.GetStatusRequest().GetKnownLists() == 0 {
+				mu.Lock()
+				arrivals[i] = append(arrivals[i], time.Now())
+				mu.Unlock()
+			}
+			return answer(e)
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer cluster.close()
+	learned, err := learnTogether(ctx, cluster)
+	if err != nil {
+		return nil, err
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	sum, largest := 0, 0
+	for _, at := range arrivals {
+		c := crowd(at, 100*time.Millisecond)
+		sum, largest = sum+c, max(largest, c)
+	}
+	kilobytes := cluster.meter.read().onWire() / 1000 / startGateways / learned.Seconds()
+	t.add(startGateways, startSidecars, learned.Seconds(), float64(sum)/startSidecars, largest, kilobytes)
+	return t, nil
+}
+
+// learnTogether starts the gateways and returns the time until all know every sidecar.
+func learnTogether(ctx context.Context, cluster *cluster) (time.Duration, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	begin := time.Now()
+	clients := make([]*sidecars.Client, startGateways)
+	for i := range clients {
+		pool := transport.NewPool(nil)
+		defer pool.Close()
+		opts := statusOptions(pool, cluster.addresses)
+		opts.StatusPolls = startPolls
+		clients[i] = sidecars.New(opts)
+		wg.Go(func() { _ = clients[i].Run(ctx) })
+	}
+	ignorant := func(c *sidecars.Client) bool { return c.Known() < startSidecars }
+	for slices.ContainsFunc(clients, ignorant) {
+		if time.Since(begin) > startLimit {
+			return 0, fmt.Errorf("gateways did not learn %d sidecars in %v", startSidecars, startLimit)
+		}
+		if err := wait(ctx, 20*time.Millisecond); err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(begin), nil
+}
+
+// crowd returns the largest number of times within a window.
+func crowd(at []time.Time, window time.Duration) int {
+	slices.SortFunc(at, time.Time.Compare)
+	largest := 0
+	for i := range at {
+		n := 1
+		for i+n < len(at) && at[i+n].Sub(at[i]) < window {
+			n++
+		}
+		largest = max(largest, n)
+	}
+	return largest
+}
--- a/internal/capacity/status.go
+++ b/internal/capacity/status.go
@@ -80,7 +80,7 @@
 	t := &Table{Slope: "status-traffic",
 		Note: fmt.Sprintf("One gateway's status polls with the default settings for %s after the first statuses arrived; the "+
 			"sidecars are stubs in the same process. The processor time counts both ends.", trafficWindow),
-		Columns: []string{"sidecars", "known at start", "polls/s", "bytes/s", "segments/s", "KB/s with headers", "processor % (both ends)",
+		Columns: []string{"sidecars", "known at start", "s to learn", "KB/s to learn with dials", "polls/s", "bytes/s", "segments/s", "KB/s with headers", "processor % (both ends)",
 			"descriptors (both ends)", "resident MB (both ends)"}}
 	for _, n := range []int{15, 100, 400, 1900} {
 		if err := statusTraffic(ctx, t, n); err != nil {
@@ -102,15 +102,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
+	begin := time.Now()
 	go func() {
 		defer close(done)
 		_ = c.Run(ctx)
 	}()
-	for deadline := time.Now().Add(15 * time.Second); c.Known() < n && time.Now().Before(deadline); {
-		if err := wait(ctx, 100*time.Millisecond); err != nil {
+	for c.Known() < n && time.Since(begin) < 15*time.Second {
+		if err := wait(ctx, 20*time.Millisecond); err != nil {
 			return err
 		}
 	}
+	learned := time.Since(begin).Seconds()
+	toLearn := cluster.meter.read().onWire() / 1000 / max(learned, 1)
 	if err := wait(ctx, 2*statusInterval); err != nil {
 		return err
 	}
@@ -122,7 +125,7 @@
 	seconds := time.Since(start).Seconds()
 	used, spent := cluster.meter.read().minus(before), processorTime()-cpu
 	pollsAfter, _ := c.Polls()
-	t.add(n, known, float64(pollsAfter-polls)/seconds, used.bytes/seconds, used.segments/seconds, used.onWire()/seconds/1000,
+	t.add(n, known, learned, toLearn, float64(pollsAfter-polls)/seconds, used.bytes/seconds, used.segments/seconds, used.onWire()/seconds/1000,
 		100*spent.Seconds()/seconds, descriptors(), residentMB())
 	cancel()
 	<-done
