Measure the latency that the system adds, with separate processes

scripts/latency starts the stand-ins, a gateway and two sidecars on free loopback ports; pomelo-bench latency sends the same calls directly and through the system in one open loop.

--- a/cmd/pomelo-bench/main.go
+++ b/cmd/pomelo-bench/main.go
@@ -27,6 +27,8 @@
 	run, args := play, os.Args[1:]
 	if len(args) > 0 && args[0] == "compare" {
 		run, args = comparePolicies, args[1:]
+	} else if len(args) > 0 && args[0] == "latency" {
+		run, args = latency, args[1:]
 	}
 	if err := run(ctx, args); err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "pomelo-bench:", err)
