Reuse connections to backend servers for calls that may be repeated

Calls that may not be repeated, and control calls, still have a connection of their own. A chat POST is sent again by net/http only if no byte of it was written.

--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -70,11 +70,12 @@
 	if err != nil {
 		return ChatResult{}, errkind.Wrap(errkind.BadRequest, err, "build request")
 	}
-	request.GetBody = nil
+	// GetBody stays set: net/http resends this POST only if it wrote no byte of it to a connection that the
+	// engine had closed. A resend after a write could make the engine hold the memory of two runs.
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	request.Header.Set("X-Request-Id", r.RequestID)
-	response, err := c.http.Do(request)
+	response, err := c.chat.Do(request)
 	switch {
 	case err != nil && !connected.Load():
 		return ChatResult{}, errkind.Wrap(errkind.BackendUnreachable, err, "connect to the engine")
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -22,24 +22,36 @@
 	controlTimeout = 2 * time.Second
 	maxControlBody = 1 << 20 // bytes of an answer to a control call
 	maxErrorBody   = 4 << 10 // bytes of an error answer that are kept
+	// chatIdle is shorter than the 5 s after which common servers close an idle connection, so that a call
+	// seldom meets one that is being closed.
+	chatIdle = 2 * time.Second
+	// maxIdleChats bounds the idle connections for chat completions.
+	maxIdleChats = 64
 )
 
 // Client talks to one engine.
 type Client struct {
 	base string
-	http *http.Client
+	http *http.Client // of control calls
+	chat *http.Client // of chat completions
 }
 
-// New returns a client of the engine at baseURL. Each call has its own connection, because net/http may
-// resend a request on its own only on a reused connection.
+// New returns a client of the engine at baseURL. Each control call has its own connection, because net/http
+// may resend a request on its own only on a reused connection. Chat completions may be repeated and reuse
+// connections.
 func New(baseURL string) *Client {
-	transport := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+	return &Client{
+		base: baseURL,
+		http: newHTTP(&http.Transport{DisableKeepAlives: true}),
+		chat: newHTTP(&http.Transport{MaxIdleConnsPerHost: maxIdleChats, IdleConnTimeout: chatIdle}),
 	}
+}
+
+func newHTTP(t *http.Transport) *http.Client {
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	t.DisableCompression = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{base: baseURL, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &http.Client{Transport: t, CheckRedirect: noRedirect}
 }
 
 // State is what the engine reports about itself. Memory is in mebibytes.
--- a/internal/plainservice/client.go
+++ b/internal/plainservice/client.go
@@ -21,6 +21,9 @@
 const (
 	dialTimeout = time.Second
 	chunkBytes  = 32 << 10
+	// idleTimeout is shorter than the 5 s after which common servers close an idle connection.
+	idleTimeout = 2 * time.Second
+	maxIdle     = 64 // idle connections for calls that may be repeated
 	// DefaultMaxResponse bounds the body of a response, in bytes.
 	DefaultMaxResponse = 64 << 20
 )
@@ -36,25 +39,29 @@
 type Client struct {
 	base        string
 	maxResponse int64
-	http        *http.Client
+	once        *http.Client // of calls that may not be repeated
+	repeatable  *http.Client
 }
 
 // New returns a client of the service at baseURL that reads at most maxResponse bytes of a body. Each call
-// has its own connection, because net/http may resend a request on its own only on a reused connection.
+// that may not be repeated has its own connection, because net/http may resend a request on its own only on a
+// reused connection.
 func New(baseURL string, maxResponse int64) *Client {
-	transport := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:        strings.TrimSuffix(baseURL, "/"),
 		maxResponse: maxResponse,
-		http:        &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		once:        newHTTP(&http.Transport{DisableKeepAlives: true}),
+		repeatable:  newHTTP(&http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout}),
 	}
 }
 
+func newHTTP(t *http.Transport) *http.Client {
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	t.DisableCompression = true
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: t, CheckRedirect: noRedirect}
+}
+
 // Request is one call.
 type Request struct {
 	RequestID string
@@ -63,6 +70,8 @@
 	Query     string
 	Headers   http.Header
 	Body      []byte
+	// Repeatable allows a reused connection, on which net/http may send the call again.
+	Repeatable bool
 }
 
 // Response receives an answer: Head once, then Data for each part of the body. An error ends the call.
@@ -80,7 +89,11 @@
 	if err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "build request")
 	}
-	response, err := c.http.Do(request)
+	client := c.once
+	if r.Repeatable {
+		client = c.repeatable
+	}
+	response, err := client.Do(request)
 	switch {
 	case err != nil && !connected.Load():
 		return errkind.Wrap(errkind.BackendUnreachable, err, "connect to the service")
@@ -110,7 +123,9 @@
 	if err != nil {
 		return nil, err
 	}
-	request.GetBody = nil
+	if !r.Repeatable {
+		request.GetBody = nil
+	}
 	request.Header = passed(r.Headers)
 	request.Header.Set("X-Request-Id", r.RequestID)
 	return request, checkHeaders(request.Header)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -187,6 +187,7 @@
 	err := s.plain.Do(ctx, plainservice.Request{
 		RequestID: t.submit.GetRequestId(), Method: h.GetMethod(), Path: h.GetPath(), Query: h.GetQuery(),
 		Headers: httpHeaders(h.GetHeaders()), Body: h.GetBody(),
+		Repeatable: t.submit.GetRepeatable() && t.submit.GetIdempotencyKey() == "",
 	}, a)
 	o := outcome{err: err}
 	t.tokens = t.item.Tokens
