--- a/internal/plainservice/client_test.go
+++ b/internal/plainservice/client_test.go
@@ -115,6 +115,22 @@
 		Expect(executed.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a dial for each call that may be repeated, and a kept connection for one that may not.
+	It("reuses the connection of a repeatable call only", func() {
+		var remotes []string
+		kept := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			remotes = append(remotes, r.RemoteAddr)
+		}))
+		DeferCleanup(kept.Close)
+		client := New(kept.URL, 50)
+		for _, repeatable := range []bool{true, true, false, false} {
+			r := Request{Method: "GET", Path: "/", Repeatable: repeatable}
+			Expect(client.Do(context.Background(), r, got)).To(Succeed())
+		}
+		Expect(remotes[0]).To(Equal(remotes[1]))
+		Expect(remotes[2]).NotTo(BeElementOf(remotes[1], remotes[3]))
+	})
+
 	It("does not resend when the service closes each connection without an answer", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
