--- a/internal/systemtest/process_test.go
+++ b/internal/systemtest/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -110,13 +111,16 @@
 // Addresses that this process gave out, and their IP number. An IP number of its own keeps other tests and
 // outgoing connections, which use 127.0.0.1, from taking a port between freeAddress and the start of a process.
 var (
-	given = map[string]bool{}
-	ownIP = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, 1+os.Getpid()&0xff%250)
+	startMu sync.Mutex // guards given, and the cleanups of systems that start together
+	given   = map[string]bool{}
+	ownIP   = fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, 1+os.Getpid()&0xff%250)
 )
 
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() string {
 	GinkgoHelper()
+	startMu.Lock()
+	defer startMu.Unlock()
 	for {
 		l, err := net.Listen("tcp", ownIP+":0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -3,6 +3,7 @@
 package systemtest
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -42,6 +43,8 @@
 type backend struct {
 	name, dataCentre, service string
 	args                      []string // of the backend server
+	bare                      bool     // the model engine gets args only
+	late                      bool     // started by the spec, together with its sidecar
 }
 
 func (b backend) model() bool { return b.service == models }
@@ -51,10 +54,29 @@
 	gateways int
 	backends []backend
 	cuttable bool // the last gateway reaches the table service through System.Forwarder
+
+	dataCentres []string // of the gateways; walled-city if empty
+	duties      string   // settings of limits and planner; both off if empty
+	bundle      string   // initial configuration without its keys; the constant bundle if empty
+	memoryMB    int      // of each accelerator; 81920 if zero
+	admission   string   // settings of the sidecars' admission
+}
+
+func (l layout) withDefaults() layout {
+	for len(l.dataCentres) < l.gateways {
+		l.dataCentres = append(l.dataCentres, "walled-city")
+	}
+	// Specs of the request path run without the duties that place models or hold limits.
+	l.duties = cmp.Or(l.duties, "limits: {enabled: false}\nplanner: {enabled: false}")
+	l.bundle = cmp.Or(l.bundle, bundle)
+	l.memoryMB = cmp.Or(l.memoryMB, 81920)
+	l.admission = cmp.Or(l.admission, "{cold_concurrency: 8}")
+	return l
 }
 
 // System is a running system.
 type System struct {
+	layout    layout
 	dir       string
 	platform  string
 	gateways  []string // callers' URLs
@@ -93,10 +115,23 @@
 // NewSystem starts a system and stops it after the spec or the container that called it.
 func NewSystem(l layout) *System {
 	GinkgoHelper()
+	s := startSystem(l)
+	for _, b := range l.backends {
+		s.AwaitServing(b)
+	}
+	return s
+}
+
+// startSystem starts a system and returns when every gateway knows every sidecar.
+func startSystem(l layout) *System {
+	GinkgoHelper()
+	l = l.withDefaults()
 	dir, err := os.MkdirTemp("", "system")
 	Expect(err).NotTo(HaveOccurred())
-	s := &System{dir: dir, platform: freeAddress(), backends: map[string]string{}, procs: map[string]*process{}}
+	s := &System{layout: l, dir: dir, platform: freeAddress(), backends: map[string]string{}, procs: map[string]*process{}}
+	startMu.Lock()
 	DeferCleanup(s.stop)
+	startMu.Unlock()
 	for range l.gateways {
 		s.gateways = append(s.gateways, "http://"+freeAddress())
 		s.peers = append(s.peers, freeAddress())
@@ -107,22 +142,35 @@
 	s.run("platform", "fake-platform", "-listen", s.platform, "-hosts", s.write("hosts.json", s.hosts(l)))
 	s.awaitOK("http://" + s.platform + "/hosts")
 	for _, b := range l.backends {
-		s.startBackend(b)
+		if !b.late {
+			s.startBackend(b)
+		}
 	}
-	s.Ctl("init", "-author", "harness", "-reason", "start of the test", s.write("bundle.yml", bundle+keyLines()))
+	s.Ctl("init", "-author", "harness", "-reason", "start of the test", s.write("bundle.yml", l.bundle+keyLines()))
 	if l.cuttable {
 		s.Forwarder = newForwarder(s.platform)
 	}
 	for i := range l.gateways {
 		s.startGateway(i, l.cuttable && i == l.gateways-1)
 	}
+	known := 0
 	for i, b := range l.backends {
-		s.run("sidecar-"+b.name, "pomelo-sidecar", "-config", s.write(b.name+".yml", s.sidecarSettings(i, b)))
+		if !b.late {
+			s.startSidecar(i, b)
+			known++
+		}
+	}
+	for _, g := range s.gateways {
+		Eventually(func() any { return s.Vars(g)["sidecars_known"] }, startTime).Should(BeEquivalentTo(known))
 	}
-	s.awaitServed(l)
 	return s
 }
 
+func (s *System) startSidecar(i int, b backend) {
+	GinkgoHelper()
+	s.run("sidecar-"+b.name, "pomelo-sidecar", "-config", s.write(b.name+".yml", s.sidecarSettings(i, b)))
+}
+
 func keyLines() string {
 	var b strings.Builder
 	for _, id := range slices.Sorted(maps.Keys(keyIDs)) {
@@ -135,7 +183,7 @@
 func (s *System) hosts(l layout) string {
 	var hosts []map[string]string
 	for i, a := range s.peers {
-		hosts = append(hosts, map[string]string{"address": a, "host": fmt.Sprintf("gateway-%d", i+1), "data_centre": "walled-city", "role": "gateway"})
+		hosts = append(hosts, map[string]string{"address": a, "host": fmt.Sprintf("gateway-%d", i+1), "data_centre": l.dataCentres[i], "role": "gateway"})
 	}
 	for i, b := range l.backends {
 		hosts = append(hosts, map[string]string{"address": s.sidecars[i], "host": b.name, "data_centre": b.dataCentre, "role": "sidecar"})
@@ -150,7 +198,9 @@
 	address := freeAddress()
 	s.backends[b.name] = "http://" + address
 	args := append([]string{"-listen", address}, b.args...)
-	if b.model() {
+	if b.bare {
+		s.run("backend-"+b.name, "fake-engine", args...)
+	} else if b.model() {
 		// Warm at once, so that no verdict depends on the ramp of a fresh server.
 		args = append([]string{"-model", "brush-small=16384", "-cold-factor", "1", "-warm-up", "0s", "-first-token", "5ms"}, args...)
 		s.run("backend-"+b.name, "fake-engine", args...)
@@ -160,17 +210,15 @@
 	s.awaitOK(s.backends[b.name] + "/health")
 }
 
-// Duties that place models or hold limits are left out: these specs are about the request path.
 const gatewaySettings = `
-process: {host: gateway-%d, data_centre: walled-city}
+process: {host: gateway-%d, data_centre: %s}
 log: {level: debug}
 callers: {listen: "%s", default_service: brush-assistant, max_body: 64KiB}
 peers: {listen: "%s", gateways: ["%s"], sidecars: ["%s"]}
 table_service: {endpoint: "http://%s"}
 host_list: {url: "http://%s/hosts"}
 routing: {status_interval: 200ms}
-limits: {enabled: false}
-planner: {enabled: false}
+%s
 shutdown: {notice_delay: 300ms, grace: 30s}
 `
 
@@ -180,8 +228,8 @@
 	if cuttable {
 		table = s.Forwarder.Address()
 	}
-	text := fmt.Sprintf(gatewaySettings, i+1, strings.TrimPrefix(s.gateways[i], "http://"), s.peers[i],
-		strings.Join(s.peers, `","`), strings.Join(s.sidecars, `","`), table, s.platform)
+	text := fmt.Sprintf(gatewaySettings, i+1, s.layout.dataCentres[i], strings.TrimPrefix(s.gateways[i], "http://"), s.peers[i],
+		strings.Join(s.peers, `","`), strings.Join(s.sidecars, `","`), table, s.platform, s.layout.duties)
 	name := fmt.Sprintf("gateway-%d", i+1)
 	s.run(name, "pomelo-gateway", "-config", s.write(name+".yml", text))
 	s.awaitOK(s.gateways[i] + "/readyz")
@@ -190,28 +238,17 @@
 func (s *System) sidecarSettings(i int, b backend) string {
 	kind := "{service: " + b.service + ", kind: plain, "
 	if b.model() {
-		kind = "{service: " + b.service + ", kind: model, memory_mb: 81920, "
+		kind = fmt.Sprintf("{service: %s, kind: model, memory_mb: %d, ", b.service, s.layout.memoryMB)
 	}
 	return fmt.Sprintf(`
 process: {host: %s, data_centre: %s}
 log: {level: debug}
 peers: {listen: "%s", gateways: ["%s"]}
 backend: %surl: "%s"}
-admission: {cold_concurrency: 8}
+admission: %s
 table_service: {endpoint: "http://%s"}
 shutdown: {notice_delay: 300ms, grace: 30s}
-`, b.name, b.dataCentre, s.sidecars[i], strings.Join(s.peers, `","`), kind, s.backends[b.name], s.platform)
-}
-
-// awaitServed waits until every gateway has a status of every sidecar and serves the model.
-func (s *System) awaitServed(l layout) {
-	GinkgoHelper()
-	for _, g := range s.gateways {
-		Eventually(func() any { return s.Vars(g)["sidecars_known"] }, startTime).Should(BeEquivalentTo(len(l.backends)))
-	}
-	for _, b := range l.backends {
-		s.AwaitServing(b)
-	}
+`, b.name, b.dataCentre, s.sidecars[i], strings.Join(s.peers, `","`), kind, s.backends[b.name], s.layout.admission, s.platform)
 }
 
 // AwaitServing waits until each gateway routes to the sidecar of b.
