Confirm the incarnation of an engine before a burst after a gap

The sidecar reads the engine's state every 500 ms. A server that restarted between two reads while it was idle got a burst at the limit that it bore before: after the idle time of 5 s the first good answer lifted the limit from cold to full, and within the idle time the limit was full from the start. Ruled out: requests of two gateways at once and a restart under load, which the specs of the same container cover and which held.

Now a gap of 100 ms without good service or a confirmed incarnation puts the ramp in doubt. It stays at the cold limit until a report that was asked for afterwards confirms the incarnation; the sidecar asks at once when requests wait.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -217,6 +217,30 @@
 		Expect(r.LimitAt(now)).To(Equal(8))
 	})
 
+	// Guards against a restarted server that gets the full load after its first good answer.
+	It("needs a confirmed incarnation after a gap, because a good answer does not show a restart", func() {
+		r = NewRamp(RampOptions{Cold: 2, Max: 8, Step: 2 * time.Second, Check: time.Second})
+		r.Incarnation("first")
+		serve(20 * time.Second)
+		Expect(r.LimitAt(now)).To(Equal(8))
+		asked := now.Add(500 * time.Millisecond)
+		r.Confirm("first", asked)
+		Expect(r.LimitAt(asked.Add(time.Second))).To(Equal(8))
+		now = asked.Add(1100 * time.Millisecond)
+		Expect(r.LimitAt(now)).To(Equal(2))
+		r.FirstAnswer(now, 100*time.Millisecond, time.Second)
+		Expect(r.LimitAt(now)).To(Equal(2))
+		r.Confirm("first", now.Add(-time.Millisecond))
+		Expect(r.LimitAt(now)).To(Equal(2), "the report was asked for before the gap was noticed")
+		r.Confirm("first", now)
+		Expect(r.LimitAt(now)).To(Equal(8))
+		now = now.Add(2 * time.Second)
+		r.FirstAnswer(now, 100*time.Millisecond, time.Second)
+		r.Confirm("second", now)
+		Expect(r.LimitAt(now)).To(Equal(2))
+		Expect(r.InDoubt()).To(BeFalse())
+	})
+
 	It("takes one slow answer after an idle time for a cold server", func() {
 		r = NewRamp(RampOptions{Cold: 2, Max: 8, Step: 2 * time.Second, Idle: 5 * time.Second})
 		serve(20 * time.Second)
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -18,6 +18,10 @@
 	// Idle is the time without good service after which the server may have turned cold unnoticed. Until the
 	// next good answer it gets no more than the cold limit. Zero switches the check off.
 	Idle time.Duration
+	// Check is the time without good service or a confirmed incarnation after which the server may have
+	// restarted. It gets no more than the cold limit until a report asked for after that confirms its
+	// incarnation: one good answer of a restarted server proves nothing. Zero switches the check off.
+	Check time.Duration
 }
 
 // Ramp bounds how many requests a backend server gets at once. A fresh server starts at the cold limit.
@@ -28,6 +32,8 @@
 	good        time.Duration
 	answers     int
 	last        time.Time
+	confirmed   time.Time // when the last report of the same incarnation was asked for
+	doubt       time.Time // since when the incarnation has to be confirmed; zero if it need not
 	slow        int
 }
 
@@ -39,9 +45,11 @@
 // Limit returns the requests that may run at once on a server that is known to be as warm as it was.
 func (r *Ramp) Limit() int { return r.limit }
 
-// LimitAt returns the requests that may run at once at now. After an idle time it is the cold limit.
+// LimitAt returns the requests that may run at once at now. After an idle time, and while the incarnation
+// has to be confirmed, it is the cold limit.
 func (r *Ramp) LimitAt(now time.Time) int {
-	if r.unproven(now) {
+	r.check(now)
+	if r.unproven(now) || r.InDoubt() {
 		return min(r.limit, r.opts.Cold)
 	}
 	return r.limit
@@ -51,6 +59,28 @@
 	return r.opts.Idle > 0 && !r.last.IsZero() && now.Sub(r.last) > r.opts.Idle
 }
 
+// InDoubt reports whether the limit is the cold limit until Confirm.
+func (r *Ramp) InDoubt() bool { return !r.doubt.IsZero() }
+
+func (r *Ramp) check(now time.Time) {
+	known := r.last
+	if r.confirmed.After(known) {
+		known = r.confirmed
+	}
+	if r.opts.Check > 0 && !r.last.IsZero() && !r.InDoubt() && now.Sub(known) > r.opts.Check {
+		r.doubt = now
+	}
+}
+
+// Confirm notes the incarnation in a report that was asked for at askedAt.
+func (r *Ramp) Confirm(id string, askedAt time.Time) {
+	r.Incarnation(id)
+	r.confirmed = askedAt
+	if !askedAt.Before(r.doubt) {
+		r.doubt = time.Time{}
+	}
+}
+
 // Warm reports whether the limit has reached its maximum.
 func (r *Ramp) Warm() bool { return r.limit >= r.opts.Max }
 
@@ -65,13 +95,14 @@
 // Bad notes a failure of the backend server: the limit falls back to the cold limit.
 func (r *Ramp) Bad() {
 	r.limit = r.opts.Cold
-	r.good, r.answers, r.slow, r.last = 0, 0, 0, time.Time{}
+	r.good, r.answers, r.slow, r.last, r.doubt = 0, 0, 0, time.Time{}, time.Time{}
 }
 
 // Good notes good service at now. Time counts only between observations and at most a quarter step each,
 // so that an idle server doesn't become warm. The limit doubles after a step with at least as many
 // observations as the limit.
 func (r *Ramp) Good(now time.Time) {
+	r.check(now)
 	if !r.last.IsZero() {
 		r.good += min(max(now.Sub(r.last), 0), r.opts.Step/4)
 	}
--- a/internal/sidecar/residency.go
+++ b/internal/sidecar/residency.go
@@ -117,7 +117,7 @@
 		s.incarnation = state.Incarnation
 		s.prefixes = nil
 	}
-	s.ramp.Incarnation(state.Incarnation)
+	s.ramp.Confirm(state.Incarnation, askedAt)
 	report := ledger.EngineState{
 		Incarnation: state.Incarnation, TotalMB: state.MemoryTotalMB, UsedMB: state.MemoryUsedMB, Running: state.Running + state.Waiting,
 		Models: make(map[string]int64), Adapters: make(map[string]int64),
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -31,7 +31,9 @@
 	orderLife = 10 * time.Second
 	// rampIdle is long against the gaps between tokens of a busy server, so that only an idle one is tried
 	// out again.
-	rampIdle  = 5 * time.Second
+	rampIdle = 5 * time.Second
+	// rampCheck is short against the restart of an engine and long against a read of its state.
+	rampCheck = 100 * time.Millisecond
 	kindModel = "model"
 )
 
@@ -114,10 +116,14 @@
 		Policy: admission.Policy(s.Admission.Policy), MaxQueue: s.Admission.MaxQueue,
 		MaxQueueOrg: s.Admission.MaxQueueOrg, BatchConcurrency: s.Admission.BatchConcurrency,
 	})
-	server.ramp = admission.NewRamp(admission.RampOptions{
+	ramp := admission.RampOptions{
 		Cold: s.Admission.ColdConcurrency, Max: s.Admission.MaxConcurrency, Step: s.Admission.RampStep.D(),
 		Idle: rampIdle,
-	})
+	}
+	if server.isModel() {
+		ramp.Check = rampCheck // a plain service reports no incarnation
+	}
+	server.ramp = admission.NewRamp(ramp)
 	server.ledger = ledger.New(ledger.Options{
 		TotalMB: s.Backend.MemoryMB, ChecksOrders: s.Backend.ChecksOrders,
 		FirstFencing: uint64(time.Now().UnixMicro()), OrderLife: orderLife,
--- a/internal/sidecar/task.go
+++ b/internal/sidecar/task.go
@@ -159,6 +159,9 @@
 				s.handBack(blocked, full)
 				continue
 			}
+			if s.ramp.InDoubt() && s.queue.Queued() > 0 {
+				s.wake()
+			}
 			return
 		}
 		t := s.tasks[item]
