Send no new work to a sidecar that the host list marks as leaving

The gateway read the state 'leaving' of the host list only for gateways. A sidecar got work until its own drain began, which comes by signal and may come late. Ruled out: the lag of the list (2 s in the spec) and the age of the status.

A listed state of leaving now counts as draining in the gateway's status of the sidecar, so that routing and placement leave it out.

--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -120,6 +120,7 @@
 	s := p.settings
 	p.sidecars = sidecars.New(sidecars.Options{
 		Pool: p.pool, Static: s.Peers.Sidecars, HostList: p.hosts, Policy: route.Policy(s.Routing.Policy), Log: p.log,
+		Leaving:        p.hosts.Leaving,
 		StatusInterval: s.Routing.StatusInterval.D(), StatusMaxAge: s.Routing.StatusMaxAge.D(), Identity: p.identity,
 		StatusPolls: s.Routing.StatusPolls, Loads: func() bool { return p.planner != nil && p.planner.Holds() },
 	})
--- a/internal/sidecars/client.go
+++ b/internal/sidecars/client.go
@@ -25,10 +25,13 @@
 
 // Options configures a Client.
 type Options struct {
-	Pool           *transport.Pool
-	Identity       *wirepb.Identity
-	Static         []string // sidecars known at start, IP:port
-	HostList       HostList // may be nil
+	Pool     *transport.Pool
+	Identity *wirepb.Identity
+	Static   []string // sidecars known at start, IP:port
+	HostList HostList // may be nil
+	// Leaving reports whether the host list says that the host at address is leaving. Its status then counts as
+	// draining, although its sidecar may not know yet. May be nil.
+	Leaving        func(address string) bool
 	Policy         route.Policy
 	StatusInterval time.Duration
 	StatusMaxAge   time.Duration // an older status is confirmed by Select before its sidecar is chosen
@@ -88,6 +91,9 @@
 		return
 	}
 	wire.SetVersions(s)
+	if c.opts.Leaving != nil && c.opts.Leaving(address) {
+		s.Draining = true
+	}
 	r := route.Replica{
 		Address: address, DataCentre: s.GetIdentity().GetDataCentre(), Service: s.GetService(),
 		Plain: s.GetKind() == "plain", Resident: s.GetResident(), Adapters: s.GetAdapters(), Prefixes: s.GetPrefixes(),
