--- a/internal/systemtest/host_list_test.go
+++ b/internal/systemtest/host_list_test.go
@@ -22,27 +22,31 @@
 	s.Control("http://"+s.platform, string(raw))
 }
 
-var _ = Describe("the host list", func() {
-	// Guards against work for a host that leaves, and against a host that is lost because the lagging list lacks
-	// it: with a lag of 2 s, the only sidecar left answers although it is not listed.
-	It("ends new work of a leaving sidecar within 10 s and does not decide who serves", func() {
-		s := startSystem(layout{gateways: 2, backends: engines,
-			duties: "limits: {enabled: true}\nplanner: {enabled: true, interval: 300ms, lease_term: 3s}"})
-		for _, b := range engines {
-			s.AwaitServing(b)
-		}
-		s.Control("http://"+s.platform, `{"lag_ms":2000}`)
-		l := s.startLoad(8, s.gateways...)
-		Eventually(func() int { return s.chatCalls("brush-1") }, startTime, "50ms").Should(BeNumerically(">", 10))
-		s.listHost(0, "leaving")
-		s.listHost(1, "")
-		marked := time.Now()
-		<-time.After(time.Until(marked.Add(inForce)))
-		before, other, sent := s.chatCalls("brush-1"), s.chatCalls("brush-2"), l.sent.Load()
-		Eventually(l.sent.Load, startTime).Should(BeNumerically(">", sent+30))
-		Expect(s.chatCalls("brush-1")).To(Equal(before), "new work 10 s after the host was marked as leaving")
-		Expect(s.chatCalls("brush-2")).To(BeNumerically(">", other), "the sidecar that is not listed serves nothing")
-		l.end()
-		Expect(l.failed.Load()).To(BeNil())
-	})
-})
+// Specs of markHosts.
+const (
+	// Guards against work for a host that leaves.
+	hostLeaving = "the host list ends new work of a sidecar marked as leaving within 10 s"
+	// Guards against a host that is lost because the lagging list lacks it.
+	hostRemoved = "the host list does not end the work of a sidecar that answers but is not listed"
+)
+
+// markHosts marks one sidecar as leaving and removes the other one from the list, which lags by 2 s.
+func markHosts(v *verdicts) {
+	s := startSystem(layout{gateways: 2, backends: engines,
+		duties: "limits: {enabled: true}\nplanner: {enabled: true, interval: 300ms, lease_term: 3s}"})
+	for _, b := range engines {
+		s.AwaitServing(b)
+	}
+	s.Control("http://"+s.platform, `{"lag_ms":2000}`)
+	l := s.startLoad(8, s.gateways...)
+	Eventually(func() int { return s.chatCalls("brush-1") }, startTime, "50ms").Should(BeNumerically(">", 10))
+	s.listHost(0, "leaving")
+	s.listHost(1, "")
+	<-time.After(inForce)
+	before, other, sent := s.chatCalls("brush-1"), s.chatCalls("brush-2"), l.sent.Load()
+	Eventually(l.sent.Load, startTime).Should(BeNumerically(">", sent+30))
+	v.of(hostLeaving).Expect(s.chatCalls("brush-1")).To(Equal(before), "new work after 10 s")
+	v.of(hostRemoved).Expect(s.chatCalls("brush-2")).To(BeNumerically(">", other))
+	l.end()
+	v.of(hostRemoved).Expect(l.failed.Load()).To(BeNil())
+}
--- a/internal/systemtest/limits_test.go
+++ b/internal/systemtest/limits_test.go
@@ -143,12 +143,13 @@
 	return n
 }
 
-// limitsResult is what the callers of a greedy and of a modest organisation saw.
-type limitsResult struct {
-	greedy, modest []exchange
-	start, faults  time.Time // the first fault; the last one ends before end
-	end            time.Time
-}
+// Specs of offerThroughFaults.
+const (
+	// Guards against a share that is granted twice: by a restarted holder, by one that was paused, or through loans.
+	limitsHold = "the limits of organisations hold over all hosts in every window through failures"
+	// Guards against refusals of an organisation that stays within its rate at one gateway, beside a greedy one.
+	limitsRefuse = "the limits of organisations refuse nothing within the rate while nothing fails"
+)
 
 // holder returns the gateway that took the share of a data centre last.
 func (s *System) holder(dataCentre string, among ...int) int {
@@ -167,8 +168,7 @@
 }
 
 // offerThroughFaults runs both organisations first without a fault and then while gateways and the table service fail.
-func offerThroughFaults() limitsResult {
-	GinkgoHelper()
+func offerThroughFaults(v *verdicts) {
 	var backends []backend
 	for i, dc := range []string{"walled-city", "gulberg", "model-town"} {
 		backends = append(backends, backend{name: fmt.Sprintf("brush-%d", i+1), dataCentre: dc, service: models,
@@ -185,7 +185,7 @@
 		Eventually(func() int { return s.Call(summary(g, "crews-1")).status }, startTime).Should(Equal(http.StatusOK))
 	}
 	greedy, modest := s.newRecorder(), s.newRecorder()
-	r := limitsResult{start: time.Now()}
+	start := time.Now()
 	// 135 and 15 requests a second of about 45 tokens are more than four times the rate.
 	for range 3 {
 		greedy.offer(skewed, "crews-1", time.Second/45)
@@ -195,7 +195,7 @@
 	modest.offer(skewed, "clerks-1", time.Second/16)
 	pass := func(d time.Duration) { <-time.After(d) }
 	pass(4 * time.Second)
-	r.faults = time.Now()
+	faults := time.Now()
 	s.procs[fmt.Sprintf("gateway-%d", holder+1)].Kill()
 	pass(500 * time.Millisecond)
 	s.procs[fmt.Sprintf("gateway-%d", holder+1)].Restart()
@@ -207,33 +207,19 @@
 	pass(3 * time.Second)
 	s.Control("http://"+s.platform, `{"away":false}`)
 	pass(3 * time.Second)
-	r.end = time.Now()
-	r.greedy, r.modest = greedy.end(), modest.end()
-	return r
+	end := time.Now()
+	offers, modestAll := greedy.end(), modest.end()
+	for name, all := range map[string][]exchange{"greedy": offers, "modest": modestAll} {
+		over, window := excess(all, limitRate, limitBurst)
+		AddReportEntry("windows of "+name, fmt.Sprintf("%d tokens, %.0f over in %s", total(all), over, window))
+		v.of(limitsHold).Expect(over).To(BeNumerically("<=", 0), "%s in a window of %s", name, window)
+	}
+	// A system that serves nothing keeps every limit.
+	calm := slices.DeleteFunc(slices.Clone(offers), func(x exchange) bool { return !x.sent.Before(faults) })
+	v.of(limitsHold).Expect(total(calm)).To(BeNumerically(">", limitRate*4/2))
+	modestCalm := outcomes(modestAll, start, faults)
+	AddReportEntry("modest without faults", modestCalm)
+	AddReportEntry("modest with faults", outcomes(modestAll, faults, end))
+	AddReportEntry("greedy with faults", outcomes(offers, faults, end))
+	v.of(limitsRefuse).Expect(slices.Collect(maps.Keys(modestCalm))).To(ConsistOf("ok"), "%v", modestCalm)
 }
-
-var _ = Describe("the limits of organisations", Ordered, func() {
-	var r limitsResult
-	BeforeAll(func() { r = offerThroughFaults() })
-
-	// Guards against a share that is granted twice: by a restarted holder, by one that was paused, or through loans.
-	It("hold over all hosts in every window through failures", func() {
-		for name, all := range map[string][]exchange{"greedy": r.greedy, "modest": r.modest} {
-			over, window := excess(all, limitRate, limitBurst)
-			AddReportEntry("windows of "+name, fmt.Sprintf("%d tokens, %.0f over in %s", total(all), over, window))
-			Expect(over).To(BeNumerically("<=", 0), "%s in a window of %s", name, window)
-		}
-		// A system that serves nothing keeps every limit. Without faults the whole rate is served.
-		calm := slices.DeleteFunc(slices.Clone(r.greedy), func(x exchange) bool { return !x.sent.Before(r.faults) })
-		Expect(total(calm)).To(BeNumerically(">", limitRate*4/2))
-	})
-
-	// Guards against refusals of an organisation that stays within its rate at one gateway, beside a greedy one.
-	It("refuse nothing within the rate while nothing fails", func() {
-		calm := outcomes(r.modest, r.start, r.faults)
-		AddReportEntry("modest without faults", calm)
-		AddReportEntry("modest with faults", outcomes(r.modest, r.faults, r.end))
-		AddReportEntry("greedy with faults", outcomes(r.greedy, r.faults, r.end))
-		Expect(slices.Collect(maps.Keys(calm))).To(ConsistOf("ok"), "%v", calm)
-	})
-})
--- a/internal/systemtest/memory_test.go
+++ b/internal/systemtest/memory_test.go
@@ -198,47 +198,55 @@
 	return len(slices.DeleteFunc(f.seen(backend), func(r seenRequest) bool { return !strings.HasPrefix(r.Path, "/v2/repository/models/") }))
 }
 
-var _ = Describe("models that move", func() {
-	// Guards against two orders that together ask for more memory than there is, against a model whose last copy
-	// is unloaded, and against requests lost although another copy serves.
-	It("never overcommit memory and stay served through failures", func(ctx context.Context) {
-		f := startFleet()
-		f.placed()
-		ctx, cancel := context.WithCancel(ctx)
-		DeferCleanup(cancel)
-		for i := range lanternModels {
-			f.probe(i)
-		}
-		f.disturb(ctx)
-		f.heat(ctx)
-		pass := func(d time.Duration) { <-time.After(d) }
-		pass(2 * time.Second)
-		f.procs["sidecar-brush-1"].Kill()
-		pass(500 * time.Millisecond)
-		f.procs["sidecar-brush-1"].Restart()
-		pass(2 * time.Second)
-		gateway := f.procs[fmt.Sprintf("gateway-%d", f.planner()+1)]
-		gateway.Kill()
-		pass(2 * time.Second)
-		gateway.Restart()
-		pass(3 * time.Second)
-		cancel()
-		f.placed()
-		for _, b := range f.backends {
-			state := f.engine(b.name)
-			AddReportEntry(b.name, fmt.Sprintf("%d orders, high water %d of %d MB", f.taken(b.name), state.HighWaterMB, state.MemoryTotalMB))
-			Expect(state.HighWaterMB).To(BeNumerically("<=", state.MemoryTotalMB), b.name)
-		}
-		for _, name := range []string{"gateway-2", "sidecar-brush-3", "sidecar-brush-4", "backend-brush-3", "backend-brush-4"} {
-			f.procs[name].Kill()
-		}
-		pass(2 * time.Second)
-		close(f.stop)
-		f.wg.Wait()
-		for _, b := range f.backends[:2] {
-			state := f.engine(b.name)
-			Expect(state.HighWaterMB).To(BeNumerically("<=", state.MemoryTotalMB), b.name)
-		}
-		Expect(f.missed).To(BeEmpty())
-	}, NodeTimeout(4*startTime))
-})
+// Specs of moveModels.
+const (
+	// Guards against two orders that together ask for more memory than there is.
+	memoryHeld = "models that move never overcommit memory through failures"
+	// Guards against a model whose last copy is unloaded, and against requests lost although another copy serves.
+	modelsServed = "models that move are served at all times through failures"
+)
+
+// moveModels moves models while orders, processes and at last a data centre fail.
+func moveModels(v *verdicts) {
+	f := startFleet()
+	f.placed()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range lanternModels {
+		f.probe(i)
+	}
+	f.disturb(ctx)
+	f.heat(ctx)
+	pass := func(d time.Duration) { <-time.After(d) }
+	pass(4 * time.Second)
+	f.procs["sidecar-brush-1"].Kill()
+	pass(500 * time.Millisecond)
+	f.procs["sidecar-brush-1"].Restart()
+	pass(4 * time.Second)
+	gateway := f.procs[fmt.Sprintf("gateway-%d", f.planner()+1)]
+	gateway.Kill()
+	pass(2 * time.Second)
+	gateway.Restart()
+	pass(5 * time.Second)
+	cancel()
+	f.placed()
+	orders := 0
+	for _, b := range f.backends {
+		state := f.engine(b.name)
+		orders += f.taken(b.name)
+		AddReportEntry(b.name, fmt.Sprintf("%d orders, high water %d of %d MB", f.taken(b.name), state.HighWaterMB, state.MemoryTotalMB))
+		v.of(memoryHeld).Expect(state.HighWaterMB).To(BeNumerically("<=", state.MemoryTotalMB), b.name)
+	}
+	v.of(memoryHeld).Expect(orders).To(BeNumerically(">=", 2*lanternModels), "the models did not move")
+	for _, name := range []string{"gateway-2", "sidecar-brush-3", "sidecar-brush-4", "backend-brush-3", "backend-brush-4"} {
+		f.procs[name].Kill()
+	}
+	pass(3 * time.Second)
+	close(f.stop)
+	f.wg.Wait()
+	for _, b := range f.backends[:2] {
+		state := f.engine(b.name)
+		v.of(memoryHeld).Expect(state.HighWaterMB).To(BeNumerically("<=", state.MemoryTotalMB), b.name)
+	}
+	v.of(modelsServed).Expect(f.missed).To(BeEmpty())
+}
