--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,6 +19,9 @@
 	// OrderLife is how long an order may arrive after it was sent. If the engine ignores fencing numbers,
 	// the memory of a load order is held at least that long.
 	OrderLife time.Duration
+	// WeightsPart is the part of the memory that models may take together, so that running requests keep room
+	// for their cache. One model alone may take more. Zero sets no bound.
+	WeightsPart float64
 }
 
 // Ledger is the account of one accelerator.
@@ -135,6 +138,9 @@
 // Load reserves memory for a model and returns the fencing number of the load order to send. A repeated
 // order uses the same reservation. It refuses with kind MemoryFull.
 func (l *Ledger) Load(now time.Time, model string, mb int64) (uint64, error) {
+	if err := l.checkWeights(model, mb); err != nil {
+		return 0, err
+	}
 	e, err := reserve(l, l.models, model, mb)
 	if err != nil {
 		return 0, err
@@ -145,6 +151,20 @@
 	return l.fencing, nil
 }
 
+// checkWeights keeps room for the cache. Memory of an unconfirmed unload counts, because a report may still
+// show it.
+func (l *Ledger) checkWeights(model string, mb int64) error {
+	fixed := l.Fixed()
+	if e, ok := l.models[model]; ok {
+		fixed -= e.mb()
+	}
+	bound := int64(l.opts.WeightsPart * float64(l.total))
+	if bound > 0 && fixed > 0 && fixed+mb > bound {
+		return errkind.New(errkind.MemoryFull, "%d MB beside %d MB, models may take %d MB", mb, fixed, bound)
+	}
+	return nil
+}
+
 // LoadAdapter reserves memory for an adapter before its load order. It refuses with kind MemoryFull.
 func (l *Ledger) LoadAdapter(now time.Time, adapter string, mb int64) error {
 	e, err := reserve(l, l.adapters, adapter, mb)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -92,6 +92,23 @@
 		Expect(l.StartRun("next", 60)).To(Succeed())
 	})
 
+	// Guards against models, also half unloaded ones, that leave running requests no memory.
+	It("refuses a load that leaves no room for the cache, unless the model is alone", func() {
+		l := New(Options{TotalMB: 100, ChecksOrders: true, WeightsPart: 0.8})
+		_, err := l.Load(t0, "a", 90)
+		Expect(err).NotTo(HaveOccurred())
+		l = New(Options{TotalMB: 100, ChecksOrders: true, WeightsPart: 0.8})
+		for _, model := range []string{"a", "b"} {
+			_, err := l.Load(t0, model, 40)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		l.Unload("b")
+		_, err = l.Load(t0, "c", 20)
+		Expect(errkind.Of(err)).To(Equal(errkind.MemoryFull))
+		_, err = l.Load(t0, "a", 40)
+		Expect(err).NotTo(HaveOccurred(), "a repeated order needs no more memory")
+	})
+
 	It("refuses a planner with an older epoch", func() {
 		l := newLedger(true)
 		Expect(l.CheckEpoch(5)).To(Succeed())
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,10 @@
 
 import "cmp"
 
+// WeightsPart is the part of an accelerator's memory that models may take; the rest is for the cache of running
+// requests.
+const WeightsPart = 0.8
+
 // Server is a backend server as its sidecar reports it.
 type Server struct {
 	ID         string // address of the sidecar
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,7 +58,7 @@
 	Log    *slog.Logger
 
 	Demand       placement.DemandOptions // default 200 tokens/s, 30 s, 5 min
-	WeightsPart  float64                 // of an accelerator's memory; default 0.8
+	WeightsPart  float64                 // of an accelerator's memory; default placement.WeightsPart
 	AdapterLoads int                     // at once; default 16
 	StatusMaxAge time.Duration           // default 5 s; raised to two poll rounds in a large fleet
 	PollRound    func() time.Duration    // the time in which every sidecar is polled once; optional
@@ -71,7 +71,7 @@
 func (o *Options) setDefaults() {
 	defaults := placement.DemandOptions{TokensPerCopy: 200, Smoothing: 30 * time.Second, Hold: 5 * time.Minute}
 	setDefault(&o.Demand, defaults)
-	setDefault(&o.WeightsPart, 0.8)
+	setDefault(&o.WeightsPart, placement.WeightsPart)
 	setDefault(&o.AdapterLoads, 16)
 	setDefault(&o.StatusMaxAge, 5*time.Second)
 	setDefault(&o.OrderExpiry, 2*time.Minute)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -16,6 +16,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/engine"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/ledger"
+	"github.com/pomelowheel/pomelowheel/internal/placement"
 	"github.com/pomelowheel/pomelowheel/internal/plainservice"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
@@ -126,7 +127,7 @@
 	server.ramp = admission.NewRamp(ramp)
 	server.ledger = ledger.New(ledger.Options{
 		TotalMB: s.Backend.MemoryMB, ChecksOrders: s.Backend.ChecksOrders,
-		FirstFencing: uint64(time.Now().UnixMicro()), OrderLife: orderLife,
+		FirstFencing: uint64(time.Now().UnixMicro()), OrderLife: orderLife, WeightsPart: placement.WeightsPart,
 	})
 	return server
 }
