--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,29 +26,6 @@
 	RunSpecs(t, "configsync")
 }
 
-var _ = DescribeTable("decision",
-	func(v configsync.View, want configsync.Decision) {
-		v.FreshFor = 8 * time.Second
-		Expect(configsync.Decide(v)).To(Equal(want))
-	},
-	Entry("fresh", configsync.View{HasConfig: true, Confirmed: true, Age: 8 * time.Second}, configsync.Use),
-	Entry("stale, not asked", configsync.View{HasConfig: true, Confirmed: true, Age: 9 * time.Second}, configsync.Ask),
-	Entry("never confirmed, not asked", configsync.View{HasConfig: true}, configsync.Ask),
-	Entry("no configuration, not asked", configsync.View{Confirmed: true}, configsync.Ask),
-	Entry("no configuration, asked", configsync.View{Confirmed: true, Asked: true, PeersHeard: 3, PeersAway: 3}, configsync.NotReady),
-	Entry("stale, an earlier continue holds", configsync.View{HasConfig: true, AwayFor: true}, configsync.Continue),
-	Entry("stale, a peer sees the outage",
-		configsync.View{HasConfig: true, Asked: true, HasStore: true, PeersKnown: 3, PeersHeard: 1, PeersAway: 1}, configsync.Continue),
-	Entry("stale, peers heard but none sees an outage",
-		configsync.View{HasConfig: true, Asked: true, HasStore: true, PeersKnown: 3, PeersHeard: 2}, configsync.Refuse),
-	Entry("stale, no peer reached", configsync.View{HasConfig: true, Asked: true, HasStore: true, PeersKnown: 3}, configsync.Refuse),
-	Entry("stale, only process", configsync.View{HasConfig: true, Asked: true, HasStore: true}, configsync.Continue),
-	Entry("stale, the table service answered too late", configsync.View{HasConfig: true, Asked: true, HasStore: true, StoreHeard: true}, configsync.Refuse),
-	Entry("stale, the table service answered too late and a peer sees an outage",
-		configsync.View{HasConfig: true, Asked: true, HasStore: true, StoreHeard: true, PeersKnown: 1, PeersAway: 1}, configsync.Refuse),
-	Entry("stale sidecar without gateways", configsync.View{HasConfig: true, Asked: true}, configsync.Refuse),
-)
-
 // clock is a clock that moves by hand.
 type clock struct {
 	mu  sync.Mutex
@@ -365,49 +341,3 @@
 
 // switchStore lets a test replace the store behind it.
 type switchStore struct{ tablestore.Store }
-
-// Guards against a change that takes longer than the bound to be in force, with polls alone.
-func TestRunInForceWithinBound(t *testing.T) {
-	RegisterTestingT(t)
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		f := newFleet()
-		f.accept()
-		ask := make(map[string]*configsync.Copy)
-		build := func(name string, store tablestore.Store, poll time.Duration) *configsync.Copy {
-			c := configsync.New(configsync.Options{
-				Store: store, PollInterval: poll, Peers: func() []string { return []string{"g"} },
-				Identity: &wirepb.Identity{Address: name},
-				Ask: func(_ context.Context, a string, r *wirepb.ConfigRequest) (*wirepb.ConfigDelta, error) {
-					return ask[a].ServeConfig(r), nil
-				},
-			})
-			ask[name] = c
-			return c
-		}
-		g, s := build("g", f.store, 4*time.Second), build("s", nil, 3*time.Second)
-		seen := make(chan int64, 10)
-		s.Subscribe(func(n *config.Snapshot) { seen <- n.Version() })
-		done := make(chan error, 2)
-		go func() { done <- g.Run(ctx) }()
-		synctest.Wait()
-		go func() { done <- s.Run(ctx) }()
-		Expect(<-seen).To(Equal(int64(1)))
-		for want := int64(2); want < 8; want++ {
-			accepted := time.Now()
-			f.accept()
-			Expect(<-seen).To(Equal(want))
-			Expect(time.Since(accepted)).To(BeNumerically("<=", 8*time.Second))
-		}
-		// A table service that is slow, but answers, is still followed.
-		f.store.SetDelay(1200 * time.Millisecond)
-		f.accept() // takes effect when it returns
-		accepted := time.Now()
-		Expect(<-seen).To(Equal(int64(8)))
-		Expect(time.Since(accepted)).To(BeNumerically("<=", 10*time.Second))
-		cancel()
-		<-done
-		<-done
-	})
-}
