Join five copies of the sleep that ends with its context

Cause: the same ten lines stood in config, gateway, sidecar, sidecars and limitholder, with two forms of result.

Ruled out: time.Sleep, which does not end with its duty.

Before: five copies without a test.

--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
 )
@@ -209,7 +208,7 @@
 			return 0, l.lost(ctx, change)
 		}
 		unknown = true
-		if !l.pause(ctx, wait) {
+		if l.pause(ctx, wait) != nil {
 			break
 		}
 		wait *= 2
@@ -225,14 +224,3 @@
 	}
 	return l.conflict(ctx, change.Version, head)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
 )
 
@@ -64,15 +65,15 @@
 // Log is the change log in the table service. It may be used from several goroutines.
 type Log struct {
 	store tablestore.Store
-	pause func(ctx context.Context, d time.Duration) bool
+	pause func(ctx context.Context, d time.Duration) error
 }
 
 // NewLog returns the change log in store.
-func NewLog(store tablestore.Store) *Log { return &Log{store: store, pause: pause} }
+func NewLog(store tablestore.Store) *Log { return &Log{store: store, pause: duty.Sleep} }
 
 // WithPause returns a log on the same store whose waits between attempts to resolve a lost answer are done by
-// f, which reports false when the context ended.
-func (l *Log) WithPause(f func(ctx context.Context, d time.Duration) bool) *Log {
+// f, which returns an error when the context ended.
+func (l *Log) WithPause(f func(ctx context.Context, d time.Duration) error) *Log {
 	return &Log{store: l.store, pause: f}
 }
 
--- a/internal/config/outcome_test.go
+++ b/internal/config/outcome_test.go
@@ -120,7 +120,7 @@
 		store := tablestore.NewMemory()
 		s := &sequence{
 			store: store, changes: make(map[string]config.Change), said: make(map[string]int64),
-			log:     config.NewLog(store).WithPause(func(context.Context, time.Duration) bool { return true }),
+			log:     config.NewLog(store).WithPause(func(context.Context, time.Duration) error { return nil }),
 			refused: make(map[string]bool), unknown: make(map[string]bool),
 		}
 		for n := range rapid.IntRange(1, 12).Draw(t, "steps") {
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/limit"
 )
@@ -70,12 +71,5 @@
 		return false
 	}
 	g.metrics.limitWaits.Add(1)
-	timer := time.NewTimer(refusal.After)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return duty.Sleep(ctx, refusal.After) == nil
 }
--- a/internal/limitholder/holder.go
+++ b/internal/limitholder/holder.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -75,24 +76,13 @@
 		case <-timer.C:
 		case <-h.kick:
 			timer.Stop()
-			if !sleep(ctx, h.kickPause()) {
+			if duty.Sleep(ctx, h.kickPause()) != nil {
 				return h.HandBack(context.WithoutCancel(ctx))
 			}
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Refresh asks for an early read of the lease rows, for a caller that found no holder.
 func (h *Holder) Refresh() {
 	select {
--- a/internal/sidecar/adapters.go
+++ b/internal/sidecar/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/engine"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
@@ -93,7 +94,7 @@
 			return err
 		}
 		s.wake()
-		if pauseErr := pause(ctx, s.opts.Settings.Backend.PollInterval.D()); pauseErr != nil {
+		if pauseErr := duty.Sleep(ctx, s.opts.Settings.Backend.PollInterval.D()); pauseErr != nil {
 			return stopped(ctx, "while an adapter waited for memory")
 		}
 	}
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
@@ -20,7 +21,7 @@
 	s.mu.Unlock()
 	shutdown := s.opts.Settings.Shutdown
 	s.log.Info("drain", "step", "notice", "delay_ms", shutdown.NoticeDelay.D().Milliseconds())
-	if err := pause(ctx, shutdown.NoticeDelay.D()); err != nil {
+	if err := duty.Sleep(ctx, shutdown.NoticeDelay.D()); err != nil {
 		return err
 	}
 	s.refuse()
@@ -33,7 +34,7 @@
 		return ctx.Err()
 	}
 	for s.book.Pending() > 0 {
-		if err := pause(ctx, outcomeInterval); err != nil {
+		if err := duty.Sleep(ctx, outcomeInterval); err != nil {
 			return fmt.Errorf("%d outcomes are not recorded: %w", s.book.Pending(), err)
 		}
 	}
@@ -70,15 +71,3 @@
 		close(s.idle)
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/sidecars/poll.go
+++ b/internal/sidecars/poll.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 )
 
@@ -40,7 +41,7 @@
 	for {
 		addresses, gap := c.due()
 		for i, address := range addresses {
-			if i > 0 && !pause(ctx, gap) {
+			if i > 0 && duty.Sleep(ctx, gap) != nil {
 				return ctx.Err()
 			}
 			select {
@@ -61,21 +62,6 @@
 	}
 }
 
-// pause waits for d and reports whether ctx is still valid.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // due returns the sidecars to poll in this round, and the time between two polls. It forgets those that
 // left the lists and do not answer. A round above the budget, which learns a large fleet, is spread over half of the interval;
 // the rest is for timers that are late. Other rounds start at once: 25 separate polls take twice the processor
