--- a/cmd/pomelo-sidecar/vars_test.go
+++ b/cmd/pomelo-sidecar/vars_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"expvar"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"slices"
-	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -19,41 +15,10 @@
 	"github.com/pomelowheel/pomelowheel/internal/sidecar"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/vardoc"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
-// documented returns the names in the tables below a heading of docs/operations.md.
-func documented(g Gomega, heading string) []string {
-	page, err := os.ReadFile("../../docs/operations.md")
-	g.Expect(err).NotTo(HaveOccurred())
-	_, section, found := strings.Cut(string(page), "### "+heading+"\n")
-	g.Expect(found).To(BeTrue())
-	section, _, _ = strings.Cut(section, "\n##")
-	var names []string
-	for line := range strings.Lines(section) {
-		if row, ok := strings.CutPrefix(line, "| `"); ok {
-			name, _, _ := strings.Cut(row, "`")
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// published returns the names of vars and of the maps in them.
-func published(vars map[string]expvar.Var) []string {
-	var names []string
-	for name, v := range vars {
-		m, isMap := v.(*expvar.Map)
-		if !isMap {
-			names = append(names, name)
-			continue
-		}
-		m.Do(func(kv expvar.KeyValue) { names = append(names, name+"."+kv.Key) })
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Guards against a metric that operators cannot look up and one that the page promises in vain.
 func TestDocumentedVars(t *testing.T) {
 	g := NewWithT(t)
@@ -67,7 +32,9 @@
 		Config: configsync.New(configsync.Options{Pool: pool, Identity: new(wirepb.Identity), Log: slog.New(slog.DiscardHandler)}),
 	})
 	all := vars(server, store, nil)
-	g.Expect(published(all)).To(ConsistOf(documented(g, "Sidecar")))
+	documented, err := vardoc.Documented("../../docs/operations.md", "Sidecar")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(vardoc.Published(all)).To(ConsistOf(documented))
 	for name, v := range all {
 		g.Expect(v.String()).NotTo(BeEmpty(), name)
 	}
