--- /dev/null
+++ b/internal/dispatch/table.go
@@ -0,0 +1,272 @@
+package dispatch
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// defaultRate is the prompt tokens a millisecond that an engine is taken to read until it was measured, in the
+	// range of the engines of the site files.
+	defaultRate = 40
+	// minRate and maxRate bound the measurement, in tokens a millisecond.
+	minRate, maxRate = 2, 400
+	// defaultServiceMS is the time of a plain request in milliseconds until it was measured.
+	defaultServiceMS = 50
+	// learn is the weight of a new measurement.
+	learn = 0.1
+	// learnSlowness is the weight of a new measurement of one server, higher because a server turns slow at once.
+	learnSlowness = 0.25
+	// maxSlowness bounds the slowness, so that one hung request does not exclude a server for good.
+	maxSlowness = 20
+	// recovery is the time after which half of a server's slowness is forgotten if it gets no requests.
+	recovery = 4 * time.Second
+	// firstTokenMS is the part of the time to the first token that does not depend on the prompt, in milliseconds.
+	firstTokenMS = 8
+	// failurePenaltyMS is the cost of a server after a failure in milliseconds; it doubles with each further one and
+	// halves with each penaltyHalf.
+	failurePenaltyMS = 120
+	maxPenaltyMS     = 20_000
+	penaltyHalf      = time.Second
+	// peerAge is the age at which the loads that a peer reported are no longer counted.
+	peerAge = 2 * time.Second
+	// prefixAge is the time for which a prompt part is taken to stay in a server's cache after its last use.
+	prefixAge = 20 * time.Second
+	// maxPrefixes bounds the parts that are remembered for one server.
+	maxPrefixes = 4096
+)
+
+// Load is what is under way at one server.
+type Load struct {
+	InFlight int
+	Prefill  float64 // prompt tokens that wait for their first token
+	Memory   float64 // prompt and output tokens
+}
+
+type server struct {
+	load     Load
+	slowness float64
+	measured time.Duration
+	penalty  float64
+	failed   time.Duration
+	prefixes map[uint64]time.Duration // last use by hash of the prompt up to a part
+}
+
+// Table keeps the loads of the servers, own and reported, and what was measured of them. Times are readings of one
+// clock. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	servers map[string]*server
+	rates   map[string]float64 // by model
+	service map[string]float64 // milliseconds by plain service
+	peers   map[string]*peerLoads
+}
+
+type peerLoads struct {
+	at    time.Duration
+	loads map[string]Load
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		servers: make(map[string]*server), rates: make(map[string]float64), service: make(map[string]float64),
+		peers: make(map[string]*peerLoads),
+	}
+}
+
+func (t *Table) server(id string) *server {
+	s := t.servers[id]
+	if s == nil {
+		s = &server{slowness: 1, prefixes: make(map[uint64]time.Duration)}
+		t.servers[id] = s
+	}
+	return s
+}
+
+// Forget drops what is known of a server that is gone.
+func (t *Table) Forget(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.servers, id)
+}
+
+// SetPeer replaces the loads that a peer reported.
+func (t *Table) SetPeer(peer string, now time.Duration, loads map[string]Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[peer] = &peerLoads{at: now, loads: loads}
+}
+
+// DropPeer forgets the loads of a peer that is gone.
+func (t *Table) DropPeer(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, peer)
+}
+
+// Loads returns the loads of this gateway that are not zero.
+func (t *Table) Loads() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := make(map[string]Load)
+	for id, s := range t.servers {
+		if s.load.InFlight > 0 {
+			loads[id] = s.load
+		}
+	}
+	return loads
+}
+
+// Fill completes a candidate with what the table knows: loads, measured speed and the cached part of the prompt.
+func (t *Table) Fill(c *Candidate, now time.Duration, model, service string, prompt Prompt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(c.ID)
+	load := s.load
+	for _, p := range t.peers {
+		if now-p.at < peerAge {
+			l := p.loads[c.ID]
+			load.InFlight += l.InFlight
+			load.Prefill += l.Prefill
+			load.Memory += l.Memory
+		}
+	}
+	c.InFlight, c.Ahead, c.Memory = load.InFlight, load.Prefill, load.Memory
+	c.Slowness = s.slownessAt(now)
+	c.PenaltyMS = s.penaltyAt(now)
+	if model == "" {
+		c.ServiceMS = orDefault(t.service[service], defaultServiceMS)
+		return
+	}
+	c.Rate = orDefault(t.rates[model], defaultRate)
+	c.Uncached = prompt.uncached(s, c.ID, now)
+}
+
+func orDefault(v, fallback float64) float64 {
+	if v == 0 {
+		return fallback
+	}
+	return v
+}
+
+func (s *server) slownessAt(now time.Duration) float64 {
+	age := now - s.measured
+	return 1 + (s.slowness-1)*math.Exp2(-float64(age)/float64(recovery))
+}
+
+func (s *server) penaltyAt(now time.Duration) float64 {
+	return s.penalty * math.Exp2(-float64(now-s.failed)/float64(penaltyHalf))
+}
+
+// Rate returns the prompt tokens a millisecond at which a model is read.
+func (t *Table) Rate(model string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return orDefault(t.rates[model], defaultRate)
+}
+
+// Ticket is one request under way at a server.
+type Ticket struct {
+	table   *Table
+	id      string
+	model   string
+	service string
+	prefill float64
+	memory  float64
+	started time.Duration
+	waiting float64 // milliseconds predicted at the start, without slowness
+	first   bool
+	done    bool
+}
+
+// Begin records that a request goes to the chosen candidate.
+func (t *Table) Begin(c *Candidate, now time.Duration, model, service string, prompt Prompt) *Ticket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.server(c.ID)
+	s.load.InFlight++
+	ticket := &Ticket{table: t, id: c.ID, model: model, service: service, started: now}
+	if c.Rate > 0 {
+		ticket.prefill, ticket.memory = c.Uncached, c.Need
+		s.load.Prefill += c.Uncached
+		s.load.Memory += c.Need
+	}
+	plain := *c
+	plain.Slowness = 1
+	ticket.waiting = plain.predictedMS()
+	if c.Rate > 0 {
+		prompt.remember(s, now)
+	}
+	return ticket
+}
+
+// First records the first event of a stream, or the answer of a plain service, and learns from the time it took.
+func (k *Ticket) First(now time.Duration) {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k.first || k.done {
+		return
+	}
+	k.first = true
+	s := t.server(k.id)
+	s.load.Prefill = math.Max(0, s.load.Prefill-k.prefill)
+	took := float64(now-k.started) / float64(time.Millisecond)
+	expected := k.waiting
+	if k.model != "" {
+		expected += firstTokenMS
+		t.learnRate(k, took)
+	} else {
+		t.service[k.service] += learn * (took - orDefault(t.service[k.service], defaultServiceMS))
+		if t.service[k.service] <= 0 {
+			t.service[k.service] = took
+		}
+	}
+	ratio := math.Min(math.Max(took/math.Max(expected, 1), 0.2), maxSlowness)
+	s.slowness = s.slownessAt(now) + learnSlowness*(ratio-s.slownessAt(now))
+	s.measured = now
+	s.penalty = s.penaltyAt(now) / 2
+	s.failed = now
+}
+
+// learnRate adapts the model's rate when the wait was dominated by reading prompts.
+func (t *Table) learnRate(k *Ticket, took float64) {
+	rate := orDefault(t.rates[k.model], defaultRate)
+	const readMS = 20 // shorter waits say little of the rate
+	if k.waiting < readMS || took <= firstTokenMS {
+		return
+	}
+	measured := rate * k.waiting / (took - firstTokenMS)
+	t.rates[k.model] = math.Min(math.Max(rate+learn*(measured-rate), minRate), maxRate)
+}
+
+// Done ends the request. failed says that the server broke off, answered out of protocol or did not answer.
+func (k *Ticket) Done(now time.Duration, failed bool) {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k.done {
+		return
+	}
+	k.done = true
+	s := t.server(k.id)
+	s.load.InFlight--
+	s.load.Memory = math.Max(0, s.load.Memory-k.memory)
+	if !k.first {
+		s.load.Prefill = math.Max(0, s.load.Prefill-k.prefill)
+	}
+	if failed {
+		s.penalty = math.Min(2*s.penaltyAt(now)+failurePenaltyMS, maxPenaltyMS)
+		s.failed = now
+	}
+}
+
+// Prune drops servers that are not listed and carry nothing.
+func (t *Table) Prune(listed func(id string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.servers, func(id string, s *server) bool { return s.load.InFlight == 0 && !listed(id) })
+}
--- /dev/null
+++ b/internal/orglimit/bucket.go
@@ -0,0 +1,63 @@
+// Package orglimit keeps the fleet's use of each organisation's limit below its rate and burst. Every gateway runs
+// the same bucket and subtracts what the other gateways report that they admitted. It is pure: the time is passed
+// in.
+//
+// The load it answers: many short requests of a few large organisations through every gateway. What two gateways
+// admit within one exchange interval is not yet known to each other, so the bucket can be exceeded by that much;
+// gateways that are not heard keep their part of the rate.
+package orglimit
+
+import (
+	"math"
+	"time"
+)
+
+// Limit is an organisation's rate and burst in units of the limit; a rate of zero means no limit.
+type Limit struct {
+	Rate  float64 // a second, over all gateways
+	Burst float64
+}
+
+// Bucket is the limit of one organisation at one gateway. It is not safe for concurrent use.
+type Bucket struct {
+	limit Limit
+	level float64
+	at    time.Duration
+}
+
+// New returns a bucket that starts with the fraction of the burst that share names, 0 to 1.
+func New(limit Limit, now time.Duration, share float64) *Bucket {
+	return &Bucket{limit: limit, level: limit.Burst * share, at: now}
+}
+
+// Update accrues up to now. heard is the fraction of the gateways that report, this one included, since the last
+// update. A changed limit is in force at once.
+func (b *Bucket) Update(now time.Duration, limit Limit, heard float64) {
+	if elapsed := now - b.at; elapsed > 0 {
+		b.level = math.Min(b.level+b.limit.Rate*heard*elapsed.Seconds(), b.limit.Burst)
+		b.at = now
+	}
+	b.limit = limit
+	b.level = math.Min(b.level, limit.Burst)
+}
+
+// Take admits a request of the given size if the bucket holds it. Otherwise it returns the time until it will.
+// A request above the burst waits for a full bucket.
+func (b *Bucket) Take(size float64) (ok bool, wait time.Duration) {
+	if b.limit.Rate <= 0 {
+		return true, 0
+	}
+	need := math.Min(size, b.limit.Burst)
+	if b.level >= need {
+		b.level -= size
+		return true, 0
+	}
+	return false, time.Duration((need - b.level) / b.limit.Rate * float64(time.Second))
+}
+
+// Refund returns what a request took that did not run.
+func (b *Bucket) Refund(size float64) { b.level = math.Min(b.level+size, b.limit.Burst) }
+
+// UsedElsewhere subtracts what another gateway admitted. The debt is bounded by one burst, so that a report after
+// a long silence does not shut the organisation out.
+func (b *Bucket) UsedElsewhere(size float64) { b.level = math.Max(b.level-size, -b.limit.Burst) }
--- /dev/null
+++ b/internal/peers/receive.go
@@ -0,0 +1,112 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// sent remembers what a peer was told, so that only changes are sent.
+type sent struct {
+	loads  *wirepb.PeerUpdate
+	use    map[string]float64
+	demand map[string]float64
+	epoch  int64
+}
+
+func newSent() *sent {
+	return &sent{loads: new(wirepb.PeerUpdate), use: make(map[string]float64), demand: make(map[string]float64)}
+}
+
+// changes completes u with what changed since the last call.
+func (s *sent) changes(u *wirepb.PeerUpdate, source Source) {
+	u.Loads = source.Loads()
+	for _, o := range source.Use() {
+		if s.use[o.GetOrganisation()] != o.GetUsed() {
+			s.use[o.GetOrganisation()] = o.GetUsed()
+			u.Use = append(u.Use, o)
+		}
+	}
+	for _, d := range source.Demand() {
+		if s.demand[d.GetModel()] != d.GetWorkTokens() {
+			s.demand[d.GetModel()] = d.GetWorkTokens()
+			u.Demand = append(u.Demand, d)
+		}
+	}
+	u.PlannerEpoch = source.PlannerEpoch()
+}
+
+// quiet reports whether u says nothing new.
+func (s *sent) quiet(u *wirepb.PeerUpdate) bool {
+	loads := &wirepb.PeerUpdate{Loads: u.GetLoads()}
+	same := u.GetIdentity() == nil && len(u.GetRows()) == 0 && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 &&
+		!u.GetLeaving() && u.GetPlannerEpoch() == s.epoch && proto.Equal(loads, s.loads)
+	s.loads, s.epoch = loads, u.GetPlannerEpoch()
+	return same
+}
+
+// Receive reads the updates of one peer. first is the first frame of the stream.
+func (m *Mesh) Receive(ctx context.Context, stream *transport.Stream, first *wirepb.PeerUpdate) {
+	identity := first.GetIdentity()
+	if identity.GetAddress() == "" || identity.GetAddress() == m.opts.Identity.GetAddress() {
+		m.opts.Log.Warn("peer refused, it has no address of its own", "peer", identity.GetHost())
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	m.Meet([]string{identity.GetAddress()})
+	for u := first; ; {
+		if !m.take(identity, u) {
+			return
+		}
+		if err := stream.SetReadDeadline(time.Now().Add(forgetAfter)); err != nil {
+			return
+		}
+		frame, err := stream.Recv()
+		if err != nil {
+			m.opts.Log.Debug("stream from peer ended", "peer", identity.GetHost(), "error", err)
+			return
+		}
+		if u = frame.GetPeerUpdate(); u == nil {
+			m.opts.Log.Warn("peer sent another message than an update", "peer", identity.GetHost())
+			return
+		}
+	}
+}
+
+// take merges one update. It reports whether the stream goes on.
+func (m *Mesh) take(identity *wirepb.Identity, u *wirepb.PeerUpdate) bool {
+	m.mu.Lock()
+	p := m.peers[identity.GetAddress()]
+	if p == nil {
+		m.mu.Unlock()
+		return false
+	}
+	now := m.opts.Clock()
+	regained := p.name == "" || p.lost || p.incarnation != identity.GetIncarnation()
+	if p.incarnation != identity.GetIncarnation() {
+		p.use, p.demand = make(map[string]float64), make(map[string]float64)
+	}
+	p.name, p.incarnation, p.heardAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
+	use, demand := make(map[string]float64), make(map[string]float64)
+	for _, o := range u.GetUse() {
+		use[o.GetOrganisation()] = max(0, o.GetUsed()-p.use[o.GetOrganisation()])
+		p.use[o.GetOrganisation()] = o.GetUsed()
+	}
+	for _, d := range u.GetDemand() {
+		demand[d.GetModel()] = max(0, d.GetWorkTokens()-p.demand[d.GetModel()])
+		p.demand[d.GetModel()] = d.GetWorkTokens()
+	}
+	m.mu.Unlock()
+	if regained {
+		m.opts.Log.Info("peer heard", "peer", identity.GetHost(), "address", identity.GetAddress(),
+			"incarnation", identity.GetIncarnation())
+	}
+	m.opts.Sink.Update(identity.GetHost(), u, use, demand)
+	m.Meet(u.GetMembers())
+	return true
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -15,6 +16,7 @@
 // first use and closed when it fails or stays idle.
 type Pool struct {
 	tlsConfig *tls.Config
+	control   func(network, address string, c syscall.RawConn) error
 
 	mu       sync.Mutex
 	sessions map[string]*pooledSession
@@ -31,6 +33,14 @@
 	return &Pool{tlsConfig: tlsConfig, sessions: make(map[string]*pooledSession)}
 }
 
+// NewPoolWithControl returns an empty pool for plain TCP that calls control on each socket before it connects, as
+// net.Dialer does.
+func NewPoolWithControl(control func(network, address string, c syscall.RawConn) error) *Pool {
+	p := NewPool(nil)
+	p.control = control
+	return p
+}
+
 // Open opens a stream to the peer at address (IP:port). An error means that no byte of the
 // conversation was sent.
 func (p *Pool) Open(ctx context.Context, address string) (*Stream, error) {
@@ -73,7 +83,7 @@
 	if p.tlsConfig != nil {
 		conn, err = (&tls.Dialer{Config: p.tlsConfig}).DialContext(ctx, "tcp", address)
 	} else {
-		conn, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		conn, err = (&net.Dialer{Control: p.control}).DialContext(ctx, "tcp", address)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
