--- /dev/null
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -0,0 +1,57 @@
+// Command pomelo-fleet-agent runs beside one model engine on the fleet's platform. It reads the engine's report and is
+// the only process that sends it orders.
+package main
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+
+	"github.com/pomelowheel/pomelowheel/internal/agent"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
+	"github.com/pomelowheel/pomelowheel/internal/fleetproc"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/platform"
+)
+
+func main() {
+	os.Exit(fleetproc.Main("pomelo-fleet-agent", os.Args[1:], os.Stdout, os.Stderr, run))
+}
+
+func run(ctx context.Context, settings *fleetproc.Settings, log *slog.Logger) error {
+	s := settings.Get()
+	if s.EngineAddress == "" {
+		return errors.New("the settings name no engine beside this process")
+	}
+	listener, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for gateways: %w", err)
+	}
+	store := platform.NewStore(s.Store.Address)
+	a := agent.New(agent.Options{
+		Host: s.Host, Engine: platform.NewEngineClient(s.EngineAddress), Store: store, Log: log,
+	})
+	gateways := transport.NewServer(listener, nil, a.Handle, log)
+
+	ctx, stop := fleetproc.Terminated(ctx)
+	defer stop()
+	group := duty.NewGroup(ctx, log)
+	group.Go("engine", a.Run)
+	group.Go("gateways", gateways.Serve)
+	group.Go("settings", func(ctx context.Context) error {
+		return settings.Watch(ctx, func(s *platform.Settings) { store.SetAddress(s.Store.Address) })
+	})
+	group.Go("metrics", func(ctx context.Context) error {
+		return fleetproc.ServeMetrics(ctx, s.MetricsAddress, map[string]expvar.Var{
+			"log_lines_dropped": settings.Sink.Dropped(),
+			"store_calls":       expvar.Func(func() any { all, _ := store.Calls(); return all }),
+			"store_failures":    expvar.Func(func() any { _, failed := store.Calls(); return failed }),
+		})
+	})
+	log.Info("started", "address", s.PeerAddress, "engine", s.EngineAddress, "service", s.EngineService)
+	return group.Wait()
+}
--- /dev/null
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/dispatch"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+	"github.com/pomelowheel/pomelowheel/platform"
+)
+
+// The methods below are the gateway's side of the exchange with its peers: peers.Source and peers.Sink.
+
+// Rows implements peers.Source.
+func (g *gateway) Rows() []*wirepb.StoreRow { return toWire(g.follower.Rows()) }
+
+// Loads implements peers.Source.
+func (g *gateway) Loads() []*wirepb.ReplicaLoad {
+	loads := g.table.Loads()
+	list := make([]*wirepb.ReplicaLoad, 0, len(loads))
+	for id, l := range loads {
+		list = append(list, &wirepb.ReplicaLoad{
+			Replica: id, InFlight: int32(l.InFlight), PrefillTokens: int64(l.Prefill), MemoryTokens: int64(l.Memory),
+		})
+	}
+	return list
+}
+
+// Use implements peers.Source.
+func (g *gateway) Use() []*wirepb.OrganisationUse { return g.limits.Use() }
+
+// Demand implements peers.Source.
+func (g *gateway) Demand() []*wirepb.ModelDemand { return g.demand.Wire() }
+
+// PlannerEpoch implements peers.Source.
+func (g *gateway) PlannerEpoch() int64 { return g.lease.Epoch() }
+
+// Update implements peers.Sink.
+func (g *gateway) Update(peer string, u *wirepb.PeerUpdate, use, demand map[string]float64) {
+	if rows := fromWire(u.GetRows()); len(rows) > 0 {
+		g.follower.Apply(rows, false)
+	}
+	loads := make(map[string]dispatch.Load, len(u.GetLoads()))
+	for _, l := range u.GetLoads() {
+		loads[l.GetReplica()] = dispatch.Load{
+			InFlight: int(l.GetInFlight()), Prefill: float64(l.GetPrefillTokens()), Memory: float64(l.GetMemoryTokens()),
+		}
+	}
+	g.table.SetPeer(peer, bootclock.Now(), loads)
+	g.limits.UsedElsewhere(use)
+	g.planner.Asked(demand)
+	if epoch := u.GetPlannerEpoch(); epoch != 0 {
+		g.lease.Heard(epoch)
+	}
+}
+
+// Lost implements peers.Sink.
+func (g *gateway) Lost(peer string) { g.table.DropPeer(peer) }
+
+func (g *gateway) publish(rows []platform.Row) { g.mesh.Publish(toWire(rows)) }
+
+func toWire(rows []platform.Row) []*wirepb.StoreRow {
+	list := make([]*wirepb.StoreRow, 0, len(rows))
+	for _, r := range rows {
+		list = append(list, &wirepb.StoreRow{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	}
+	return list
+}
+
+func fromWire(rows []*wirepb.StoreRow) []platform.Row {
+	list := make([]platform.Row, 0, len(rows))
+	for _, r := range rows {
+		list = append(list, platform.Row{
+			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/pomelowheel/pomelowheel/internal/agents"
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/discovery"
+	"github.com/pomelowheel/pomelowheel/internal/dispatch"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/fleetplan"
+	"github.com/pomelowheel/pomelowheel/internal/fleetproc"
+	"github.com/pomelowheel/pomelowheel/internal/ingress"
+	"github.com/pomelowheel/pomelowheel/internal/peers"
+	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/upstream"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+	"github.com/pomelowheel/pomelowheel/platform"
+)
+
+const (
+	// backendDialTimeout bounds a new connection to a backend server. Within a region it takes some milliseconds.
+	backendDialTimeout = 400 * time.Millisecond
+	// idlePerServer bounds the kept connections to one server. It is below what a server accepts from all gateways.
+	idlePerServer = 24
+	// retryUse is the part of the fleet's retry budget that the gateways use.
+	retryUse = 0.8
+	// cleanInterval is the pause between two sweeps of idle connections and of servers that are gone.
+	cleanInterval = time.Second
+	// registerTimeout bounds the write that makes this gateway known.
+	registerTimeout = time.Second
+	// registerPause is the pause after a failed one.
+	registerPause = 500 * time.Millisecond
+	// memberTable lists the gateways, for those that start without a seed that answers.
+	memberTable = "gateways"
+)
+
+// gateway joins the parts of the process.
+type gateway struct {
+	settings *platform.Settings
+	log      *slog.Logger
+	store    *platform.Store
+	view     *fleet.View
+	table    *dispatch.Table
+	limits   *ingress.Limits
+	demand   *ingress.Demand
+	metrics  *ingress.Metrics
+	pool     *upstream.Pool
+	sessions *transport.Pool
+	mesh     *peers.Mesh
+	agents   *agents.Agents
+	follower *discovery.Follower
+	lease    *fleetplan.Lease
+	planner  *fleetplan.Planner
+	server   *ingress.Server
+	sink     interface{ Dropped() expvar.Var }
+	peerAddr net.Listener
+}
+
+func newGateway(settings *fleetproc.Settings, log *slog.Logger) (*gateway, error) {
+	s := settings.Get()
+	if s.CallerAddress == "" || s.ControlAddress == "" {
+		return nil, fmt.Errorf("the settings lack an address for callers or for peers")
+	}
+	listener, err := net.Listen("tcp", s.ControlAddress)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	_, agentPort, err := net.SplitHostPort(s.PeerAddress)
+	if err != nil {
+		return nil, fmt.Errorf("port of the agents: %w", err)
+	}
+	g := &gateway{
+		settings: s, log: log, store: platform.NewStore(s.Store.Address), view: fleet.NewView(), table: dispatch.NewTable(),
+		demand: ingress.NewDemand(), metrics: ingress.NewMetrics(), sessions: transport.NewPoolWithControl(platform.ControlUnacked),
+		pool: upstream.NewPool(upstream.Options{
+			DialTimeout: backendDialTimeout, MaxIdle: idlePerServer, Control: platform.ControlUnacked,
+		}),
+		sink: settings.Sink, peerAddr: listener,
+	}
+	identity := &wirepb.Identity{
+		Host: s.Host, DataCentre: s.DataCentre, Role: "gateway", Incarnation: uuid.NewString(), Address: s.ControlAddress,
+	}
+	clock := bootclock.Clock(bootclock.Now)
+	g.mesh = peers.New(peers.Options{
+		Identity: identity, Seeds: func() []string { return settings.Get().Seeds }, Pool: g.sessions, Clock: clock,
+		Source: g, Sink: g, Log: log,
+	})
+	g.limits = ingress.NewLimits(clock, g.mesh.Count)
+	g.agents = agents.New(agents.Options{
+		Identity: identity, View: g.view, Pool: g.sessions, Port: agentPort, Clock: clock, Log: log,
+		Changed: func() { g.server.FleetChanged() },
+	})
+	g.follower = discovery.New(discovery.Options{
+		Store: g.store, View: g.view, Clock: clock, Return: s.Bounds.ListReturn,
+		Gateways: func() int { heard, _ := g.mesh.Count(); return heard },
+		Publish:  g.publish, Gone: g.gone, Log: log,
+	})
+	g.lease = fleetplan.NewLease(fleetplan.LeaseOptions{
+		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
+	})
+	g.planner = fleetplan.New(fleetplan.Options{
+		View: g.view, Agents: g.agents, Lease: g.lease, Clock: clock, Rate: g.table.Rate, Totals: g.demand.Totals,
+		FirstStart: s.FirstStart, Log: log,
+	})
+	g.server = ingress.New(ingress.Options{
+		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
+		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Metrics: g.metrics, Log: log,
+		Retry: retrybudget.Options{
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Use: retryUse,
+		},
+	})
+	return g, nil
+}
+
+// start runs the duties of the gateway.
+func (g *gateway) start(group *duty.Group) {
+	group.Go("discovery", g.follower.Run)
+	group.Go("peers", g.mesh.Run)
+	group.Go("peer sessions", transport.NewServer(g.peerAddr, nil, g.handlePeer, g.log).Serve)
+	group.Go("registration", g.register)
+	group.Go("agents", g.agents.Run)
+	group.Go("planner's lease", g.lease.Run)
+	group.Go("planner", g.planner.Run)
+	group.Go("cleaning", g.clean)
+	group.Go("readiness", func(ctx context.Context) error {
+		return fleetproc.Serve(ctx, g.settings.ReadinessAddress, g.readiness())
+	})
+	group.Go("metrics", func(ctx context.Context) error {
+		return fleetproc.ServeMetrics(ctx, g.settings.MetricsAddress, g.vars())
+	})
+}
+
+// readiness answers every path, because the platform asks only one.
+func (g *gateway) readiness() http.Handler {
+	router := mux.NewRouter()
+	router.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.server.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+func (g *gateway) vars() map[string]expvar.Var {
+	vars := g.metrics.Vars()
+	vars["log_lines_dropped"] = g.sink.Dropped()
+	vars["store_calls"] = expvar.Func(func() any { all, _ := g.store.Calls(); return all })
+	vars["store_failures"] = expvar.Func(func() any { _, failed := g.store.Calls(); return failed })
+	vars["backend_connections_opened"] = expvar.Func(func() any { return g.pool.Dials() })
+	vars["active_requests"] = expvar.Func(func() any { return g.server.Active() })
+	vars["gateways_heard"] = expvar.Func(func() any { heard, _ := g.mesh.Count(); return heard })
+	vars["agents_reporting"] = expvar.Func(func() any { fresh, _ := g.agents.Watched(bootclock.Now()); return fresh })
+	vars["config_version"] = expvar.Func(func() any {
+		if c := g.view.Snapshot().Config; c != nil {
+			return c.Version
+		}
+		return 0
+	})
+	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
+	return vars
+}
+
+func (g *gateway) handlePeer(ctx context.Context, s *transport.Stream) {
+	if err := s.SetReadDeadline(time.Now().Add(registerTimeout)); err != nil {
+		return
+	}
+	frame, err := s.Recv()
+	if err != nil {
+		g.log.Debug("peer stream ended before its first message", "error", err)
+		return
+	}
+	if u := frame.GetPeerUpdate(); u != nil {
+		g.mesh.Receive(ctx, s, u)
+	}
+}
+
+// register makes this gateway known in the store and meets the gateways that are.
+func (g *gateway) register(ctx context.Context) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, registerTimeout)
+		rows, _, err := g.store.List(call, memberTable)
+		if err == nil {
+			_, _, _, err = g.store.Commit(call, nil, []platform.Row{{
+				Table: memberTable, Key: g.settings.Host, Value: []byte(g.settings.ControlAddress),
+			}})
+		}
+		cancel()
+		if err == nil {
+			for _, r := range rows {
+				g.mesh.Meet([]string{string(r.Value)})
+			}
+			g.log.Info("registered", "gateways", len(rows))
+			return nil
+		}
+		g.log.Warn("not registered", "error", err)
+		if err := duty.Sleep(ctx, registerPause); err != nil {
+			return err
+		}
+	}
+}
+
+// clean closes idle connections and forgets servers that are gone.
+func (g *gateway) clean(ctx context.Context) error {
+	for {
+		if err := duty.Sleep(ctx, cleanInterval); err != nil {
+			return err
+		}
+		g.pool.CloseExpired(time.Now())
+		replicas := g.view.Snapshot().Replicas
+		g.table.Prune(func(id string) bool { return replicas[id] != nil })
+	}
+}
+
+// gone closes the connections to servers that left.
+func (g *gateway) gone(ids []string) {
+	for _, id := range ids {
+		g.pool.Forget(id)
+	}
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -4,6 +4,8 @@
 
 import (
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -149,3 +151,6 @@
 	TotalTokens    int64
 	Nearby         []string // models in the server's memory or on its disk, which load without the weight store
 }
+
+// Names returns the models that the engine can load, in order.
+func (e *Engine) Names() []string { return slices.Sorted(maps.Keys(e.Models)) }
--- /dev/null
+++ b/internal/ingress/metrics.go
@@ -0,0 +1,87 @@
+package ingress
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+const (
+	// longestLatency bounds what the histograms record, in microseconds.
+	longestLatency = int64(60 * time.Second / time.Microsecond)
+	// latencyDigits is the number of significant digits of the histograms.
+	latencyDigits = 2
+)
+
+// Metrics counts the requests of a gateway.
+type Metrics struct {
+	outcomes *expvar.Map
+	sends    *expvar.Int
+
+	mu    sync.Mutex
+	first map[string]*hdrhistogram.Histogram // by kind of route
+	whole map[string]*hdrhistogram.Histogram
+}
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{
+		outcomes: new(expvar.Map), sends: new(expvar.Int),
+		first: make(map[string]*hdrhistogram.Histogram), whole: make(map[string]*hdrhistogram.Histogram),
+	}
+}
+
+// Vars returns the metrics by their published names.
+func (m *Metrics) Vars() map[string]expvar.Var {
+	return map[string]expvar.Var{
+		"requests_by_outcome": m.outcomes,
+		"sends":               m.sends,
+		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.first) }),
+		"whole_answer_ms":     expvar.Func(func() any { return m.quantiles(m.whole) }),
+	}
+}
+
+func (m *Metrics) record(q *request, kind errkind.Kind) {
+	m.outcomes.Add(kind.String(), 1)
+	m.sends.Add(int64(len(q.tried)))
+	if kind != errkind.None {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	name := q.route.Repeat.String()
+	observe(m.first, name, q.first)
+	observe(m.whole, name, time.Since(q.arrived))
+}
+
+func observe(h map[string]*hdrhistogram.Histogram, name string, d time.Duration) {
+	if h[name] == nil {
+		h[name] = hdrhistogram.New(1, longestLatency, latencyDigits)
+	}
+	// The value is within the bounds, so it is always recorded.
+	_ = h[name].RecordValue(min(max(d.Microseconds(), 1), longestLatency))
+}
+
+type quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+func (m *Metrics) quantiles(h map[string]*hdrhistogram.Histogram) any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make(map[string]quantiles, len(h))
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	for name, one := range h {
+		all[name] = quantiles{one.TotalCount(), ms(one.ValueAtQuantile(50)), ms(one.ValueAtQuantile(95)),
+			ms(one.ValueAtQuantile(99)), ms(one.Max())}
+	}
+	return all
+}
--- a/internal/orglimit/bucket.go
+++ b/internal/orglimit/bucket.go
@@ -58,6 +58,8 @@
 // Refund returns what a request took that did not run.
 func (b *Bucket) Refund(size float64) { b.level = math.Min(b.level+size, b.limit.Burst) }
 
-// UsedElsewhere subtracts what another gateway admitted. The debt is bounded by one burst, so that a report after
-// a long silence does not shut the organisation out.
-func (b *Bucket) UsedElsewhere(size float64) { b.level = math.Max(b.level-size, -b.limit.Burst) }
+// UsedElsewhere subtracts what another gateway admitted; a negative size is a refund there. The debt is bounded by one
+// burst, so that a report after a long silence does not shut the organisation out.
+func (b *Bucket) UsedElsewhere(size float64) {
+	b.level = math.Min(math.Max(b.level-size, -b.limit.Burst), b.limit.Burst)
+}
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -89,12 +89,19 @@
 	now := m.opts.Clock()
 	regained := p.name == "" || p.lost || p.incarnation != identity.GetIncarnation()
 	if p.incarnation != identity.GetIncarnation() {
+		// What the peer counted before this gateway knew it is not growth.
 		p.use, p.demand = make(map[string]float64), make(map[string]float64)
+		for _, o := range u.GetUse() {
+			p.use[o.GetOrganisation()] = o.GetUsed()
+		}
+		for _, d := range u.GetDemand() {
+			p.demand[d.GetModel()] = d.GetWorkTokens()
+		}
 	}
 	p.name, p.incarnation, p.heardAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
 	use, demand := make(map[string]float64), make(map[string]float64)
 	for _, o := range u.GetUse() {
-		use[o.GetOrganisation()] = max(0, o.GetUsed()-p.use[o.GetOrganisation()])
+		use[o.GetOrganisation()] = o.GetUsed() - p.use[o.GetOrganisation()] // negative after a refund
 		p.use[o.GetOrganisation()] = o.GetUsed()
 	}
 	for _, d := range u.GetDemand() {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,7 @@
 	Unloading  []string // ordered and not yet gone; a subset of Resident
 	Usable     bool     // ready, not draining, its data centre in service, its status fresh
 	Closed     bool     // gets no orders now, but its copies count
+	Nearby     []string // base models that load here without the weight store
 }
 
 // Model is a model with the copies that its demand asks for.
@@ -44,6 +45,9 @@
 	WeightsPart  float64 // of a server's memory that weights may fill; the rest is for the cache
 	Loads        int     // loads from the weight store that may start now
 	AdapterLoads int     // adapter loads that may start now
+	// OneDataCentre accepts all copies of a model in one data centre, for fleets that hold little more than one copy of
+	// each model and load a lost one within seconds.
+	OneDataCentre bool
 }
 
 // Class says what a copy is for, from the most to the least important.
@@ -99,7 +103,7 @@
 	for class := ClassReachable; class < ClassSurplus; class++ {
 		blocked := make(map[string]bool)
 		for m := p.next(class, blocked); m != nil; m = p.next(class, blocked) {
-			if p.budget(m) <= 0 || !p.satisfy(need{m, class}) {
+			if !p.satisfy(need{m, class}) {
 				blocked[m.Name] = true
 			}
 		}
@@ -159,7 +163,7 @@
 func (p *plan) bestServer(n need) *serverState {
 	var best *serverState
 	for _, s := range p.servers {
-		if s.available() < n.model.MemoryMB || !p.allowed(n, s) {
+		if s.available() < n.model.MemoryMB || !p.allowed(n, s) || !p.affordable(n.model, s) {
 			continue
 		}
 		if best == nil || p.better(n.model, s, best) {
@@ -172,10 +176,27 @@
 func (p *plan) better(m *modelState, s, best *serverState) bool {
 	return cmp.Or(
 		cmp.Compare(m.byDataCentre[s.DataCentre], m.byDataCentre[best.DataCentre]),
+		compareNearby(m, s, best),
 		cmp.Compare(best.available(), s.available()),
 		cmp.Compare(s.ID, best.ID)) < 0
 }
 
+// affordable reports whether a load of the model at the server fits the budget. A load of what is nearby costs none.
+func (p *plan) affordable(m *modelState, s *serverState) bool {
+	return p.budget(m) > 0 || s.nearby[m.Name]
+}
+
+// compareNearby puts a server where the model is nearby first.
+func compareNearby(m *modelState, a, b *serverState) int {
+	switch {
+	case a.nearby[m.Name] == b.nearby[m.Name]:
+		return 0
+	case a.nearby[m.Name]:
+		return -1
+	}
+	return 1
+}
+
 // allowed reports whether a copy at the server would meet the need, memory aside.
 func (p *plan) allowed(n need, s *serverState) bool {
 	if !s.Usable || s.Closed || s.holds(n.model.Name) {
@@ -194,10 +215,13 @@
 	s.victimsKnown = false // the load may need one of them as its base model
 	n.model.at = append(n.model.at, s)
 	n.model.add(s.DataCentre)
-	p.spend(n.model)
+	p.spend(n.model, s)
 }
 
-func (p *plan) spend(m *modelState) {
+func (p *plan) spend(m *modelState, s *serverState) {
+	if s.nearby[m.Name] {
+		return
+	}
 	if m.Base == "" {
 		p.loads--
 	} else {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -25,12 +25,12 @@
 	for _, s := range p.servers {
 		missing := n.model.MemoryMB - s.available() - s.freeing
 		// Most servers of a full fleet end here, before the look-ups by name.
-		if missing > 0 && !p.expendable(s, n.class) || !p.allowed(n, s) {
+		if missing > 0 && !p.expendable(s, n.class) || !p.allowed(n, s) || !p.affordable(n.model, s) {
 			continue
 		}
 		if missing <= 0 {
 			s.claim(n.model.MemoryMB) // unloads under way suffice
-			p.spend(n.model)
+			p.spend(n.model, s)
 			return
 		}
 		l, ok := p.lossFor(s, n, missing)
@@ -52,7 +52,7 @@
 		}
 	}
 	best.claim(n.model.MemoryMB)
-	p.spend(n.model)
+	p.spend(n.model, best)
 }
 
 func (p *plan) unload(m *modelState, s *serverState, class Class, forModel string) {
@@ -99,13 +99,14 @@
 type loss struct {
 	victims  int   // length of the list's part that is unloaded, but for the need's base model
 	worst    Class // of the most important copy
+	far      bool  // the load that follows needs the weight store
 	memoryMB int64
 }
 
 // lossFor returns the loss of the least important copies that free the missing memory, and false if
 // those of a class below the need's do not suffice.
 func (p *plan) lossFor(s *serverState, n need, missing int64) (loss, bool) {
-	l := loss{worst: ClassSurplus}
+	l := loss{worst: ClassSurplus, far: !s.nearby[n.model.Name]}
 	for i, v := range p.victims(s) {
 		if v.class <= n.class {
 			break
@@ -125,7 +126,16 @@
 
 // cheaper reports whether l costs less than o.
 func (l loss) cheaper(o loss) bool {
-	return cmp.Or(cmp.Compare(o.worst, l.worst), cmp.Compare(l.memoryMB, o.memoryMB)) < 0
+	return cmp.Or(
+		cmp.Compare(o.worst, l.worst), cmp.Compare(boolInt(l.far), boolInt(o.far)),
+		cmp.Compare(l.memoryMB, o.memoryMB)) < 0
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 func (p *plan) victim(s *serverState, m *modelState) victim {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -27,6 +27,7 @@
 	claimed  int64                // mebibytes that are meant for needs that wait for unloads
 	models   map[string]copyState // everything that takes memory
 	resident map[string]bool      // models that can be served and stay
+	nearby   map[string]bool      // base models that load without the weight store
 
 	victims      []victim
 	victimsKnown bool // victims is up to date
@@ -91,6 +92,9 @@
 		}
 	}
 	p.dataCentres = len(names)
+	if in.OneDataCentre {
+		p.dataCentres = min(p.dataCentres, 1)
+	}
 	return p
 }
 
@@ -103,6 +107,12 @@
 		state.models[name] = resident
 		state.resident[name] = true
 	}
+	if len(s.Nearby) > 0 {
+		state.nearby = make(map[string]bool, len(s.Nearby))
+		for _, name := range s.Nearby {
+			state.nearby[name] = true
+		}
+	}
 	for _, name := range s.Loading {
 		if !state.holds(name) {
 			state.models[name] = loading
