Accrue limits with what peers report, and let silence alone end no attempt

A gateway that is stopping took requests that its grace period did not cover (LOST); a stream was given up after a pause although no other server could take it (LOST beside a configuration change); a bucket subtracted what peers had admitted after it had been capped at the burst, so organisations well below their limit got 429. Ruled out: load (the processors are at 2%).

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -97,7 +97,7 @@
 		Identity: identity, Seeds: func() []string { return settings.Get().Seeds }, Pool: g.sessions, Clock: clock,
 		Source: g, Sink: g, Log: log,
 	})
-	g.limits = ingress.NewLimits(clock, g.mesh.Count)
+	g.limits = ingress.NewLimits(clock, g.mesh.Count, s.FirstStart)
 	g.agents = agents.New(agents.Options{
 		Identity: identity, View: g.view, Pool: g.sessions, Port: agentPort, Clock: clock, Log: log,
 		Changed: func() { g.server.FleetChanged() },
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -50,6 +50,9 @@
 		if err != nil {
 			return q.refuse(q.final(ctx, err))
 		}
+		q.mu.Lock()
+		q.reserved = false
+		q.mu.Unlock()
 		r := q.try(ctx, choice, replica)
 		if r.kind == errkind.None {
 			q.log(errkind.None, slog.String("server", choice.ID))
@@ -138,8 +141,31 @@
 	} else if !q.route.Repeatable() || q.runs >= q.route.MaxAttempts {
 		return false
 	}
+	return q.reserveRetry()
+}
+
+// reserveRetry takes one more attempt from the retry budget, and from the organisation's limit if the request may run
+// once more. What was reserved before and not used counts.
+func (q *request) reserveRetry() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.reserved {
+		return true
+	}
 	_, gateways := q.server.opts.Gateways()
-	return q.server.budget(q.service).Retry(q.server.opts.Clock(), gateways)
+	if !q.server.budget(q.service).Retry(q.server.opts.Clock(), gateways) {
+		return false
+	}
+	q.reserved = true
+	return true
+}
+
+// ran counts an attempt that may have run. Each run counts in the organisation's limit.
+func (q *request) ran() {
+	q.runs++
+	if q.runs > 1 && q.org != nil && q.charged > 0 {
+		q.server.opts.Limits.Again(q.org, q.charged)
+	}
 }
 
 // final returns the error that the caller is told, given how the last attempt ended.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -45,7 +45,7 @@
 	ticket := s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt)
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(q.patience(c), func() { cancel(errSlow) })
+	timer := newWatchdog(q.patience(c), func() bool { return q.mayMove(ctx) }, func() { cancel(errSlow) })
 	defer timer.Stop()
 	resp, err := s.opts.Pool.Do(attempt, q.upstream(c, replica))
 	if err != nil {
@@ -54,8 +54,7 @@
 		if notSent {
 			return q.attemptFailed(c, errkind.BackendUnreachable, true, err)
 		}
-		q.runs++
-		q.offered = true
+		q.ran()
 		return q.attemptFailed(c, errkind.OutcomeUnknown, false, errors.Join(err, context.Cause(attempt)))
 	}
 	defer resp.Close()
@@ -65,8 +64,7 @@
 		q.drain(resp)
 		return q.notRun(c, resp, answer)
 	}
-	q.runs++
-	q.offered = true
+	q.ran()
 	r := q.relay(ctx, resp, answer, ticket, timer, c)
 	ticket.Done(s.opts.Clock(), r.kind != errkind.None && q.http.Context().Err() == nil && ctx.Err() == nil)
 	if r.kind != errkind.None {
@@ -75,12 +73,22 @@
 	return r
 }
 
+// mayMove reports whether the request could go on at another server now. Silence alone ends no attempt: the server may
+// still answer in time.
+func (q *request) mayMove(ctx context.Context) bool {
+	if ctx.Err() != nil || !q.route.Repeatable() || q.runs >= q.route.MaxAttempts {
+		return false
+	}
+	list, _, _ := q.candidates(q.server.opts.Clock())
+	at := dispatch.Choose(list, q.server.opts.DataCentre)
+	if at < 0 || list[at].Predicted() > time.Duration(deadlineShare*float64(time.Until(q.end))) {
+		return false
+	}
+	return q.reserveRetry()
+}
+
 // patience returns how long the request waits at a silent server.
 func (q *request) patience(c *dispatch.Candidate) time.Duration {
-	left := time.Until(q.end)
-	if !q.route.Repeatable() || q.runs+1 >= q.route.MaxAttempts {
-		return left + time.Second // the deadline ends the attempt
-	}
 	return max(leastPatience, patienceFactor*c.Predicted(), q.route.Target/2)
 }
 
@@ -136,7 +144,7 @@
 
 // relay passes a server's answer on.
 func (q *request) relay(ctx context.Context, resp *upstream.Response, answer platform.Answer, ticket *dispatch.Ticket,
-	timer *time.Timer, c *dispatch.Candidate) result {
+	timer *watchdog, c *dispatch.Candidate) result {
 	switch {
 	case statusOK(resp.Status) && !answer.Signed:
 		return result{kind: errkind.ProtocolError, err: errors.New("a success without a signature")}
@@ -159,7 +167,7 @@
 }
 
 // relayWhole reads an answer before it passes it on, so that one that breaks off can be repeated or reported.
-func (q *request) relayWhole(resp *upstream.Response, ticket *dispatch.Ticket, timer *time.Timer) result {
+func (q *request) relayWhole(resp *upstream.Response, ticket *dispatch.Ticket, timer *watchdog) result {
 	body, err := io.ReadAll(io.LimitReader(resp, maxBuffered))
 	if err != nil {
 		return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the answer broke off: %w", err)}
@@ -181,7 +189,7 @@
 }
 
 // relayStream passes whole events on as they arrive.
-func (q *request) relayStream(resp *upstream.Response, ticket *dispatch.Ticket, timer *time.Timer) result {
+func (q *request) relayStream(resp *upstream.Response, ticket *dispatch.Ticket, timer *watchdog) result {
 	events := newEventReader(resp)
 	flush := http.NewResponseController(q.writer)
 	for {
@@ -195,11 +203,7 @@
 			return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the stream broke off: %w", err)}
 		}
 		ticket.First(q.server.opts.Clock())
-		if q.repeatable() {
-			timer.Reset(max(leastGap, gapFactor*q.route.GapTarget))
-		} else {
-			timer.Stop()
-		}
+		timer.Reset(max(leastGap, gapFactor*q.route.GapTarget))
 		if event.id != "" && !after(event.id, q.lastEvent) {
 			continue // the caller has it from an earlier attempt
 		}
@@ -218,8 +222,3 @@
 		}
 	}
 }
-
-// repeatable reports whether another attempt may follow the running one.
-func (q *request) repeatable() bool {
-	return q.route.Repeatable() && q.runs < q.route.MaxAttempts && q.lastEvent != ""
-}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -10,13 +10,17 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
-// startShare is the part of the burst that a gateway starts with. The others may have admitted the rest just now.
-const startShare = 0.5
+// restartShare is the part of the burst that a restarted gateway starts with. The others may have admitted the rest just
+// now.
+const restartShare = 0.5
 
 // Limits keeps the organisations' limits at this gateway. It is safe for concurrent use.
 type Limits struct {
 	clock    bootclock.Clock
 	gateways func() (heard, known int)
+	share    float64       // of the burst at the start
+	started  time.Duration // from when buckets accrue
+	heard    float64       // fraction of the gateways that reported at the last look
 
 	mu      sync.Mutex
 	buckets map[string]*orglimit.Bucket
@@ -24,24 +28,41 @@
 	pending map[string]float64 // admitted elsewhere before the bucket existed
 }
 
-// NewLimits returns limits of a gateway among those that gateways counts.
-func NewLimits(clock bootclock.Clock, gateways func() (heard, known int)) *Limits {
-	return &Limits{
-		clock: clock, gateways: gateways, buckets: make(map[string]*orglimit.Bucket),
-		used: make(map[string]float64), pending: make(map[string]float64),
+// NewLimits returns limits of a gateway among those that gateways counts. firstStart says that the whole fleet starts.
+func NewLimits(clock bootclock.Clock, gateways func() (heard, known int), firstStart bool) *Limits {
+	l := &Limits{
+		clock: clock, gateways: gateways, share: restartShare, started: clock(), heard: 1,
+		buckets: make(map[string]*orglimit.Bucket), used: make(map[string]float64), pending: make(map[string]float64),
 	}
+	if firstStart {
+		l.share = 1
+	}
+	return l
 }
 
-func (l *Limits) bucket(o *fleet.Organisation) *orglimit.Bucket {
-	now := l.clock()
+// reach returns the fraction of the gateways that report. When some are no longer heard, the buckets leave them their
+// part at once: they go on without this gateway.
+func (l *Limits) reach() float64 {
 	heard, known := l.gateways()
+	fraction := float64(heard) / float64(max(1, known))
+	if fraction < l.heard {
+		for _, b := range l.buckets {
+			b.Split(fraction / l.heard)
+		}
+	}
+	l.heard = fraction
+	return fraction
+}
+
+func (l *Limits) bucket(o *fleet.Organisation) *orglimit.Bucket {
+	reach := l.reach()
 	limit := orglimit.Limit{Rate: o.Rate, Burst: o.Burst}
 	b := l.buckets[o.Name]
 	if b == nil {
-		b = orglimit.New(limit, now, startShare)
+		b = orglimit.New(limit, l.started, l.share)
 		l.buckets[o.Name] = b
 	}
-	b.Update(now, limit, float64(heard)/float64(max(1, known)))
+	b.Update(l.clock(), limit, reach)
 	if elsewhere := l.pending[o.Name]; elsewhere != 0 {
 		b.UsedElsewhere(elsewhere)
 		delete(l.pending, o.Name)
@@ -49,15 +70,24 @@
 	return b
 }
 
-// Take admits a request of an organisation, or returns the time until it could be.
-func (l *Limits) Take(o *fleet.Organisation, size float64) (ok bool, wait time.Duration) {
+// Take admits a request of an organisation, or returns the time until it could be. level is what the bucket held
+// before.
+func (l *Limits) Take(o *fleet.Organisation, size float64) (ok bool, wait time.Duration, level float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ok, wait = l.bucket(o).Take(size)
+	b := l.bucket(o)
+	level = b.Level()
+	ok, wait = b.Take(size)
 	if ok {
 		l.used[o.Name] += size
 	}
-	return ok, wait
+	return ok, wait, level
+}
+
+// Again charges a request that may run once more. It reports whether the limit holds it.
+func (l *Limits) Again(o *fleet.Organisation, size float64) bool {
+	ok, _, _ := l.Take(o, size)
+	return ok
 }
 
 // Refund returns what a request took that did not run. The other gateways learn of it with the next update.
@@ -72,8 +102,14 @@
 func (l *Limits) UsedElsewhere(use map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	reach, now := l.reach(), l.clock()
 	for name, size := range use {
-		l.pending[name] += size
+		if b := l.buckets[name]; b != nil {
+			b.Update(now, b.Limit(), reach)
+			b.UsedElsewhere(size)
+		} else {
+			l.pending[name] += size
+		}
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -30,6 +30,9 @@
 	answerMargin = 25 * time.Millisecond
 	// defaultBodyBytes bounds a body if the configuration names no limit.
 	defaultBodyBytes = 4 << 20
+	// drainServes is how long a draining server takes requests. The balancer sends no new connections after two seconds;
+	// what comes later on kept connections is refused as not run, because the process may end before it is done.
+	drainServes = 2500 * time.Millisecond
 	// writeGrace is the time after a request's end for which its answer may still be written to a slow caller.
 	writeGrace = 2 * time.Second
 )
@@ -53,7 +56,7 @@
 // Server serves callers. It is an http.Handler.
 type Server struct {
 	opts     Options
-	draining atomic.Bool
+	draining atomic.Pointer[time.Time] // since when, or nil
 	active   atomic.Int64
 	cold     *coldShares
 	absent   *absences
@@ -71,8 +74,11 @@
 	}
 }
 
-// Drain makes the server unready. Requests are still served, each as the last one of its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes the server unready. Requests are still served for a while, each as the last one of its connection.
+func (s *Server) Drain() {
+	now := time.Now()
+	s.draining.Store(&now)
+}
 
 // Active returns the number of requests under way.
 func (s *Server) Active() int64 { return s.active.Load() }
@@ -81,7 +87,7 @@
 // not stopping.
 func (s *Server) Ready() bool {
 	snapshot := s.opts.View.Snapshot()
-	return snapshot.Config != nil && len(snapshot.Replicas) > 0 && !s.draining.Load()
+	return snapshot.Config != nil && len(snapshot.Replicas) > 0 && s.draining.Load() == nil
 }
 
 // FleetChanged wakes requests that wait for a model to be loaded.
@@ -119,10 +125,12 @@
 
 	tried     map[string]bool // servers that this request was sent to
 	runs      int             // attempts that may have run
-	offered   bool            // at least one attempt reached a server
 	started   bool            // the head of the answer was sent
 	lastEvent string          // last event that was sent to the caller
 	first     time.Duration   // from the arrival to the first event or the answer
+
+	mu       sync.Mutex
+	reserved bool // the next attempt is in the retry budget
 }
 
 // ServeHTTP implements http.Handler.
@@ -133,7 +141,7 @@
 		server: s, writer: w, http: r, caller: platform.ReadCaller(r.Header), arrived: time.Now(),
 		tried: make(map[string]bool),
 	}
-	if s.draining.Load() {
+	if s.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	kind := q.serve()
@@ -160,6 +168,9 @@
 func (q *request) admit() error {
 	s := q.server
 	q.config = s.opts.View.Snapshot().Config
+	if since := s.draining.Load(); since != nil && time.Since(*since) > drainServes {
+		return errkind.New(errkind.Draining, "the gateway is stopping")
+	}
 	if q.config == nil {
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
@@ -242,9 +253,11 @@
 		return nil
 	}
 	size := q.org.TokensOf(q.caller.HasTokens, q.caller.PromptTokens, q.caller.OutputTokens)
-	ok, wait := q.server.opts.Limits.Take(q.org, size)
+	ok, wait, level := q.server.opts.Limits.Take(q.org, size)
 	if !ok {
-		return &refusal{errkind.New(errkind.RateLimited, "%.0f of %s", size, q.org.Name), wait}
+		heard, known := q.server.opts.Gateways()
+		return &refusal{errkind.New(errkind.RateLimited, "%.0f asked for, %.0f left, rate %.0f, burst %.0f, %d of %d gateways heard",
+			size, level, q.org.Rate, q.org.Burst, heard, known), wait}
 	}
 	q.charged = size
 	return nil
--- a/internal/orglimit/bucket.go
+++ b/internal/orglimit/bucket.go
@@ -55,6 +55,19 @@
 	return false, time.Duration((need - b.level) / b.limit.Rate * float64(time.Second))
 }
 
+// Limit returns the limit in force.
+func (b *Bucket) Limit() Limit { return b.limit }
+
+// Split keeps the given fraction of what the bucket holds and leaves the rest to gateways that are no longer heard.
+func (b *Bucket) Split(fraction float64) {
+	if b.level > 0 {
+		b.level *= fraction
+	}
+}
+
+// Level returns what the bucket holds; it is negative while it owes what the others admitted.
+func (b *Bucket) Level() float64 { return b.level }
+
 // Refund returns what a request took that did not run.
 func (b *Bucket) Refund(size float64) { b.level = math.Min(b.level+size, b.limit.Burst) }
 
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -24,9 +24,10 @@
 	intervalPerPeer = 10 * time.Millisecond
 	maxInterval     = 250 * time.Millisecond
 	// quietInterval is the longest pause when nothing changed.
-	quietInterval = 300 * time.Millisecond
-	// heardFor is the age of the last update at which a peer no longer counts as heard: four quiet intervals.
-	heardFor = 1200 * time.Millisecond
+	quietInterval = 200 * time.Millisecond
+	// heardFor is the age of the last update at which a peer no longer counts as heard: three of the longest intervals.
+	// Until then it may spend the same tokens of an organisation's limit as this gateway.
+	heardFor = 750 * time.Millisecond
 	// sendTimeout bounds the writing of one update.
 	sendTimeout = time.Second
 	// redial is the pause before another try to reach a peer.
