Tell peers of gateways that joined later

Ruled out by the logs of the buckets: lost updates, refunds, the lag of the exchange. The test connects four gateways that learn of each other late; it fails on the code before.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -190,11 +190,13 @@
 func (g *gateway) register(ctx context.Context) error {
 	for {
 		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		rows, _, err := g.store.List(call, memberTable)
+		// Writing goes first, so that of two gateways that start together at least one reads the other's row.
+		var rows []platform.Row
+		_, _, _, err := g.store.Commit(call, nil, []platform.Row{{
+			Table: memberTable, Key: g.settings.Host, Value: []byte(g.settings.ControlAddress),
+		}})
 		if err == nil {
-			_, _, _, err = g.store.Commit(call, nil, []platform.Row{{
-				Table: memberTable, Key: g.settings.Host, Value: []byte(g.settings.ControlAddress),
-			}})
+			rows, _, err = g.store.List(call, memberTable)
 		}
 		cancel()
 		if err == nil {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -55,7 +55,8 @@
 			slog.Duration("first", q.first))
 	}
 	if q.org != nil {
-		attrs = append(attrs, slog.String("organisation", q.org.Name), slog.Float64("charged", q.charged))
+		attrs = append(attrs, slog.String("organisation", q.org.Name), slog.Float64("charged", q.charged),
+			slog.Float64("limit_left", q.left))
 	}
 	if q.modelKey != "" {
 		attrs = append(attrs, slog.String("model", q.modelKey))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -118,6 +118,7 @@
 	arrived  time.Time
 	end      time.Time // when the final answer is due
 	charged  float64   // units taken from the organisation's limit
+	left     float64   // what the limit held before
 	model    string    // base model, empty for plain services
 	modelKey string    // model and adapter
 	prompt   dispatch.Prompt
@@ -254,6 +255,7 @@
 	}
 	size := q.org.TokensOf(q.caller.HasTokens, q.caller.PromptTokens, q.caller.OutputTokens)
 	ok, wait, level := q.server.opts.Limits.Take(q.org, size)
+	q.left = level
 	if !ok {
 		heard, known := q.server.opts.Gateways()
 		return &refusal{errkind.New(errkind.RateLimited, "%.0f asked for, %.0f left, rate %.0f, burst %.0f, %d of %d gateways heard",
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -208,6 +208,7 @@
 			list = append(list, a)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
@@ -246,10 +247,10 @@
 	}
 	source := m.opts.Source
 	sent := newSent()
-	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, Members: m.members(), Rows: source.Rows()}
+	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, Rows: source.Rows()}
 	lastSend := time.Now()
 	for {
-		sent.changes(u, source)
+		sent.changes(u, source, m.members())
 		m.mu.Lock()
 		u.Leaving = m.leave
 		m.mu.Unlock()
--- /dev/null
+++ b/internal/peers/mesh_test.go
@@ -0,0 +1,137 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/peers"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+func TestPeers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peers")
+}
+
+// member is one gateway of a test fleet: what it admitted and what it heard that others admitted.
+type member struct {
+	mesh    *peers.Mesh
+	address string
+
+	mu    sync.Mutex
+	used  float64
+	heard map[string]float64
+}
+
+func (m *member) Rows() []*wirepb.StoreRow      { return nil }
+func (m *member) Loads() []*wirepb.ReplicaLoad  { return nil }
+func (m *member) Demand() []*wirepb.ModelDemand { return nil }
+func (m *member) PlannerEpoch() int64           { return 0 }
+func (m *member) Lost(string)                   {}
+
+func (m *member) Use() []*wirepb.OrganisationUse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return []*wirepb.OrganisationUse{{Organisation: "clerks", Used: m.used}}
+}
+
+func (m *member) Update(peer string, _ *wirepb.PeerUpdate, use, _ map[string]float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard[peer] += use["clerks"]
+}
+
+func (m *member) admit(n float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used += n
+}
+
+func (m *member) heardOf(peer string) func() float64 {
+	return func() float64 {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.heard[peer]
+	}
+}
+
+// join starts a gateway that knows the seeds only.
+func join(ctx context.Context, name string, seeds ...string) *member {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	log := slog.New(slog.DiscardHandler)
+	m := &member{address: listener.Addr().String(), heard: make(map[string]float64)}
+	pool := transport.NewPool(nil)
+	m.mesh = peers.New(peers.Options{
+		Identity: &wirepb.Identity{Host: name, Incarnation: fmt.Sprint(name, time.Now()), Address: m.address},
+		Seeds:    func() []string { return seeds }, Pool: pool, Clock: bootclock.Now, Source: m, Sink: m, Log: log,
+	})
+	server := transport.NewServer(listener, nil, func(ctx context.Context, s *transport.Stream) {
+		if frame, err := s.Recv(); err == nil && frame.GetPeerUpdate() != nil {
+			m.mesh.Receive(ctx, s, frame.GetPeerUpdate())
+		}
+	}, log)
+	ctx, cancel := context.WithCancel(ctx)
+	var done sync.WaitGroup
+	done.Go(func() { _ = m.mesh.Run(ctx) })
+	done.Go(func() { _ = server.Serve(ctx) })
+	DeferCleanup(func() {
+		cancel()
+		pool.Close()
+		done.Wait()
+	})
+	return m
+}
+
+const soon = 5 * time.Second
+
+var _ = Describe("the exchange between gateways", func() {
+	// Guards against two gateways that both know only a third one and never hear each other: each then admits an
+	// organisation's whole rate.
+	It("connects gateways that learn of each other only after they joined", func(ctx SpecContext) {
+		north, south := join(ctx, "north"), join(ctx, "south")
+		first, second := join(ctx, "first", north.address), join(ctx, "second", south.address)
+		for _, m := range []*member{north, south, first, second} {
+			Eventually(func() int { n, _ := m.mesh.Count(); return n }, soon).Should(Equal(2))
+		}
+		north.mesh.Meet([]string{south.address})
+		for _, m := range []*member{north, south, first, second} {
+			Eventually(func() int { n, _ := m.mesh.Count(); return n }, soon).Should(Equal(4))
+		}
+		first.admit(700)
+		Eventually(second.heardOf("first"), soon).Should(BeEquivalentTo(700))
+		second.admit(30)
+		Eventually(first.heardOf("second"), soon).Should(BeEquivalentTo(30))
+	})
+
+	// Guards against use from before a gateway joined that is counted as admitted just now.
+	It("counts only what peers admit after the first update", func(ctx SpecContext) {
+		old := join(ctx, "old")
+		old.admit(1_000_000)
+		late := join(ctx, "late", old.address)
+		Eventually(func() int { n, _ := late.mesh.Count(); return n }, soon).Should(Equal(2))
+		old.admit(5)
+		Eventually(late.heardOf("old"), soon).Should(BeEquivalentTo(5))
+	})
+
+	It("passes a refund on", func(ctx SpecContext) {
+		a := join(ctx, "a")
+		b := join(ctx, "b", a.address)
+		Eventually(func() int { n, _ := b.mesh.Count(); return n }, soon).Should(Equal(2))
+		a.admit(50)
+		Eventually(b.heardOf("a"), soon).Should(BeEquivalentTo(50))
+		a.admit(-20)
+		Eventually(b.heardOf("a"), soon).Should(BeEquivalentTo(30))
+	})
+})
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -12,10 +13,11 @@
 
 // sent remembers what a peer was told, so that only changes are sent.
 type sent struct {
-	loads  *wirepb.PeerUpdate
-	use    map[string]float64
-	demand map[string]float64
-	epoch  int64
+	members []string
+	loads   *wirepb.PeerUpdate
+	use     map[string]float64
+	demand  map[string]float64
+	epoch   int64
 }
 
 func newSent() *sent {
@@ -23,7 +25,10 @@
 }
 
 // changes completes u with what changed since the last call.
-func (s *sent) changes(u *wirepb.PeerUpdate, source Source) {
+func (s *sent) changes(u *wirepb.PeerUpdate, source Source, members []string) {
+	if !slices.Equal(members, s.members) {
+		u.Members, s.members = members, members
+	}
 	u.Loads = source.Loads()
 	for _, o := range source.Use() {
 		if s.use[o.GetOrganisation()] != o.GetUsed() {
@@ -43,7 +48,7 @@
 // quiet reports whether u says nothing new.
 func (s *sent) quiet(u *wirepb.PeerUpdate) bool {
 	loads := &wirepb.PeerUpdate{Loads: u.GetLoads()}
-	same := u.GetIdentity() == nil && len(u.GetRows()) == 0 && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 &&
+	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 &&
 		!u.GetLeaving() && u.GetPlannerEpoch() == s.epoch && proto.Equal(loads, s.loads)
 	s.loads, s.epoch = loads, u.GetPlannerEpoch()
 	return same
