--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -116,7 +116,7 @@
 	})
 	g.server = ingress.New(ingress.Options{
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
-		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Metrics: g.metrics, Log: log,
+		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Use: retryUse,
 		},
@@ -230,4 +230,5 @@
 	for _, id := range ids {
 		g.pool.Forget(id)
 	}
+	g.server.ForgetServers(ids)
 }
--- a/internal/agents/agents.go
+++ b/internal/agents/agents.go
@@ -243,12 +243,13 @@
 	}
 }
 
-// Status returns the newest report of a server's engine if it is fresh and of the listed incarnation.
+// Status returns the newest report of a server's engine if it is fresh. A report of an older incarnation than the listed
+// one does not count; a newer one does, because the list is older than the report.
 func (a *Agents) Status(r *fleet.Replica, now time.Duration) (*wirepb.AgentUpdate, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s, ok := a.status[r.ID]
-	if !ok || now-s.At > freshFor || (r.Born != 0 && s.Report.GetBorn() != 0 && r.Born != s.Report.GetBorn()) {
+	if !ok || now-s.At > freshFor || s.Report.GetBorn() < r.Born {
 		return nil, false
 	}
 	return s.Report, true
--- /dev/null
+++ b/internal/coldshare/coldshare_test.go
@@ -0,0 +1,77 @@
+package coldshare_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pomelowheel/pomelowheel/internal/coldshare"
+)
+
+// Guards against gateways that together send a cold server more than it bears. The bound is the platform's: in any
+// second at most 1.5 times the rate and 5 more.
+func TestGatewaysTogetherStayBelowTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 40).Draw(t, "gateways")
+		perSecond := rapid.Float64Range(1, 40).Draw(t, "per second")
+		shares := make([]*coldshare.Shares, gateways)
+		for i := range shares {
+			shares[i] = coldshare.New()
+			shares[i].Notice("s", 1, 5*time.Second, 0)
+		}
+		var sent []time.Duration
+		now := time.Duration(0)
+		for now < 5*time.Second {
+			// Every gateway has a request waiting at some moments and none at others.
+			now += time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond
+			for rank, s := range shares {
+				if now < 5*time.Second && s.Free("s", coldshare.Part(perSecond, gateways, rank), now) {
+					s.Spend("s")
+					sent = append(sent, now)
+				}
+			}
+		}
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from+time.Second {
+					n++
+				}
+			}
+			if bound := 1.5*perSecond + 5; float64(n) > bound {
+				t.Fatalf("%d requests in a second, %.1f are borne", n, bound)
+			}
+		}
+	})
+}
+
+// Guards against a cold server that gets nothing: it would never be used while others are lost.
+func TestEverySecondSomeGatewayMayUseAColdServer(t *testing.T) {
+	for _, gateways := range []int{1, 4, 21, 400} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			total := 0.0
+			for rank := range gateways {
+				total += coldshare.Part(8, gateways, rank)
+			}
+			if math.Abs(total-8) > 1e-9 { // the sum of fractions is rounded
+				t.Fatalf("the parts sum to %v, expected 8", total)
+			}
+		})
+	}
+}
+
+// Guards against an older notice that ends the cold time early.
+func TestALaterNoticeDoesNotShortenTheColdTime(t *testing.T) {
+	s := coldshare.New()
+	s.Notice("s", 1, 3*time.Second, 0)
+	s.Notice("s", 2, time.Millisecond, time.Second)
+	if !s.Cold("s", 2*time.Second) {
+		t.Fatal("the server counts as warm after 2 s of 3")
+	}
+	if s.Cold("s", 3*time.Second) {
+		t.Fatal("the server still counts as cold after its time")
+	}
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -81,9 +81,10 @@
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name           string
-	MaxConnections int     // that one server accepts from all gateways together
-	ColdPerSecond  float64 // requests a second that a cold server bears; zero if servers are never cold
-	Engine         *Engine // nil for a plain service
+	MaxConnections int           // that one server accepts from all gateways together
+	ColdStart      time.Duration // for which a server is cold after its start
+	ColdPerSecond  float64       // requests a second that a cold server bears; zero if servers are never cold
+	Engine         *Engine       // nil for a plain service
 }
 
 // Engine describes the model engines of a service.
--- a/internal/ingress/candidates.go
+++ b/internal/ingress/candidates.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/coldshare"
 	"github.com/pomelowheel/pomelowheel/internal/dispatch"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
@@ -85,7 +86,6 @@
 	if current := snapshot.Config.Services[q.service]; current != nil {
 		service = current
 	}
-	_, gateways := s.opts.Gateways()
 	why := errkind.NoCandidate
 	var list []dispatch.Candidate
 	byID := make(map[string]*fleet.Replica)
@@ -118,8 +118,7 @@
 				c.NoAdapter = !has
 			}
 		}
-		if service != nil && service.ColdPerSecond > 0 && s.cold.isCold(r, now) &&
-			!s.cold.free(r.ID, service.ColdPerSecond, gateways, now) {
+		if s.coldAndFull(r, service, now) {
 			why = errkind.WarmingUp
 			continue
 		}
@@ -140,57 +139,35 @@
 	return fresh && u.GetDraining()
 }
 
-// coldShares bounds the requests of this gateway to each cold server.
-type coldShares struct {
-	mu      sync.Mutex
-	servers map[string]*coldServer
-}
-
-type coldServer struct {
-	listed int64         // version of the entry that said it is cold
-	until  time.Duration // end of the cold time
-	tokens float64
-	at     time.Duration
-}
-
-func newColdShares() *coldShares { return &coldShares{servers: make(map[string]*coldServer)} }
-
-// isCold reports whether the server is cold, counting its remaining time from the entry that named it.
-func (c *coldShares) isCold(r *fleet.Replica, now time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.servers[r.ID]
-	if s == nil {
-		if r.Cold <= 0 {
-			return false
-		}
-		s = &coldServer{at: now, tokens: 1}
-		c.servers[r.ID] = s
+// coldAndFull reports whether the server is cold and this gateway's part of what it bears is used up.
+func (s *Server) coldAndFull(r *fleet.Replica, service *fleet.Service, now time.Duration) bool {
+	if service == nil || service.ColdPerSecond <= 0 {
+		return false
 	}
-	if s.listed != r.ListVersion {
-		s.listed, s.until = r.ListVersion, now+r.Cold
+	_, gateways := s.opts.Gateways()
+	rate := coldshare.Part(service.ColdPerSecond, gateways, s.opts.Rank(r.ID))
+	s.coldMu.Lock()
+	defer s.coldMu.Unlock()
+	s.cold.Notice(r.ID, r.ListVersion, r.Cold, now)
+	if u, fresh := s.opts.Agents.Status(r, now); fresh && r.Born != 0 && u.GetBorn() > r.Born {
+		// The server started again under its ID, and the list does not say so yet.
+		s.cold.Notice(r.ID, -u.GetBorn(), service.ColdStart, now)
 	}
-	return now < s.until
+	return s.cold.Cold(r.ID, now) && !s.cold.Free(r.ID, rate, now)
 }
 
-// coldBurst is how many requests a gateway may send a cold server at once.
-const coldBurst = 2
-
-// free reports whether this gateway's share of what a cold server bears has room for another request.
-func (c *coldShares) free(id string, perSecond float64, gateways int, now time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.servers[id]
-	s.tokens = min(s.tokens+(now-s.at).Seconds()*perSecond/float64(max(1, gateways)), coldBurst)
-	s.at = now
-	return s.tokens >= 1
+// spendCold counts a request to a server in this gateway's part, if the server is cold.
+func (s *Server) spendCold(id string) {
+	s.coldMu.Lock()
+	defer s.coldMu.Unlock()
+	s.cold.Spend(id)
 }
 
-// spend counts a request to a server.
-func (c *coldShares) spend(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s := c.servers[id]; s != nil {
-		s.tokens = max(0, s.tokens-1)
+// ForgetServers drops what is known of servers that are gone.
+func (s *Server) ForgetServers(ids []string) {
+	s.coldMu.Lock()
+	defer s.coldMu.Unlock()
+	for _, id := range ids {
+		s.cold.Forget(id)
 	}
 }
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -41,7 +41,7 @@
 			return result{kind: errkind.ModelNotResident, notRun: true, err: err}
 		}
 	}
-	s.cold.spend(c.ID)
+	s.spendCold(c.ID)
 	ticket := s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt)
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/agents"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/coldshare"
 	"github.com/pomelowheel/pomelowheel/internal/dispatch"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
@@ -49,6 +50,7 @@
 	Retry      retrybudget.Options
 	Clock      bootclock.Clock
 	Gateways   func() (heard, known int)
+	Rank       func(key string) int // of this gateway, in an order for the key that all gateways agree on
 	Metrics    *Metrics
 	Log        *slog.Logger
 }
@@ -58,18 +60,20 @@
 	opts     Options
 	draining atomic.Pointer[time.Time] // since when, or nil
 	active   atomic.Int64
-	cold     *coldShares
 	absent   *absences
 
 	mu      sync.Mutex
 	retries map[string]*retrybudget.Budget // by service
 	changed chan struct{}                  // closed when the fleet may have changed
+
+	coldMu sync.Mutex
+	cold   *coldshare.Shares
 }
 
 // New returns a server.
 func New(opts Options) *Server {
 	return &Server{
-		opts: opts, cold: newColdShares(), absent: newAbsences(),
+		opts: opts, cold: coldshare.New(), absent: newAbsences(),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
 }
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -179,6 +181,20 @@
 	return heard, known
 }
 
+// Rank returns the position of this gateway among the known ones in an order that depends on the key. Gateways that
+// know the same ones agree on it.
+func (m *Mesh) Rank(key string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rank, own := 0, xxhash.Sum64String(key+"/"+m.opts.Identity.GetHost())
+	for _, p := range m.peers {
+		if p.name != "" && xxhash.Sum64String(key+"/"+p.name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Publish passes rows on to every peer.
 func (m *Mesh) Publish(rows []*wirepb.StoreRow) {
 	m.mu.Lock()
