Restore lost models from the engine's disk, and keep demand with the planner's lease

Cause: after the final fault every engine is empty. Agents now load again what their engine held, kept in their row of the store; servers whose address was taken over are dropped; the lease is looked at at once after a start and carries the demand.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -109,6 +109,8 @@
 	})
 	g.lease = fleetplan.NewLease(fleetplan.LeaseOptions{
 		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
+		Demand: func() map[string]float64 { return g.planner.Demand() },
+		Taken:  func(demand map[string]float64) { g.planner.Assume(demand) },
 	})
 	g.planner = fleetplan.New(fleetplan.Options{
 		View: g.view, Agents: g.agents, Lease: g.lease, Clock: clock, Rate: g.table.Rate, Totals: g.demand.Totals,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,24 +27,19 @@
 	repeatInterval = 250 * time.Millisecond
 	// staleAfter is the age at which a report is no longer passed on.
 	staleAfter = 700 * time.Millisecond
-	// fenceTimeout bounds the write that gives the fencing number; fencePause is the pause after a failed one.
-	fenceTimeout = time.Second
-	fencePause   = 300 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = 500 * time.Millisecond
 )
 
-// table holds a row for each agent; the store's version of the row is its fencing number.
-const table = "agents"
-
 // Engine is the model engine beside the agent.
 type Engine interface {
 	Report(ctx context.Context) (*fleet.Report, error)
 	Send(ctx context.Context, o platform.Order) (platform.OrderOutcome, error)
 }
 
-// Store is the part of the platform's store that gives the fencing number.
+// Store is the part of the platform's store that gives the fencing number and keeps what the engine held.
 type Store interface {
+	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
 	Commit(ctx context.Context, expected []platform.Expectation, puts []platform.Row) (int64, []platform.Row, bool, error)
 }
 
@@ -69,6 +65,10 @@
 	changing change // model order under way
 	loadedAt map[string]time.Time
 	changed  chan struct{} // closed at the next report
+	held     []string      // models that the engine held when it last was in order
+	restore  []string      // models that it lost with a restart and that are to be loaded again
+	// restoreSince is when the restart was noticed.
+	restoreSince time.Time
 
 	orders sync.Mutex // one order at a time
 	wake   chan struct{}
@@ -91,31 +91,12 @@
 // Run reads the reports until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	group := duty.NewGroup(ctx, a.opts.Log)
-	group.Go("fence", a.takeFence)
+	group.Go("row", a.keepRow)
+	group.Go("restore", a.restoreModels)
 	group.Go("report", a.poll)
 	return group.Wait()
 }
 
-// takeFence writes this agent's row. The version of the row grows with each start on this host.
-func (a *Agent) takeFence(ctx context.Context) error {
-	for {
-		call, cancel := context.WithTimeout(ctx, fenceTimeout)
-		version, _, held, err := a.opts.Store.Commit(call, nil, []platform.Row{{
-			Table: table, Key: a.opts.Host, Value: []byte(time.Now().UTC().Format(time.RFC3339Nano)),
-		}})
-		cancel()
-		if err == nil && held {
-			a.fence.Store(version)
-			a.opts.Log.Info("fencing number taken", "fence", version)
-			return nil
-		}
-		a.opts.Log.Warn("no fencing number, the engine gets no orders", "error", err)
-		if err := duty.Sleep(ctx, fencePause); err != nil {
-			return err
-		}
-	}
-}
-
 func (a *Agent) poll(ctx context.Context) error {
 	for {
 		_ = a.refresh(ctx) // logged there; the next read tries again
@@ -144,12 +125,17 @@
 	}
 	if a.lost || a.report == nil || a.report.Born != report.Born {
 		a.opts.Log.Info("engine heard", "born", report.Born, "sequence", report.Sequence, "models", modelNames(report))
-		a.changing = change{}
-		clear(a.loadedAt)
+		if a.report == nil || a.report.Born != report.Born {
+			a.changing = change{}
+			clear(a.loadedAt)
+			a.restore = slices.Clone(a.held)
+			a.restoreSince = time.Now()
+		}
 	}
 	a.lost = false
 	a.report, a.readAt = report, time.Now()
 	a.settle(report)
+	a.remember(report)
 	close(a.changed)
 	a.changed = make(chan struct{})
 	return nil
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -49,8 +49,18 @@
 	s := &Snapshot{
 		Config: v.config, Services: make(map[string][]*Replica), Replicas: maps.Clone(v.replicas), Out: maps.Clone(v.out),
 	}
+	newest := make(map[string]*Replica, len(v.replicas)) // by address
+	for _, r := range v.replicas {
+		if n := newest[r.Address]; n == nil || r.Born > n.Born {
+			newest[r.Address] = r
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(v.replicas)) {
 		r := v.replicas[id]
+		if newest[r.Address].Born > r.Born {
+			delete(s.Replicas, id) // the server at its address started after it
+			continue
+		}
 		s.Services[r.Service] = append(s.Services[r.Service], r)
 	}
 	v.current.Store(s)
--- a/internal/fleetplan/demand.go
+++ b/internal/fleetplan/demand.go
@@ -55,6 +55,29 @@
 	}
 }
 
+// Rates returns the demand of all models that have some.
+func (a *Averages) Rates() map[string]float64 {
+	rates := make(map[string]float64, len(a.models))
+	for name := range a.models {
+		if rate := math.Round(a.Rate(name)); rate > 0 {
+			rates[name] = rate
+		}
+	}
+	return rates
+}
+
+// Assume sets the demand of models for which less is known. It decays like demand that ended now.
+func (a *Averages) Assume(rates map[string]float64) {
+	for name, rate := range rates {
+		m := a.models[name]
+		if m == nil {
+			m = new(average)
+			a.models[name] = m
+		}
+		m.slow = math.Max(m.slow, rate/slowWeight)
+	}
+}
+
 // Rate returns the demand of a model that copies should be there for.
 func (a *Averages) Rate(model string) float64 {
 	m := a.models[model]
--- a/internal/fleetplan/lease.go
+++ b/internal/fleetplan/lease.go
@@ -30,13 +30,15 @@
 	heardFor = 1500 * time.Millisecond
 	// look is the pause between two looks at the row while no planner is heard.
 	look = 400 * time.Millisecond
+	// firstLook bounds the pause before the first look, which spreads gateways that start together.
+	firstLook = 60 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 700 * time.Millisecond
 )
 
 // LeaseStore is the part of the platform's store that the lease needs.
 type LeaseStore interface {
-	List(ctx context.Context, table string) ([]platform.Row, int64, error)
+	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
 	Commit(ctx context.Context, expected []platform.Expectation, puts []platform.Row) (int64, []platform.Row, bool, error)
 }
 
@@ -46,7 +48,11 @@
 	Host        string
 	Incarnation string
 	Clock       bootclock.Clock
-	Log         *slog.Logger
+	// Demand returns what the next planner should know of the models' demand. It is written with each renewal.
+	Demand func() map[string]float64
+	// Taken is called with the demand that the previous planner left when this gateway takes the lease.
+	Taken func(demand map[string]float64)
+	Log   *slog.Logger
 }
 
 // Lease is this gateway's part in the election of the planner. Its epoch is the store version with which it was
@@ -68,6 +74,8 @@
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
 	Released    bool   `json:"released,omitempty"`
+	// Demand is in units a second by service and model.
+	Demand map[string]float64 `json:"demand,omitempty"`
 }
 
 // NewLease returns a lease that is not held.
@@ -109,11 +117,8 @@
 
 // Run takes the lease when nobody holds it and renews it, until ctx ends.
 func (l *Lease) Run(ctx context.Context) error {
+	pause := rand.N(firstLook)
 	for {
-		pause := look/2 + rand.N(look)
-		if l.Epoch() != 0 {
-			pause = renewEvery
-		}
 		if err := duty.Sleep(ctx, pause); err != nil {
 			return err
 		}
@@ -123,6 +128,10 @@
 		case !l.PlannerHeard():
 			l.attempt(ctx)
 		}
+		pause = look/2 + rand.N(look)
+		if l.held() {
+			pause = renewEvery
+		}
 	}
 }
 
@@ -133,9 +142,11 @@
 }
 
 func (l *Lease) row(released bool) []platform.Row {
-	value, err := json.Marshal(leaseRow{l.opts.Host, l.opts.Incarnation, released})
+	value, err := json.Marshal(leaseRow{
+		Host: l.opts.Host, Incarnation: l.opts.Incarnation, Released: released, Demand: l.opts.Demand(),
+	})
 	if err != nil {
-		panic("a row of texts is always encoded: " + err.Error())
+		panic("a row of texts and finite numbers is always encoded: " + err.Error())
 	}
 	return []platform.Row{{Table: leaseTable, Key: leaseKey, Value: value}}
 }
@@ -189,31 +200,31 @@
 // attempt takes the lease if its row shows that nobody holds it.
 func (l *Lease) attempt(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
-	rows, _, err := l.opts.Store.List(call, leaseTable)
+	row, exists, err := l.opts.Store.Get(call, leaseTable, leaseKey)
 	cancel()
 	if err != nil {
 		l.opts.Log.Debug("planner's lease not read", "error", err)
 		return
 	}
-	expected := int64(0)
-	for _, r := range rows {
-		if r.Key == leaseKey {
-			expected = r.Version
-			if !l.lapsed(r) {
-				return
-			}
-		}
+	if exists && !l.lapsed(row) {
+		return
 	}
+	expected := row.Version
 	sent := l.opts.Clock()
 	version, mine, err := l.commit(ctx, expected, false)
 	if err != nil || !mine {
 		l.opts.Log.Info("planner's lease not taken", "expected", expected, "error", err)
 		return
 	}
+	var previous leaseRow
+	if exists && json.Unmarshal(row.Value, &previous) == nil {
+		l.opts.Taken(previous.Demand)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.epoch, l.version, l.until = version, version, sent+leaseTerm
-	l.opts.Log.Info("planner's lease taken", "epoch", version)
+	l.opts.Log.Info("planner's lease taken", "epoch", version, "previous", previous.Host, "models_with_demand",
+		len(previous.Demand))
 }
 
 // lapsed reports whether the holder of the row can no longer plan: it released the lease, it was an earlier process
--- a/internal/fleetplan/planner.go
+++ b/internal/fleetplan/planner.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// Demand returns the demand of the models, for the next planner.
+func (p *Planner) Demand() map[string]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.Rates()
+}
+
+// Assume takes over the demand that the previous planner knew.
+func (p *Planner) Assume(demand map[string]float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand.Assume(demand)
+}
+
 // Run plans until ctx ends.
 func (p *Planner) Run(ctx context.Context) error {
 	for {
