Emulate the platform's store and servers, and test the gateway's decisions

Cause found by the new property test of the retry budget: retries of the last part of the window were forgotten up to a tenth of a window too early. Cause found by the race detector: the watch for silent servers read the number of runs while it was counted, and allowed one attempt too many to be given up. Both fixed; the tests fail on the code before.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -45,7 +45,8 @@
 	ticket := s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt)
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := newWatchdog(q.patience(c), func() bool { return q.mayMove(ctx) }, func() { cancel(errSlow) })
+	runs := q.runs + 1 // with this attempt
+	timer := newWatchdog(q.patience(c), func() bool { return q.mayMove(ctx, runs) }, func() { cancel(errSlow) })
 	defer timer.Stop()
 	resp, err := s.opts.Pool.Do(attempt, q.upstream(c, replica))
 	if err != nil {
@@ -73,10 +74,10 @@
 	return r
 }
 
-// mayMove reports whether the request could go on at another server now. Silence alone ends no attempt: the server may
+// mayMove reports whether the request could go on at another server now, after as many runs. Silence alone ends no attempt: the server may
 // still answer in time.
-func (q *request) mayMove(ctx context.Context) bool {
-	if ctx.Err() != nil || !q.route.Repeatable() || q.runs >= q.route.MaxAttempts {
+func (q *request) mayMove(ctx context.Context, runs int) bool {
+	if ctx.Err() != nil || !q.route.Repeatable() || runs >= q.route.MaxAttempts {
 		return false
 	}
 	list, _, _ := q.candidates(q.server.opts.Clock())
--- /dev/null
+++ b/internal/ingress/harness_test.go
@@ -0,0 +1,216 @@
+package ingress_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/agents"
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/dispatch"
+	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/ingress"
+	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/upstream"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+func TestIngress(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ingress")
+}
+
+// site is a gateway in front of emulated servers.
+type site struct {
+	view    *fleet.View
+	server  *ingress.Server
+	url     string
+	version int64
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+func (s *site) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Write(b)
+}
+
+// lines returns the log lines that hold text.
+func (s *site) lines(text string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(s.log.String()) {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+const (
+	once = iota
+	idempotent
+	stream
+	resumable
+)
+
+func route(kind int, timeout time.Duration) fleet.Route {
+	r := fleet.Route{
+		Name: "r", Hostname: "crew.example", PathPrefix: "/a/", Timeout: timeout, Target: 300 * time.Millisecond,
+		GapTarget: 100 * time.Millisecond, MaxAttempts: 2, Targets: []fleet.Target{{Service: "s", Weight: 1}},
+		Repeat: fleet.Once,
+	}
+	switch kind {
+	case once:
+		r.MaxAttempts = 1
+	case idempotent:
+		r.Repeat = fleet.Idempotent
+	case stream:
+		r.Repeat, r.MaxAttempts = fleet.Stream, 1
+	case resumable:
+		r.Repeat, r.Resumable = fleet.Stream, true
+	}
+	return r
+}
+
+// newSite starts a gateway with one route and one organisation, whose key is "key".
+func newSite(r fleet.Route, change ...func(*fleet.Configuration)) *site {
+	GinkgoHelper()
+	s := &site{view: fleet.NewView()}
+	log := slog.New(slog.NewJSONHandler(s, nil))
+	clock := bootclock.Clock(bootclock.Now)
+	alone := func() (int, int) { return 1, 1 }
+	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, MaxIdle: 4})
+	s.server = ingress.New(ingress.Options{
+		DataCentre: "a", View: s.view, Table: dispatch.NewTable(), Pool: pool, Clock: clock, Gateways: alone,
+		Rank: func(string) int { return 0 }, Limits: ingress.NewLimits(clock, alone, true), Demand: ingress.NewDemand(),
+		Metrics: ingress.NewMetrics(), Log: log,
+		Retry: retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Use: 0.8},
+		Agents: agents.New(agents.Options{
+			Identity: &wirepb.Identity{Host: "g"}, View: s.view, Pool: transport.NewPool(nil), Port: "1", Clock: clock, Log: log,
+			Changed: func() {},
+		}),
+	})
+	s.configure(r, change...)
+	front := httptest.NewServer(s.server)
+	DeferCleanup(front.Close)
+	s.url = front.URL
+	return s
+}
+
+func (s *site) configure(r fleet.Route, change ...func(*fleet.Configuration)) {
+	GinkgoHelper()
+	s.version++
+	c := &fleet.Configuration{
+		Version: s.version, Routes: []fleet.Route{r}, Services: map[string]*fleet.Service{"s": {Name: "s"}},
+		Organisations: map[string]*fleet.Organisation{"clerks": {Name: "clerks"}},
+		Keys:          map[fleet.KeyDigest]string{fleet.DigestKey("key"): "clerks"},
+	}
+	for _, f := range change {
+		f(c)
+	}
+	Expect(s.view.SetConfiguration(c, s.version)).To(BeTrue())
+}
+
+// add starts an emulated server and lists it.
+func (s *site) add(id string, opts fake.ReplicaOptions, faults fake.ReplicaFaults) *fake.Replica {
+	GinkgoHelper()
+	opts.ID, opts.Service = id, "s"
+	if opts.Slots == 0 {
+		opts.Slots = 8
+	}
+	replica := fake.NewReplica(opts)
+	replica.SetFaults(faults)
+	backend := httptest.NewServer(replica.Handler())
+	DeferCleanup(backend.Close)
+	s.list(id, backend.Listener.Addr().String(), false)
+	return replica
+}
+
+func (s *site) list(id, address string, draining bool) {
+	s.version++
+	s.view.SetReplica(&fleet.Replica{
+		ID: id, Service: "s", Address: address, DataCentre: "a", Slots: 8, Draining: draining, ListVersion: s.version,
+	})
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+	took   time.Duration
+}
+
+var requests int
+
+// ask sends a request with a new ID.
+func (s *site) ask(method, path string, header map[string]string, body string) (id string, a answer) {
+	GinkgoHelper()
+	requests++
+	id = fmt.Sprintf("request-%d", requests)
+	return id, s.askAs(id, method, path, header, body)
+}
+
+func (s *site) askAs(id, method, path string, header map[string]string, body string) answer {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, s.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "crew.example"
+	r.Header.Set("Authorization", "Bearer key")
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "4000")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	start := time.Now()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err, took: time.Since(start)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err, took: time.Since(start)}
+}
+
+// runsOf counts how often servers ran a request.
+func runsOf(id string, replicas ...*fake.Replica) int {
+	n := 0
+	for _, r := range replicas {
+		runs, _ := r.Runs()
+		for _, run := range runs {
+			if run.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// unusedAddress returns an address that refuses connections.
+func unusedAddress() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -12,6 +12,7 @@
 type watchdog struct {
 	allowed func() bool
 	act     func()
+	looking sync.Mutex // held while it looks
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -28,12 +29,20 @@
 }
 
 func (w *watchdog) look() {
+	w.looking.Lock()
+	defer w.looking.Unlock()
+	w.mu.Lock()
+	stopped := w.stopped
+	w.mu.Unlock()
+	if stopped {
+		return
+	}
 	if !w.allowed() {
 		w.Reset(watchdogRepeat)
 		return
 	}
 	w.mu.Lock()
-	stopped := w.stopped
+	stopped = w.stopped
 	w.stopped = true
 	w.mu.Unlock()
 	if !stopped {
@@ -50,10 +59,12 @@
 	}
 }
 
-// Stop ends the watch.
+// Stop ends the watch. It waits for a look that is under way.
 func (w *watchdog) Stop() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
+	w.mu.Unlock()
+	w.looking.Lock()
+	defer w.looking.Unlock()
 }
--- /dev/null
+++ b/internal/orglimit/bucket_test.go
@@ -0,0 +1,117 @@
+package orglimit_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pomelowheel/pomelowheel/internal/orglimit"
+)
+
+type admitted struct {
+	at   time.Duration
+	size float64
+}
+
+// Guards against gateways that together admit more than the rate and burst: with immediate exchange no window holds
+// more than the exact bucket would, whatever gateway the requests come to.
+func TestGatewaysThatHearEachOtherKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := orglimit.Limit{Rate: 1000, Burst: 5000}
+		buckets := make([]*orglimit.Bucket, rapid.IntRange(1, 8).Draw(t, "gateways"))
+		for i := range buckets {
+			buckets[i] = orglimit.New(limit, 0, 1)
+		}
+		var all []admitted
+		now := time.Duration(0)
+		for range rapid.IntRange(20, 200).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
+			at := rapid.IntRange(0, len(buckets)-1).Draw(t, "gateway")
+			size := rapid.Float64Range(1, 4000).Draw(t, "size")
+			for _, b := range buckets {
+				b.Update(now, limit, 1)
+			}
+			if ok, _ := buckets[at].Take(size); !ok {
+				continue
+			}
+			all = append(all, admitted{now, size})
+			for i, b := range buckets {
+				if i != at {
+					b.UsedElsewhere(size)
+				}
+			}
+		}
+		checkWindows(t, all, limit, 1)
+	})
+}
+
+// Guards against two halves of a cut fleet that each spend the whole limit.
+func TestACutFleetKeepsTheLimit(t *testing.T) {
+	limit := orglimit.Limit{Rate: 1000, Burst: 4000}
+	halves := []*orglimit.Bucket{orglimit.New(limit, 0, 1), orglimit.New(limit, 0, 1)}
+	var all []admitted
+	for _, b := range halves {
+		b.Split(0.5)
+	}
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		for _, b := range halves {
+			b.Update(now, limit, 0.5)
+			if ok, _ := b.Take(100); ok {
+				all = append(all, admitted{now, 100})
+			}
+		}
+	}
+	checkWindows(t, all, limit, 1)
+}
+
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+// checkWindows checks every window between two admitted requests. slack allows for rounding.
+func checkWindows(t failer, all []admitted, limit orglimit.Limit, slack float64) {
+	for i := range all {
+		sum := 0.0
+		for _, a := range all[i:] {
+			sum += a.size
+			if most := limit.Burst + limit.Rate*(a.at-all[i].at).Seconds() + slack; sum > most {
+				t.Fatalf("%.0f admitted in %v, at most %.0f", sum, a.at-all[i].at, most)
+			}
+		}
+	}
+}
+
+// Guards against wrongful refusals: what a peer admitted long ago must not be subtracted from a bucket that was capped
+// at the burst meanwhile.
+func TestAnOrganisationBelowItsRateIsNotRefused(t *testing.T) {
+	limit := orglimit.Limit{Rate: 1000, Burst: 1000}
+	here := orglimit.New(limit, 0, 1)
+	now := time.Duration(0)
+	for range 1000 {
+		now += 100 * time.Millisecond
+		here.Update(now, limit, 1)
+		here.UsedElsewhere(50) // half the rate at another gateway
+	}
+	if ok, wait := here.Take(400); !ok {
+		t.Fatalf("refused for %v at half the rate", wait)
+	}
+}
+
+// Guards against a lowered limit that is not in force at once, and a wait that is too short.
+func TestALoweredLimitAndTheWait(t *testing.T) {
+	b := orglimit.New(orglimit.Limit{Rate: 1000, Burst: 10000}, 0, 1)
+	low := orglimit.Limit{Rate: 10, Burst: 100}
+	b.Update(0, low, 1)
+	if ok, _ := b.Take(100); !ok {
+		t.Fatal("the burst is refused")
+	}
+	ok, wait := b.Take(50)
+	if ok || wait != 5*time.Second {
+		t.Fatalf("admitted %v, wait %v, expected 5s", ok, wait)
+	}
+	b.Update(wait, low, 1)
+	if ok, _ := b.Take(50); !ok {
+		t.Fatal("refused after the wait")
+	}
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -4,8 +4,13 @@
 
 import "time"
 
-// slices divides the window; a finer division forgets old requests more evenly.
-const slices = 10
+const (
+	// slices divides the window; a finer division forgets old requests more evenly.
+	slices = 10
+	// kept slices cover the window and the part of the current slice that has passed, so that every retry of the last
+	// window is counted.
+	kept = slices + 1
+)
 
 // Options are the bound that all gateways share.
 type Options struct {
@@ -22,7 +27,7 @@
 // Budget counts the requests and retries of one service at one gateway. It is not safe for concurrent use.
 type Budget struct {
 	opts    Options
-	slices  [slices]slice
+	slices  [kept]slice
 	current int64 // number of the slice of the last call
 }
 
@@ -32,15 +37,15 @@
 func (b *Budget) advance(now time.Duration) *slice {
 	width := b.opts.Window / slices
 	n := int64(now / width)
-	if n-b.current >= slices {
-		b.slices = [slices]slice{}
+	if n-b.current >= kept {
+		b.slices = [kept]slice{}
 	} else {
 		for i := b.current + 1; i <= n; i++ {
-			b.slices[i%slices] = slice{}
+			b.slices[i%kept] = slice{}
 		}
 	}
 	b.current = max(n, b.current)
-	return &b.slices[b.current%slices]
+	return &b.slices[b.current%kept]
 }
 
 // Request counts a request.
@@ -51,9 +56,11 @@
 func (b *Budget) Retry(now time.Duration, gateways int) bool {
 	current := b.advance(now)
 	var requests, retries float64
-	for _, s := range b.slices {
-		requests += s.requests
+	for i, s := range b.slices {
 		retries += s.retries
+		if oldest := (b.current + 1) % kept; int64(i) != oldest {
+			requests += s.requests
+		}
 	}
 	if retries+1 > b.opts.Use*(b.opts.Ratio*requests+b.opts.Slack/float64(max(1, gateways))) {
 		return false
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,56 @@
+package retrybudget_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
+)
+
+// Guards against a storm of second attempts. The bound is the platform's, over all gateways: the ratio of the requests
+// in the window, the one before it or the one half a window before it, and the slack.
+func TestRetriesStayWithinTheBoundInEveryWindow(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 5).Draw(t, "gateways")
+		opts := retrybudget.Options{Ratio: 0.2, Slack: 54, Window: window, Use: 0.8}
+		budgets := make([]*retrybudget.Budget, gateways)
+		for i := range budgets {
+			budgets[i] = retrybudget.New(opts)
+		}
+		var requests, retries []time.Duration
+		now := time.Duration(0)
+		for now < 40*time.Second {
+			now += time.Duration(rapid.IntRange(1, 500).Draw(t, "pause")) * time.Millisecond
+			b := budgets[rapid.IntRange(0, gateways-1).Draw(t, "gateway")]
+			b.Request(now)
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 4).Draw(t, "failures") {
+				if b.Retry(now, gateways) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for _, from := range retries {
+			most := 0.0
+			for _, back := range []time.Duration{0, window / 2, window} {
+				most = max(most, count(requests, from-back, window))
+			}
+			if n := count(retries, from, window); n > 0.2*most+54 {
+				t.Fatalf("%.0f retries from %v with %.0f requests", n, from, most)
+			}
+		}
+	})
+}
+
+func count(times []time.Duration, from, window time.Duration) float64 {
+	n := 0.0
+	for _, at := range times {
+		if at >= from && at < from+window {
+			n++
+		}
+	}
+	return n
+}
