--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/discovery"
 	"github.com/pomelowheel/pomelowheel/internal/dispatch"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 	"github.com/pomelowheel/pomelowheel/platform"
@@ -30,6 +31,9 @@
 // Demand implements peers.Source.
 func (g *gateway) Demand() []*wirepb.ModelDemand { return g.demand.Wire() }
 
+// StoreAway implements peers.Source.
+func (g *gateway) StoreAway() bool { return g.follower.Away() }
+
 // PlannerEpoch implements peers.Source.
 func (g *gateway) PlannerEpoch() int64 { return g.lease.Epoch() }
 
@@ -44,7 +48,11 @@
 			InFlight: int(l.GetInFlight()), Prefill: float64(l.GetPrefillTokens()), Memory: float64(l.GetMemoryTokens()),
 		}
 	}
-	g.table.SetPeer(peer, bootclock.Now(), loads)
+	g.table.UpdatePeer(peer, bootclock.Now(), loads, u.GetIdentity() != nil)
+	if u.GetStoreAway() && !g.mesh.Reads(discovery.Readers) {
+		// This gateway learns removals from peers only, and some of them may be lapses of the outage.
+		g.view.StoreReturned(bootclock.Now() + g.settings.Bounds.ListReturn)
+	}
 	g.limits.UsedElsewhere(use)
 	g.planner.Asked(demand)
 	if epoch := u.GetPlannerEpoch(); epoch != 0 {
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -104,8 +104,7 @@
 	})
 	g.follower = discovery.New(discovery.Options{
 		Store: g.store, View: g.view, Clock: clock, Return: s.Bounds.ListReturn,
-		Gateways: func() int { heard, _ := g.mesh.Count(); return heard },
-		Publish:  g.publish, Gone: g.gone, Log: log,
+		Reads: g.mesh.Reads, Publish: g.publish, Gone: g.gone, Log: log,
 	})
 	g.lease = fleetplan.NewLease(fleetplan.LeaseOptions{
 		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,8 +23,9 @@
 	pollInterval = 120 * time.Millisecond
 	// pollTimeout bounds one read. The engine is on the same host.
 	pollTimeout = 500 * time.Millisecond
-	// repeatInterval is the longest pause between two reports to a gateway.
-	repeatInterval = 250 * time.Millisecond
+	// repeatInterval is the longest pause between two reports to a gateway, a third of the age at which it takes them for
+	// lost.
+	repeatInterval = 600 * time.Millisecond
 	// staleAfter is the age at which a report is no longer passed on.
 	staleAfter = 700 * time.Millisecond
 	// orderTimeout bounds one order.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -80,6 +82,15 @@
 	}
 }
 
+// sameHoldings reports whether two reports say the same of what the engine holds and does with it.
+func sameHoldings(a, b *wirepb.AgentUpdate) bool {
+	x, y := proto.Clone(a).(*wirepb.AgentUpdate), proto.Clone(b).(*wirepb.AgentUpdate)
+	for _, u := range []*wirepb.AgentUpdate{x, y} {
+		u.Queued, u.Active, u.UsedTokens, u.AgeMs, u.PlannerEpoch = 0, 0, 0, 0, 0
+	}
+	return proto.Equal(x, y)
+}
+
 // watch sends reports on s until the stream or ctx ends.
 func (a *Agent) watch(ctx context.Context, s *transport.Stream, first *wirepb.AgentTarget) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -99,9 +110,17 @@
 			}
 		}
 	}()
+	var last *wirepb.AgentUpdate
+	var sentAt time.Time
 	for {
 		_, changed := a.current()
-		if u := a.update(); u != nil {
+		u := a.update()
+		same := last != nil && u != nil && sameHoldings(u, last)
+		if u != nil && (!same || time.Since(sentAt) >= repeatInterval) {
+			last, sentAt = u, time.Now()
+			if same {
+				u = &wirepb.AgentUpdate{Born: u.GetBorn(), Sequence: u.GetSequence(), AgeMs: u.GetAgeMs(), Unchanged: true}
+			}
 			if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 				return
 			}
--- a/internal/agents/agents.go
+++ b/internal/agents/agents.go
@@ -26,10 +26,10 @@
 const (
 	// reconcile is the interval at which the agents to watch are compared with the server list.
 	reconcile = 100 * time.Millisecond
-	// freshFor is the age at which a report no longer tells what an engine holds. Agents report at least every 250 ms.
-	freshFor = 1500 * time.Millisecond
+	// freshFor is the age at which a report no longer tells what an engine holds. Agents report at least every 600 ms.
+	freshFor = 1900 * time.Millisecond
 	// silentAfter ends a stream on which nothing arrives.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 1900 * time.Millisecond
 	// dialTimeout bounds the opening of a stream.
 	dialTimeout = 500 * time.Millisecond
 	// firstRedial and lastRedial bound the pause before another try to reach an agent.
@@ -235,6 +235,13 @@
 func (a *Agents) take(id string, u *wirepb.AgentUpdate) {
 	a.mu.Lock()
 	before := a.status[id].Report
+	if u.GetUnchanged() {
+		if before != nil {
+			a.status[id] = Status{Report: before, At: a.opts.Clock()}
+		}
+		a.mu.Unlock()
+		return
+	}
 	a.status[id] = Status{Report: u, At: a.opts.Clock()}
 	a.mu.Unlock()
 	if before == nil || before.GetSequence() != u.GetSequence() || before.GetBusy() != u.GetBusy() ||
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,15 +26,15 @@
 	callTimeout = time.Second
 	// feedWait is how long the feed of the configuration waits for a change. A feed whose connection went silent is
 	// noticed feedWait and feedGrace after its call, within the time that a change has to be in force.
-	feedWait  = 1200 * time.Millisecond
+	feedWait  = 1500 * time.Millisecond
 	feedGrace = 500 * time.Millisecond
-	// serversPerGateway times the number of gateways is the pause between two reads of the server list: the gateways
-	// pass news on, so together they read it that often.
-	serversPerGateway = 120 * time.Millisecond
-	// minServersPause and maxServersPause bound that pause. The longer one leaves time within the two seconds that a
-	// leaving server must be known in.
-	minServersPause = 350 * time.Millisecond
-	maxServersPause = 900 * time.Millisecond
+	// Readers gateways read the store; the others get the rows from them. Two may be lost at the same time.
+	Readers = 3
+	// serversPause is the pause between two reads of the server list by one reader. Together they read it three times as
+	// often, and one alone still leaves a second of the two that a leaving server must be known in.
+	serversPause = 700 * time.Millisecond
+	// idlePause is the pause between two looks whether this gateway has to read.
+	idlePause = 150 * time.Millisecond
 	// outageAfter is the time without an answer after which entries may have lapsed by mistake. Entries lapse after
 	// three heartbeats of more than a second.
 	outageAfter = time.Second
@@ -53,11 +53,12 @@
 
 // Options configure a Follower.
 type Options struct {
-	Store    Store
-	View     *fleet.View
-	Clock    bootclock.Clock
-	Return   time.Duration // after the store's return, when a server that is missing is gone
-	Gateways func() int    // that are heard, this one included
+	Store  Store
+	View   *fleet.View
+	Clock  bootclock.Clock
+	Return time.Duration // after the store's return, when a server that is missing is gone
+	// Reads reports whether this gateway is among the first n of those that are heard and can read the store.
+	Reads func(n int) bool
 	// Publish is called with rows that other gateways should know.
 	Publish func(rows []platform.Row)
 	// Gone is called with the IDs of servers that are no longer listed.
@@ -89,20 +90,15 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group := duty.NewGroup(ctx, f.opts.Log)
 	group.Go("configuration feed", func(ctx context.Context) error {
-		return f.follow(ctx, platform.TableOperator, feedWait, func() time.Duration { return 0 })
+		return f.follow(ctx, platform.TableOperator, 0)
 	})
 	group.Go("server feed", func(ctx context.Context) error {
-		return f.follow(ctx, platform.TableServers, feedWait, f.serversPause)
+		return f.follow(ctx, platform.TableServers, serversPause)
 	})
 	group.Go("expiry", f.expire)
 	return group.Wait()
 }
 
-func (f *Follower) serversPause() time.Duration {
-	pause := time.Duration(f.opts.Gateways()) * serversPerGateway
-	return min(max(pause, minServersPause), maxServersPause)
-}
-
 // Away reports whether the store has not answered for a while.
 func (f *Follower) Away() bool { return f.away.Load() }
 
@@ -113,18 +109,25 @@
 	return slices.Collect(maps.Values(f.rows))
 }
 
-// follow lists a table and then reads its changes.
-func (f *Follower) follow(ctx context.Context, table string, wait time.Duration, pause func() time.Duration) error {
+// follow lists a table and then reads its changes while this gateway is a reader.
+func (f *Follower) follow(ctx context.Context, table string, pause time.Duration) error {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = firstBackoff, lastBackoff
 	version := int64(-1)
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, table, version, wait)
+		if version >= 0 && !f.opts.Reads(Readers) {
+			if err := duty.Sleep(ctx, idlePause); err != nil {
+				return err
+			}
+			f.lastAnswer.Store(int64(f.opts.Clock())) // silence counts only while it reads
+			continue
+		}
+		next, err := f.step(ctx, table, version)
 		if err == nil {
 			f.answered(table)
 			version = next
 			retry.Reset()
-			if err := duty.Sleep(ctx, jitter(pause())); err != nil {
+			if err := duty.Sleep(ctx, jitter(pause)); err != nil {
 				return err
 			}
 			continue
@@ -150,7 +153,7 @@
 }
 
 // step reads a table whole if version is negative, and its changes after version otherwise.
-func (f *Follower) step(ctx context.Context, table string, version int64, wait time.Duration) (int64, error) {
+func (f *Follower) step(ctx context.Context, table string, version int64) (int64, error) {
 	if version < 0 {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -162,9 +165,9 @@
 		f.Apply(append(rows, f.missing(table, rows, newest)...), true)
 		return newest, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+feedGrace)
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
 	defer cancel()
-	rows, next, err := f.opts.Store.Feed(ctx, table, version, wait)
+	rows, next, err := f.opts.Store.Feed(ctx, table, version, feedWait)
 	if err != nil {
 		return version, err
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -99,7 +99,7 @@
 // Guards against a prediction that ignores what the other gateways sent, and against one that keeps it for ever.
 func TestLoadsOfPeersCountWhileTheyAreFresh(t *testing.T) {
 	table := dispatch.NewTable()
-	table.SetPeer("g2", 0, map[string]dispatch.Load{"a": {InFlight: 3, Prefill: 20_000}})
+	table.UpdatePeer("g2", 0, map[string]dispatch.Load{"a": {InFlight: 3, Prefill: 20_000}}, true)
 	if c := fill(table, time.Second, prompt("x"), "a")[0]; c.Ahead != 20_000 || c.InFlight != 3 {
 		t.Fatalf("%d requests and %.0f tokens ahead", c.InFlight, c.Ahead)
 	}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -93,11 +93,23 @@
 	delete(t.servers, id)
 }
 
-// SetPeer replaces the loads that a peer reported.
-func (t *Table) SetPeer(peer string, now time.Duration, loads map[string]Load) {
+// UpdatePeer takes over the loads that changed at a peer, or all of them if whole is set.
+func (t *Table) UpdatePeer(peer string, now time.Duration, loads map[string]Load, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = &peerLoads{at: now, loads: loads}
+	p := t.peers[peer]
+	if p == nil || whole {
+		p = &peerLoads{loads: make(map[string]Load, len(loads))}
+		t.peers[peer] = p
+	}
+	p.at = now
+	for id, l := range loads {
+		if l == (Load{}) {
+			delete(p.loads, id)
+		} else {
+			p.loads[id] = l
+		}
+	}
 }
 
 // DropPeer forgets the loads of a peer that is gone.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -138,7 +138,7 @@
 func (v *View) StoreReturned(until time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.backAt = until
+	v.backAt = max(v.backAt, until)
 }
 
 // Expire removes the servers that did not come back in time, and returns their IDs.
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -51,6 +51,8 @@
 	Use() []*wirepb.OrganisationUse
 	// Demand returns what callers asked for since the start.
 	Demand() []*wirepb.ModelDemand
+	// StoreAway reports whether this gateway cannot read the store.
+	StoreAway() bool
 	// PlannerEpoch returns the epoch of the planner's lease if this gateway holds it, or zero.
 	PlannerEpoch() int64
 }
@@ -80,6 +82,8 @@
 	heardAt     time.Duration // zero if never
 	knownAt     time.Duration
 	lost        bool
+	planner     bool // it plans, by its last update
+	storeAway   bool // it cannot read the store, by its last update
 	rows        *duty.Ring[*wirepb.StoreRow]
 	use         map[string]float64
 	demand      map[string]float64
@@ -195,6 +199,27 @@
 	return rank
 }
 
+// Reads reports whether this gateway is among the first n in an order of those that are heard and can read the store.
+// The others learn the rows from them.
+func (m *Mesh) Reads(n int) bool {
+	now := m.opts.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, own := 0, xxhash.Sum64String(m.opts.Identity.GetHost())
+	for _, p := range m.peers {
+		if p.name != "" && !p.storeAway && now-p.heardAt <= heardFor && xxhash.Sum64String(p.name) > own {
+			before++
+		}
+	}
+	return before < n
+}
+
+func (m *Mesh) plans(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return p.planner
+}
+
 // Publish passes rows on to every peer.
 func (m *Mesh) Publish(rows []*wirepb.StoreRow) {
 	m.mu.Lock()
@@ -266,7 +291,7 @@
 	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, Rows: source.Rows()}
 	lastSend := time.Now()
 	for {
-		sent.changes(u, source, m.members())
+		sent.changes(u, source, m.members(), m.plans(p))
 		m.mu.Lock()
 		u.Leaving = m.leave
 		m.mu.Unlock()
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -37,6 +37,7 @@
 func (m *member) Loads() []*wirepb.ReplicaLoad  { return nil }
 func (m *member) Demand() []*wirepb.ModelDemand { return nil }
 func (m *member) PlannerEpoch() int64           { return 0 }
+func (m *member) StoreAway() bool               { return false }
 func (m *member) Lost(string)                   {}
 
 func (m *member) Use() []*wirepb.OrganisationUse {
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -14,43 +14,64 @@
 // sent remembers what a peer was told, so that only changes are sent.
 type sent struct {
 	members []string
-	loads   *wirepb.PeerUpdate
+	loads   map[string]*wirepb.ReplicaLoad
+	away    bool
 	use     map[string]float64
 	demand  map[string]float64
 	epoch   int64
 }
 
 func newSent() *sent {
-	return &sent{loads: new(wirepb.PeerUpdate), use: make(map[string]float64), demand: make(map[string]float64)}
+	return &sent{loads: make(map[string]*wirepb.ReplicaLoad), use: make(map[string]float64), demand: make(map[string]float64)}
 }
 
-// changes completes u with what changed since the last call.
-func (s *sent) changes(u *wirepb.PeerUpdate, source Source, members []string) {
+// changes completes u with what changed since the last call. planner says that the peer plans and needs the demand.
+func (s *sent) changes(u *wirepb.PeerUpdate, source Source, members []string, planner bool) {
 	if !slices.Equal(members, s.members) {
 		u.Members, s.members = members, members
 	}
-	u.Loads = source.Loads()
+	s.changedLoads(u, source.Loads())
 	for _, o := range source.Use() {
 		if s.use[o.GetOrganisation()] != o.GetUsed() {
 			s.use[o.GetOrganisation()] = o.GetUsed()
 			u.Use = append(u.Use, o)
 		}
 	}
-	for _, d := range source.Demand() {
-		if s.demand[d.GetModel()] != d.GetWorkTokens() {
-			s.demand[d.GetModel()] = d.GetWorkTokens()
-			u.Demand = append(u.Demand, d)
+	if planner {
+		for _, d := range source.Demand() {
+			if s.demand[d.GetModel()] != d.GetWorkTokens() {
+				s.demand[d.GetModel()] = d.GetWorkTokens()
+				u.Demand = append(u.Demand, d)
+			}
+		}
+	}
+	u.PlannerEpoch, u.StoreAway = source.PlannerEpoch(), source.StoreAway()
+}
+
+// changedLoads adds the loads that differ from those sent before, also those that ended.
+func (s *sent) changedLoads(u *wirepb.PeerUpdate, loads []*wirepb.ReplicaLoad) {
+	present := make(map[string]bool, len(loads))
+	for _, l := range loads {
+		present[l.GetReplica()] = true
+		if !proto.Equal(l, s.loads[l.GetReplica()]) {
+			s.loads[l.GetReplica()] = l
+			u.Loads = append(u.Loads, l)
+		}
+	}
+	for id := range s.loads {
+		if !present[id] {
+			delete(s.loads, id)
+			u.Loads = append(u.Loads, &wirepb.ReplicaLoad{Replica: id})
 		}
 	}
-	u.PlannerEpoch = source.PlannerEpoch()
 }
 
 // quiet reports whether u says nothing new.
 func (s *sent) quiet(u *wirepb.PeerUpdate) bool {
-	loads := &wirepb.PeerUpdate{Loads: u.GetLoads()}
-	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 &&
-		!u.GetLeaving() && u.GetPlannerEpoch() == s.epoch && proto.Equal(loads, s.loads)
-	s.loads, s.epoch = loads, u.GetPlannerEpoch()
+	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
+		len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && !u.GetLeaving() && u.GetPlannerEpoch() == s.epoch &&
+		u.GetStoreAway() == s.away
+	s.epoch, s.away = u.GetPlannerEpoch(), u.GetStoreAway()
 	return same
 }
 
@@ -104,6 +125,7 @@
 		}
 	}
 	p.name, p.incarnation, p.heardAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
+	p.planner, p.storeAway = u.GetPlannerEpoch() != 0, u.GetStoreAway()
 	use, demand := make(map[string]float64), make(map[string]float64)
 	for _, o := range u.GetUse() {
 		use[o.GetOrganisation()] = o.GetUsed() - p.use[o.GetOrganisation()] // negative after a refund
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,7 +23,7 @@
 	defaultIdle = 8 * time.Second
 	// idleShare of the time that a server keeps an idle connection is used, so that a request does not cross the
 	// server's close.
-	idleShare = 0.6
+	idleShare = 0.85
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4 << 10
 )
