--- a/internal/agent/restore.go
+++ b/internal/agent/restore.go
@@ -33,17 +33,19 @@
 
 // keepRow takes the fencing number and then writes the models that the engine holds when they change.
 func (a *Agent) keepRow(ctx context.Context) error {
+	var written []string
 	for {
-		if err := a.takeFence(ctx); err == nil {
+		var err error
+		if written, err = a.takeFence(ctx); err == nil {
 			break
-		} else if ctx.Err() == nil {
+		}
+		if ctx.Err() == nil {
 			a.opts.Log.Warn("no fencing number, the engine gets no orders", "error", err)
 		}
 		if err := duty.Sleep(ctx, rowPause); err != nil {
 			return err
 		}
 	}
-	written := a.heldModels()
 	for {
 		if err := duty.Sleep(ctx, rowInterval); err != nil {
 			return err
@@ -60,13 +62,13 @@
 	}
 }
 
-// takeFence reads what the engine held before this start and writes the row.
-func (a *Agent) takeFence(ctx context.Context) error {
+// takeFence reads what the engine held before this start and writes the row. It returns the models in the row.
+func (a *Agent) takeFence(ctx context.Context) ([]string, error) {
 	call, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	row, _, err := a.opts.Store.Get(call, table, a.opts.Host)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var before rowValue
 	if len(row.Value) > 0 {
@@ -76,7 +78,7 @@
 	}
 	version, err := a.write(ctx, before.Models)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	a.mu.Lock()
 	if len(a.held) == 0 {
@@ -87,7 +89,7 @@
 	a.mu.Unlock()
 	a.fence.Store(version)
 	a.opts.Log.Info("fencing number taken", "fence", version, "held_before", before.Models)
-	return nil
+	return before.Models, nil
 }
 
 func (a *Agent) write(ctx context.Context, models []string) (int64, error) {
