--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -106,6 +106,7 @@
 	g.agents = agents.New(agents.Options{
 		Identity: identity, View: g.view, Pool: g.sessions, Port: agentPort, Clock: clock, Log: log,
 		Changed: func() { g.server.FleetChanged() },
+		Demand:  func(service, model string) float64 { return g.planner.DemandOf(service, model) },
 	})
 	g.follower = discovery.New(discovery.Options{
 		Store: g.store, View: g.view, Clock: clock, Return: s.Bounds.ListReturn,
--- a/internal/agent/restore.go
+++ b/internal/agent/restore.go
@@ -115,10 +115,18 @@
 		return
 	}
 	if a.restore = nil; !r.Busy && len(r.Models) > 0 {
-		a.held = modelNames(r)
+		a.held = busiestFirst(modelNames(r), a.target.GetBusiest())
 	}
 }
 
+// busiestFirst moves the busiest model to the front: it is loaded first after a restart.
+func busiestFirst(models []string, busiest string) []string {
+	if i := slices.Index(models, busiest); i > 0 {
+		models = slices.Insert(slices.Delete(models, i, i+1), 0, busiest)
+	}
+	return models
+}
+
 // restoreModels loads what the engine lost with a restart, as far as it lies on the engine's own disk, which takes a
 // fraction of a load from the weight store and counts in no budget.
 func (a *Agent) restoreModels(ctx context.Context) error {
--- a/internal/agents/agents.go
+++ b/internal/agents/agents.go
@@ -35,6 +35,8 @@
 	// firstRedial and lastRedial bound the pause before another try to reach an agent.
 	firstRedial = 200 * time.Millisecond
 	lastRedial  = 2 * time.Second
+	// busierFactor is how much more demand another model needs to become the busiest.
+	busierFactor = 2
 	// proposalTimeout bounds a planner's proposal.
 	proposalTimeout = 700 * time.Millisecond
 )
@@ -47,6 +49,8 @@
 	Port     string // of every agent
 	Clock    bootclock.Clock
 	Log      *slog.Logger
+	// Demand returns the demand of a service's model as far as this gateway knows it.
+	Demand func(service, model string) float64
 	// Changed is called after a report that differs from the previous one.
 	Changed func()
 }
@@ -63,6 +67,14 @@
 	wake   chan struct{}
 }
 
+// previous returns the busiest model that the agent was told of. It may be called on nil.
+func (w *watched) previous() string {
+	if w == nil {
+		return ""
+	}
+	return w.target.GetBusiest()
+}
+
 // Agents watches the agents of all listed model engines.
 type Agents struct {
 	opts Options
@@ -109,6 +121,7 @@
 			continue
 		}
 		target := a.target(r, service.Engine)
+		target.Busiest = a.busiest(r, a.watched[id].previous())
 		w := a.watched[id]
 		if w == nil {
 			w = a.watch(ctx, r)
@@ -127,6 +140,22 @@
 	}
 }
 
+// busiest returns the model with the most demand of those that a server holds. Another one replaces the previous one
+// only with twice its demand, so that the agent does not get a message for each change. The caller holds the lock.
+func (a *Agents) busiest(r *fleet.Replica, previous string) string {
+	report := a.status[r.ID].Report
+	best, most := previous, 0.0
+	if previous != "" {
+		most = busierFactor * a.opts.Demand(r.Service, previous)
+	}
+	for _, m := range report.GetModels() {
+		if demand := a.opts.Demand(r.Service, m.GetModel()); demand > most {
+			best, most = m.GetModel(), demand
+		}
+	}
+	return best
+}
+
 func (a *Agents) target(r *fleet.Replica, e *fleet.Engine) *wirepb.AgentTarget {
 	t := &wirepb.AgentTarget{
 		Identity: a.opts.Identity, Replica: r.ID, Born: r.Born, WeightsMb: e.WeightsMB, AdapterSlots: int32(e.AdapterSlots),
--- a/internal/fleetplan/planner.go
+++ b/internal/fleetplan/planner.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// DemandOf returns the demand of a model as far as this gateway knows it.
+func (p *Planner) DemandOf(service, model string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand.Rate(service + "\x00" + model)
+}
+
 // Demand returns the demand of the models, for the next planner.
 func (p *Planner) Demand() map[string]float64 {
 	p.mu.Lock()
--- a/internal/orglimit/bucket.go
+++ b/internal/orglimit/bucket.go
@@ -12,6 +12,14 @@
 	"time"
 )
 
+const (
+	// smallPart of the burst is the size up to which a request may take the last tokens.
+	smallPart = 0.03
+	// reservedPart of the burst is kept for such requests: when an organisation sends more than its rate, its bookings and
+	// short questions go on, and each long prompt waits for the tokens of a hundred of them.
+	reservedPart = 0.1
+)
+
 // Limit is an organisation's rate and burst in units of the limit; a rate of zero means no limit.
 type Limit struct {
 	Rate  float64 // a second, over all gateways
@@ -42,12 +50,15 @@
 }
 
 // Take admits a request of the given size if the bucket holds it. Otherwise it returns the time until it will.
-// A request above the burst waits for a full bucket.
+// A request above the burst waits for a full bucket. Small requests may take tokens that long ones must leave.
 func (b *Bucket) Take(size float64) (ok bool, wait time.Duration) {
 	if b.limit.Rate <= 0 {
 		return true, 0
 	}
-	need := math.Min(size, b.limit.Burst)
+	need := math.Min(size, b.limit.Burst*(1-reservedPart))
+	if size > smallPart*b.limit.Burst {
+		need += reservedPart * b.limit.Burst
+	}
 	if b.level >= need {
 		b.level -= size
 		return true, 0
