--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,13 +32,11 @@
 	ring    *duty.Ring[[]byte]
 	out     io.Writer
 	dropped atomic.Int64
-	done    chan struct{}
-	once    sync.Once
 }
 
 // New returns a sink that writes to out and a logger on it with JSON lines.
 func New(out io.Writer, level slog.Level, attrs ...slog.Attr) (*Sink, *slog.Logger) {
-	s := &Sink{ring: duty.NewRing[[]byte](ringLines), out: out, done: make(chan struct{})}
+	s := &Sink{ring: duty.NewRing[[]byte](ringLines), out: out}
 	options := &slog.HandlerOptions{Level: level}
 	h := handler{
 		sink:     s,
@@ -54,7 +51,6 @@
 
 // Run writes lines until ctx ends, and then what is left in the ring.
 func (s *Sink) Run(ctx context.Context) error {
-	defer close(s.done)
 	var batch bytes.Buffer
 	var reported int64
 	lastReport := time.Now()
