Leave a busy engine at once when it cannot load an adapter

Now it gives up after two conflicts, the gateway takes another server without spending the retry budget, and may come back later.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -179,3 +179,17 @@
 		h.healthy()
 	})
 })
+
+var _ = Describe("an agent whose engine carries out a long order", func() {
+	// Guards against a request that is held for an adapter that cannot be loaded now, and against orders that are
+	// repeated every few milliseconds meanwhile.
+	It("tells at once that an adapter must be loaded elsewhere", func() {
+		h := newHost("a")
+		Eventually(func() error { return h.adapter("a1") }, soon).Should(Succeed())
+		h.engine.SetFaults(fake.ReplicaFaults{OrderTime: 3 * time.Second})
+		Expect(h.take(1, "load", "b")).To(Succeed())
+		start := time.Now()
+		Expect(errkind.Of(h.adapter("a2"))).To(Equal(errkind.Overloaded))
+		Expect(time.Since(start)).To(BeNumerically("<", time.Second), "the load takes three")
+	})
+})
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -15,6 +15,9 @@
 const (
 	// adapterPoll is the pause between two reads of the report while an adapter loads, which takes some milliseconds.
 	adapterPoll = 4 * time.Millisecond
+	// maxConflicts answers that another order is under way end a request for an adapter. The other order may wait for
+	// running requests, so another engine is the better choice.
+	maxConflicts = 2
 	// maxPending adapters may be on their way to one engine, from the platform's pages.
 	maxPending = 4
 	// reloadGuard is the time for which a loaded adapter is not unloaded for another one, so that it serves the request
@@ -57,6 +60,7 @@
 // EnsureAdapter has an adapter of a resident model loaded and returns when it is. An older adapter makes room.
 func (a *Agent) EnsureAdapter(ctx context.Context, requestID, replica, model, adapter string) error {
 	ordered := false
+	conflicts := 0
 	for {
 		report, target, err := a.ready(replica)
 		if err != nil {
@@ -70,9 +74,17 @@
 			return nil
 		}
 		if !slices.Contains(report.PendingAdapter, model+"/"+adapter) && (!ordered || len(report.PendingAdapter) == 0) {
-			if ordered, err = a.orderAdapter(ctx, target, model, adapter, requestID); err != nil {
+			var outcome platform.OrderOutcome
+			if outcome, err = a.orderAdapter(ctx, target, model, adapter, requestID); err != nil {
 				return err
 			}
+			ordered = outcome == platform.OrderAccepted || outcome == platform.OrderHolds
+			if outcome == platform.OrderConflict {
+				conflicts++
+			}
+			if conflicts >= maxConflicts {
+				return errkind.New(errkind.Overloaded, "the engine is busy with another order")
+			}
 		}
 		if err := duty.Sleep(ctx, adapterPoll); err != nil {
 			return errkind.Wrap(errkind.DeadlineUnreachable, err, "adapter %s/%s is not loaded in time", model, adapter)
@@ -92,33 +104,37 @@
 	return nil, false
 }
 
-// orderAdapter orders one load or, if the places are taken, one unload. accepted says that the load was accepted.
-func (a *Agent) orderAdapter(ctx context.Context, target *wirepb.AgentTarget, model, adapter, requestID string) (accepted bool, err error) {
+// orderAdapter orders one load or, if the places are taken, one unload. The outcome is that of the load, and unknown
+// if there was none.
+func (a *Agent) orderAdapter(ctx context.Context, target *wirepb.AgentTarget, model, adapter, requestID string) (platform.OrderOutcome, error) {
 	a.orders.Lock()
 	defer a.orders.Unlock()
 	if err := a.refresh(ctx); err != nil {
-		return false, errkind.Wrap(errkind.BackendUnreachable, err, "the engine does not report")
+		return platform.OrderUnknown, errkind.Wrap(errkind.BackendUnreachable, err, "the engine does not report")
 	}
 	report, _ := a.current()
 	if adapters, _ := adaptersOf(report, model); slices.Contains(adapters, adapter) {
-		return true, nil
+		return platform.OrderHolds, nil
+	}
+	if report.Busy {
+		return platform.OrderConflict, nil
 	}
 	if len(report.PendingAdapter) >= maxPending {
-		return false, nil
+		return platform.OrderUnknown, nil
 	}
 	if countAdapters(report) >= int(target.GetAdapterSlots()) {
-		return false, a.evictAdapter(ctx, report, target.GetReplica(), requestID)
+		return a.evictAdapter(ctx, report, target.GetReplica(), requestID)
 	}
-	switch a.send(ctx, report, target.GetReplica(), true, model, adapter, "request "+requestID) {
+	outcome := a.send(ctx, report, target.GetReplica(), true, model, adapter, "request "+requestID)
+	switch outcome {
 	case platform.OrderAccepted, platform.OrderHolds:
 		a.mu.Lock()
 		a.loadedAt[model+"/"+adapter] = time.Now()
 		a.mu.Unlock()
-		return true, nil
 	case platform.OrderRefused:
-		return false, errkind.New(errkind.ModelNotResident, "the engine refused to load adapter %s/%s", model, adapter)
+		return outcome, errkind.New(errkind.ModelNotResident, "the engine refused to load adapter %s/%s", model, adapter)
 	}
-	return false, nil
+	return outcome, nil
 }
 
 func countAdapters(r *fleet.Report) int {
@@ -129,8 +145,9 @@
 	return n
 }
 
-// evictAdapter unloads the adapter that was loaded first.
-func (a *Agent) evictAdapter(ctx context.Context, r *fleet.Report, replica, requestID string) error {
+// evictAdapter unloads the adapter that was loaded first. It returns a conflict if the engine took no order, and unknown
+// otherwise, as the load is still to come.
+func (a *Agent) evictAdapter(ctx context.Context, r *fleet.Report, replica, requestID string) (platform.OrderOutcome, error) {
 	var model, adapter string
 	oldest := time.Now().Add(-reloadGuard)
 	a.mu.Lock()
@@ -143,10 +160,12 @@
 	}
 	a.mu.Unlock()
 	if adapter == "" {
-		return errkind.New(errkind.MemoryFull, "every adapter was loaded just now")
+		return platform.OrderUnknown, errkind.New(errkind.MemoryFull, "every adapter was loaded just now")
 	}
-	a.send(ctx, r, replica, false, model, adapter, "room for request "+requestID)
-	return nil
+	if a.send(ctx, r, replica, false, model, adapter, "room for request "+requestID) == platform.OrderConflict {
+		return platform.OrderConflict, nil
+	}
+	return platform.OrderUnknown, nil
 }
 
 // Take carries out a planner's proposal if it fits what the engine holds now.
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -33,6 +33,7 @@
 type result struct {
 	kind   errkind.Kind // None if the answer was delivered
 	notRun bool         // the server did not and will not run the request
+	unsent bool         // nothing was sent to the server
 	err    error
 }
 
@@ -134,6 +135,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if r.unsent {
+		q.unsent++
+		return q.unsent < refusedSends
+	}
 	if r.notRun {
 		if len(q.tried)-q.runs >= refusedSends {
 			return false
--- a/internal/ingress/candidates.go
+++ b/internal/ingress/candidates.go
@@ -15,6 +15,9 @@
 // way here.
 const absentFor = 400 * time.Millisecond
 
+// anyAdapter stands for all adapters that a server does not hold, while its agent cannot have any loaded.
+const anyAdapter = "\x00adapter"
+
 // absences remembers which server said that it lacks a model.
 type absences struct {
 	mu sync.Mutex
@@ -68,7 +71,7 @@
 				return !s.absent.has(r.ID, model+"/"+adapter, now), true
 			}
 		}
-		return false, !u.GetBusy()
+		return false, !u.GetBusy() && !s.absent.has(r.ID, anyAdapter, now)
 	}
 	for _, m := range r.Models {
 		if m.Name == model && slices.Contains(m.Adapters, adapter) {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -38,7 +38,9 @@
 	if c.NoAdapter {
 		if err := s.opts.Agents.EnsureAdapter(ctx, replica, q.caller.ID, q.model, q.caller.Adapter); err != nil {
 			s.opts.Log.Warn("adapter not loaded", "request_id", q.caller.ID, "server", c.ID, "model", q.modelKey, "error", err)
-			return result{kind: errkind.ModelNotResident, notRun: true, err: err}
+			delete(q.tried, c.ID) // nothing was sent, and the adapter may be loaded there later
+			s.absent.note(c.ID, anyAdapter, s.opts.Clock())
+			return result{kind: errkind.ModelNotResident, notRun: true, unsent: true, err: err}
 		}
 	}
 	s.spendCold(c.ID)
