Count running streams in the choice, plan more copies, and wait for a model that can be loaded

A request whose model was only in a data centre out of service was refused although it was being loaded elsewhere. Ruled out by the logs: refusals by limit, crashes of servers. Tests: streams spread over the servers of a model; fails without the cost.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -21,6 +21,9 @@
 	// decodeShare is the slowdown of reading prompts by each request in the batch: every step computes one token for
 	// each of them between two pieces of prompt.
 	decodeShare = 0.004
+	// batchMS is the cost of each request in a server's batch in milliseconds: all its streams get slower, those that run
+	// and this one, whose events share the steps with the prompts of the others.
+	batchMS = 3
 	// memoryWaitMS is the wait in milliseconds for a server's whole memory to be freed by requests that end: about
 	// the duration of a request.
 	memoryWaitMS = 1500
@@ -77,6 +80,9 @@
 	for i := range candidates {
 		c := &candidates[i]
 		cost := c.predictedMS() + c.PenaltyMS + float64(c.InFlight)/float64(max(1, c.Slots))
+		if c.Rate > 0 {
+			cost += batchMS * float64(c.InFlight)
+		}
 		if c.DataCentre != dataCentre {
 			cost += remoteMS
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -139,3 +139,25 @@
 		dispatch.Choose(list, "a")
 	}
 }
+
+// Guards against streams that crowd on the server with the best cache until all of them are slow. The load is chats of a
+// hot model at four servers, where each request in a batch slows the others.
+func TestStreamsSpreadOverTheServersOfAModel(t *testing.T) {
+	table := dispatch.NewTable()
+	ids := []string{"a", "b", "c", "d"}
+	n := map[string]int{}
+	for i := range 120 {
+		parts := []dispatch.Part{{ID: "rules", Tokens: 119}, {ID: fmt.Sprint("topic-", i%3), Tokens: 79}, {ID: fmt.Sprint(i), Tokens: 628}}
+		p := dispatch.NewPrompt("m0", 826, parts, ids)
+		now := time.Duration(i) * 20 * ms
+		list := fill(table, now, p, ids...)
+		c := list[dispatch.Choose(list, "a")]
+		table.Begin(&c, now, "m0", "s", p).First(now + 25*ms)
+		n[c.ID]++
+	}
+	for _, id := range ids {
+		if n[id] < 20 || n[id] > 40 {
+			t.Fatalf("streams at the servers: %v", n)
+		}
+	}
+}
--- a/internal/fleetplan/planner.go
+++ b/internal/fleetplan/planner.go
@@ -20,7 +20,9 @@
 	// planInterval is the pause between two plans.
 	planInterval = 120 * time.Millisecond
 	// use of a server that copies are planned for; the rest is room for bursts and for cached prompts.
-	use = 0.25
+	use = 0.15
+	// mostRate bounds the measured rate in prompt tokens a millisecond, in the range of the engines of the site files.
+	mostRate = 40
 	// settle is the time for which a server gets no other proposal after one, until its report shows it.
 	settle = 400 * time.Millisecond
 	// loadBurst loads may start at once beyond the weight store's rate. The platform allows 3 beyond rate and overage.
@@ -234,7 +236,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rate := p.demand.Rate(service + "\x00" + m.Name)
-	capacity := p.opts.Rate(m.Name) * 1000 * use
+	// A rate measured on cached prompts says nothing of the steps that the streams of a server share.
+	capacity := math.Min(p.opts.Rate(m.Name), mostRate) * 1000 * use
 	return placement.Model{
 		Name: m.Name, MemoryMB: int64(math.Ceil(m.WeightsMB)), MinCopies: 1, Copies: Copies(rate, capacity), Rate: rate,
 	}
--- a/internal/ingress/candidates.go
+++ b/internal/ingress/candidates.go
@@ -96,14 +96,11 @@
 		switch {
 		case q.tried[r.ID]:
 			continue
-		case r.Draining:
-			why = errkind.Draining
+		case r.Draining, s.leaving(r, now):
+			why = firstReason(why, errkind.Draining)
 			continue
 		case snapshot.Out[r.DataCentre]:
-			why = errkind.DataCentreOut
-			continue
-		case s.leaving(r, now):
-			why = errkind.Draining
+			why = firstReason(why, errkind.DataCentreOut)
 			continue
 		}
 		c := dispatch.Candidate{ID: r.ID, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots}
@@ -122,7 +119,7 @@
 			}
 		}
 		if s.coldAndFull(r, service, now) {
-			why = errkind.WarmingUp
+			why = firstReason(why, errkind.WarmingUp)
 			continue
 		}
 		s.opts.Table.Fill(&c, now, q.model, q.service, q.prompt)
@@ -136,6 +133,15 @@
 	return list, byID, why
 }
 
+// firstReason keeps an earlier reason. A model that could be loaded at a server in service goes before all others and is
+// set by itself: such a request may wait.
+func firstReason(earlier, reason errkind.Kind) errkind.Kind {
+	if earlier != errkind.NoCandidate {
+		return earlier
+	}
+	return reason
+}
+
 // leaving reports whether the server's own report says that it is draining.
 func (s *Server) leaving(r *fleet.Replica, now time.Duration) bool {
 	u, fresh := s.opts.Agents.Status(r, now)
