Note the store's return before its rows are applied; test discovery; operations page for the fleet

Cause found by the new test: the removals that arrive with the first answer after an outage were applied before the return was noted, so servers whose entries had lapsed were dropped at once. The test fails on the code before.

--- a/cmd/pomelo-gateway/vars.go
+++ b/cmd/pomelo-gateway/vars.go
@@ -6,7 +6,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/process"
 )
 
-// vars returns what /debug/vars shows beside the Go runtime, by the names in docs/operations.md.
+// vars returns what /debug/vars shows beside the Go runtime, by the names in docs/OPERATIONS.md.
 func (p *parts) vars() map[string]expvar.Var {
 	edge := p.gateway.Vars()
 	edge.Set("pool_sessions", expvar.Func(func() any { return p.pool.Len() }))
--- a/cmd/pomelo-gateway/vars_test.go
+++ b/cmd/pomelo-gateway/vars_test.go
@@ -23,7 +23,7 @@
 		_ = p.edge.Close()
 		_ = p.peers.Close()
 	})
-	documented, err := vardoc.Documented("../../docs/operations.md", "Gateway")
+	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Gateway")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(vardoc.Published(p.vars())).To(ConsistOf(documented))
 }
--- a/cmd/pomelo-sidecar/vars.go
+++ b/cmd/pomelo-sidecar/vars.go
@@ -16,7 +16,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 )
 
-// vars returns what /debug/vars shows beside the Go runtime, by the names in docs/operations.md.
+// vars returns what /debug/vars shows beside the Go runtime, by the names in docs/OPERATIONS.md.
 func vars(server *sidecar.Server, store *tablestore.Counted, certificates *transport.Certificates) map[string]expvar.Var {
 	return map[string]expvar.Var{
 		"sidecar":                     server.Vars(),
--- a/cmd/pomelo-sidecar/vars_test.go
+++ b/cmd/pomelo-sidecar/vars_test.go
@@ -32,7 +32,7 @@
 		Config: configsync.New(configsync.Options{Pool: pool, Identity: new(wirepb.Identity), Log: slog.New(slog.DiscardHandler)}),
 	})
 	all := vars(server, store, nil)
-	documented, err := vardoc.Documented("../../docs/operations.md", "Sidecar")
+	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Sidecar")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(vardoc.Published(all)).To(ConsistOf(documented))
 	for name, v := range all {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -124,7 +124,6 @@
 		}
 		next, err := f.step(ctx, table, version)
 		if err == nil {
-			f.answered(table)
 			version = next
 			retry.Reset()
 			if err := duty.Sleep(ctx, jitter(pause)); err != nil {
@@ -161,6 +160,7 @@
 		if err != nil {
 			return version, err
 		}
+		f.answered(table)
 		f.opts.Log.Info("table listed", "table", table, "rows", len(rows), "version", newest)
 		f.Apply(append(rows, f.missing(table, rows, newest)...), true)
 		return newest, nil
@@ -171,6 +171,7 @@
 	if err != nil {
 		return version, err
 	}
+	f.answered(table)
 	f.Apply(rows, true)
 	return next, nil
 }
@@ -192,6 +193,8 @@
 	return removed
 }
 
+// answered notes that the store answers. It comes before the rows are applied, so that removals of an outage are known
+// as such.
 func (f *Follower) answered(table string) {
 	now := f.opts.Clock()
 	silence := now - time.Duration(f.lastAnswer.Swap(int64(now)))
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,173 @@
+package discovery_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/discovery"
+	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/platform"
+)
+
+func TestDiscovery(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "discovery")
+}
+
+const soon = 5 * time.Second
+
+// gateway is the discovery of one gateway before a store of its own.
+type gateway struct {
+	store    *fake.Store
+	view     *fleet.View
+	follower *discovery.Follower
+	reads    atomic.Bool
+
+	mu        sync.Mutex
+	published []platform.Row
+}
+
+func newGateway(store *fake.Store) *gateway {
+	GinkgoHelper()
+	g := &gateway{store: store, view: fleet.NewView()}
+	g.reads.Store(true)
+	server := httptest.NewServer(store.Handler())
+	DeferCleanup(server.Close)
+	g.follower = discovery.New(discovery.Options{
+		Store: platform.NewStore(server.Listener.Addr().String()), View: g.view, Clock: bootclock.Now,
+		Return: time.Second, Reads: func(int) bool { return g.reads.Load() }, Gone: func([]string) {},
+		Publish: func(rows []platform.Row) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.published = append(g.published, rows...)
+		},
+		Log: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = g.follower.Run(ctx) })
+	DeferCleanup(func() { cancel(); done.Wait() })
+	return g
+}
+
+func (g *gateway) version() int64 {
+	if c := g.view.Snapshot().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (g *gateway) servers() int { return len(g.view.Snapshot().Replicas) }
+
+func entry(address string) []byte {
+	return []byte(fmt.Sprintf(`{"service":"s","address":%q,"zone":"a","state":"ready","slots":4}`, address))
+}
+
+func configure(s *fake.Store, version int) {
+	s.Put("op", "config", []byte(fmt.Sprintf(`{"version":%d}`, version)))
+}
+
+var _ = Describe("discovery", func() {
+	var store *fake.Store
+	BeforeEach(func() { store = fake.NewStore() })
+
+	It("follows the configuration, data centres and servers, past entries that do not decode", func() {
+		configure(store, 7)
+		store.Put("servers", "i-1", entry("10.0.0.1:80"))
+		store.Put("servers", "ghost", []byte("\x00"))
+		g := newGateway(store)
+		Eventually(g.version, soon).Should(BeEquivalentTo(7))
+		Eventually(g.servers, soon).Should(Equal(1))
+		configure(store, 9)
+		store.Put("op", "evacuate/a", []byte("{}"))
+		store.Put("servers", "i-2", entry("10.0.0.2:80"))
+		Eventually(g.version, soon).Should(BeEquivalentTo(9))
+		Eventually(g.servers, soon).Should(Equal(2))
+		Eventually(func() bool { return g.view.Snapshot().Out["a"] }, soon).Should(BeTrue())
+		store.Remove("op", "evacuate/a")
+		Eventually(func() bool { return g.view.Snapshot().Out["a"] }, soon).Should(BeFalse())
+		store.Put("op", "config", []byte("broken"))
+		Consistently(g.version, 300*time.Millisecond).Should(BeEquivalentTo(9), "the previous one stays")
+	})
+
+	It("lists again when the history is gone, and notices what left meanwhile", func() {
+		configure(store, 1)
+		store.Put("servers", "i-1", entry("10.0.0.1:80"))
+		store.Put("servers", "i-2", entry("10.0.0.2:80"))
+		g := newGateway(store)
+		Eventually(g.servers, soon).Should(Equal(2))
+		store.SetFaults(fake.StoreFaults{Refuse: true})
+		time.Sleep(300 * time.Millisecond)
+		store.Remove("servers", "i-2")
+		configure(store, 2)
+		store.DropHistory()
+		store.SetFaults(fake.StoreFaults{})
+		Eventually(g.version, soon).Should(BeEquivalentTo(2))
+		Eventually(g.servers, soon).Should(Equal(1))
+	})
+
+	// Guards against servers that are dropped because their entries lapsed while the store was away.
+	It("keeps servers that lapsed in an outage until they had time to come back", func() {
+		configure(store, 1)
+		store.Put("servers", "back", entry("10.0.0.1:80"))
+		store.Put("servers", "gone", entry("10.0.0.2:80"))
+		g := newGateway(store)
+		Eventually(g.servers, soon).Should(Equal(2))
+		store.SetFaults(fake.StoreFaults{Refuse: true})
+		Eventually(g.follower.Away, soon).Should(BeTrue())
+		store.Remove("servers", "back")
+		store.Remove("servers", "gone")
+		store.SetFaults(fake.StoreFaults{})
+		Eventually(g.follower.Away, soon).Should(BeFalse())
+		store.Put("servers", "back", entry("10.0.0.1:80"))
+		Consistently(g.servers, 400*time.Millisecond).Should(Equal(2))
+		Eventually(g.servers, soon).Should(Equal(1))
+		Expect(g.view.Snapshot().Replicas).To(HaveKey("back"))
+	})
+
+	It("passes news on to gateways that the store turns away, in any order and once", func() {
+		configure(store, 3)
+		store.Put("servers", "i-1", entry("10.0.0.1:80"))
+		g := newGateway(store)
+		away := fake.NewStore()
+		away.SetFaults(fake.StoreFaults{Refuse: true})
+		other := newGateway(away)
+		Eventually(g.servers, soon).Should(Equal(1))
+		rows := g.follower.Rows()
+		for i := range rows {
+			other.follower.Apply(rows[len(rows)-1-i:len(rows)-i], false)
+		}
+		Expect(other.version()).To(BeEquivalentTo(3))
+		Expect(other.servers()).To(Equal(1))
+		old := rows
+		configure(store, 4)
+		Eventually(g.version, soon).Should(BeEquivalentTo(4))
+		other.follower.Apply(g.follower.Rows(), false)
+		other.follower.Apply(old, false)
+		Expect(other.version()).To(BeEquivalentTo(4), "older news change nothing")
+	})
+
+	It("leaves the store alone while others read it", func() {
+		configure(store, 1)
+		g := newGateway(store)
+		Eventually(g.version, soon).Should(BeEquivalentTo(1))
+		g.reads.Store(false)
+		time.Sleep(2 * time.Second) // the feeds under way end
+		before := store.Calls()
+		Consistently(store.Calls, time.Second).Should(Equal(before))
+		configure(store, 2)
+		g.reads.Store(true)
+		Eventually(g.version, soon).Should(BeEquivalentTo(2))
+	})
+})
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -46,8 +46,8 @@
 	})
 
 	// Guards against a refusal that operators cannot look up.
-	It("is explained to operators in docs/operations.md", func() {
-		page, err := os.ReadFile("../../docs/operations.md")
+	It("is explained to operators in docs/OPERATIONS.md", func() {
+		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
 		for _, k := range errkind.All() {
 			Expect(string(page)).To(ContainSubstring("\n| `"+k.String()+"` | "), k.String())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,7 +7,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
 
-// Metrics holds the counters of a gateway. docs/operations.md describes the names.
+// Metrics holds the counters of a gateway. docs/OPERATIONS.md describes the names.
 type Metrics struct {
 	requests   expvar.Int
 	retries    expvar.Int
@@ -27,7 +27,7 @@
 // Refused counts an answer of an error kind to a caller.
 func (g *Gateway) Refused(k errkind.Kind) { g.metrics.refusals.Add(k.String(), 1) }
 
-// Vars returns the metrics of the gateway for expvar, by the names in docs/operations.md.
+// Vars returns the metrics of the gateway for expvar, by the names in docs/OPERATIONS.md.
 func (g *Gateway) Vars() *expvar.Map {
 	m := new(expvar.Map).Init()
 	m.Set("requests", &g.metrics.requests)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -19,7 +19,7 @@
 // engine's state.
 func (s *Server) Ready() bool { return s.Status().GetReady() }
 
-// Vars returns the metrics of the sidecar for expvar, by the names in docs/operations.md.
+// Vars returns the metrics of the sidecar for expvar, by the names in docs/OPERATIONS.md.
 func (s *Server) Vars() *expvar.Map {
 	m := new(expvar.Map).Init()
 	m.Set("ready", expvar.Func(func() any { return s.Ready() }))
