Give the budget of loads a type and a property test

Cause: a planner that took over began with one load although its predecessor could have used the whole burst a moment before; the bound of the weight store then depends on its rate (broken below 0.67 loads a second). It starts with none now. The property test plays takeovers at rates from 0.2 to 10 loads a second.

--- a/internal/fleetplan/planner.go
+++ b/internal/fleetplan/planner.go
@@ -25,11 +25,7 @@
 	mostRate = 40
 	// settle is the time for which a server gets no other proposal after one, until its report shows it.
 	settle = 400 * time.Millisecond
-	// loadBurst loads may start at once beyond the weight store's rate. The platform allows 3 beyond rate and overage.
-	loadBurst = 3
-	// takeoverBurst is what a new planner starts with: its predecessor may have used the rest just now.
-	takeoverBurst = 1
-	// proposals at the same time.
+	// maxProposals may wait for an agent's answer at the same time.
 	maxProposals = 16
 )
 
@@ -52,14 +48,13 @@
 type Planner struct {
 	opts Options
 
-	mu       sync.Mutex
-	demand   *Averages // of all gateways, also while another one plans
-	own      map[string]float64
-	busy     map[string]time.Duration // when a server may get another proposal
-	tokens   float64                  // loads from the weight store that may start
-	tokensAt time.Duration
-	epoch    int64
-	slots    chan struct{}
+	mu     sync.Mutex
+	demand *Averages // of all gateways, also while another one plans
+	own    map[string]float64
+	busy   map[string]time.Duration // when a server may get another proposal
+	loads  budget
+	epoch  int64
+	slots  chan struct{}
 }
 
 // New returns a planner. Run starts it.
@@ -140,9 +135,9 @@
 	if p.epoch == epoch {
 		return
 	}
-	p.tokens, p.tokensAt = takeoverBurst, p.opts.Clock()
+	p.loads = budget{at: p.opts.Clock()}
 	if p.opts.FirstStart && p.epoch == 0 {
-		p.tokens = loadBurst
+		p.loads.tokens = loadBurst // no other planner spent any
 	}
 	p.epoch = epoch
 }
@@ -171,7 +166,7 @@
 	for _, name := range engine.Names() {
 		in.Models = append(in.Models, p.model(service.Name, engine.Models[name]))
 	}
-	in.Loads = min(p.budget(now, engine.LoadsPerSecond), atOnce(engine)-loading)
+	in.Loads = min(p.available(now, engine.LoadsPerSecond), atOnce(engine)-loading)
 	for _, proposal := range placement.Plan(in) {
 		p.propose(ctx, epoch, replicas[proposal.Server], proposal, nearby[proposal.Server][proposal.Model], now)
 	}
@@ -243,13 +238,11 @@
 	}
 }
 
-// budget returns the loads from the weight store that may start now.
-func (p *Planner) budget(now time.Duration, perSecond float64) int {
+// available returns the loads from the weight store that may start now.
+func (p *Planner) available(now time.Duration, perSecond float64) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tokens = math.Min(p.tokens+perSecond*(now-p.tokensAt).Seconds(), loadBurst)
-	p.tokensAt = now
-	return int(p.tokens)
+	return p.loads.available(now, perSecond)
 }
 
 // propose sends a proposal to an agent. A load counts in the budget even if the answer is lost.
@@ -267,7 +260,7 @@
 	}
 	p.busy[r.ID] = now + settle
 	if proposal.Action == placement.Load && !nearby {
-		p.tokens--
+		p.loads.spend()
 	}
 	p.mu.Unlock()
 	go func() {
