Remove what nothing decides on from reports, settings and configuration

Cause: read-through. Fields of the platform that no decision uses were decoded, passed on and kept. A server is not sent more requests at a time than it accepts connections.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -178,12 +176,10 @@
 func (a *Agent) SetTarget(t *wirepb.AgentTarget) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.target != nil && a.target.GetReplica() == t.GetReplica() && a.target.GetBorn() > t.GetBorn() {
+	if a.target != nil && a.target.GetBorn() > t.GetBorn() {
 		return // from a gateway whose server list is older
 	}
-	if a.target == nil || a.target.GetReplica() != t.GetReplica() || !proto.Equal(a.target, t) {
-		a.target = t
-	}
+	a.target = t
 }
 
 // update returns the newest report for the gateways, or nil if it is stale.
@@ -195,9 +191,7 @@
 	}
 	u := &wirepb.AgentUpdate{
 		Born: a.report.Born, Sequence: a.report.Sequence, Busy: a.report.Busy, Draining: a.report.Draining,
-		Nearby: a.report.Nearby, Queued: int32(a.report.Queued), Active: int32(a.report.Active),
-		UsedTokens: a.report.UsedTokens, TotalTokens: a.report.TotalTokens, PlannerEpoch: a.epoch,
-		AgeMs: time.Since(a.readAt).Milliseconds(),
+		Nearby: a.report.Nearby,
 	}
 	for _, m := range a.report.Models {
 		u.Models = append(u.Models, &wirepb.EngineModel{Model: m.Name, Adapters: m.Adapters})
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -82,15 +82,6 @@
 	}
 }
 
-// sameHoldings reports whether two reports say the same of what the engine holds and does with it.
-func sameHoldings(a, b *wirepb.AgentUpdate) bool {
-	x, y := proto.Clone(a).(*wirepb.AgentUpdate), proto.Clone(b).(*wirepb.AgentUpdate)
-	for _, u := range []*wirepb.AgentUpdate{x, y} {
-		u.Queued, u.Active, u.UsedTokens, u.AgeMs, u.PlannerEpoch = 0, 0, 0, 0, 0
-	}
-	return proto.Equal(x, y)
-}
-
 // watch sends reports on s until the stream or ctx ends.
 func (a *Agent) watch(ctx context.Context, s *transport.Stream, first *wirepb.AgentTarget) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -115,11 +106,11 @@
 	for {
 		_, changed := a.current()
 		u := a.update()
-		same := last != nil && u != nil && sameHoldings(u, last)
+		same := last != nil && u != nil && proto.Equal(u, last)
 		if u != nil && (!same || time.Since(sentAt) >= repeatInterval) {
 			last, sentAt = u, time.Now()
 			if same {
-				u = &wirepb.AgentUpdate{Born: u.GetBorn(), Sequence: u.GetSequence(), AgeMs: u.GetAgeMs(), Unchanged: true}
+				u = &wirepb.AgentUpdate{Unchanged: true}
 			}
 			if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 				return
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -45,10 +45,7 @@
 
 // CallerLimits bound what a caller may send. Zero means no limit.
 type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Route maps a hostname and a path prefix to services.
@@ -146,10 +143,6 @@
 	Draining       bool
 	Models         []HeldModel
 	PendingAdapter []string // MODEL/ADAPTER, on their way
-	Queued         int
-	Active         int
-	UsedTokens     int64 // memory that cannot yield
-	TotalTokens    int64
 	Nearby         []string // models in the server's memory or on its disk, which load without the weight store
 }
 
--- a/internal/ingress/candidates.go
+++ b/internal/ingress/candidates.go
@@ -123,6 +123,10 @@
 			continue
 		}
 		s.opts.Table.Fill(&c, now, q.model, q.service, q.prompt)
+		if service != nil && service.MaxConnections > 0 && c.InFlight >= service.MaxConnections {
+			why = firstReason(why, errkind.Overloaded)
+			continue // the server resets further connections
+		}
 		if service != nil && service.Engine != nil {
 			c.Capacity = float64(service.Engine.CacheTokens)
 		}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -10,6 +10,8 @@
 	// kept slices cover the window and the part of the current slice that has passed, so that every retry of the last
 	// window is counted.
 	kept = slices + 1
+	// defaultWindow is the window of the site files.
+	defaultWindow = 10 * time.Second
 )
 
 // Options are the bound that all gateways share.
@@ -31,8 +33,13 @@
 	current int64 // number of the slice of the last call
 }
 
-// New returns an empty budget.
-func New(opts Options) *Budget { return &Budget{opts: opts} }
+// New returns an empty budget. A window that is not named is defaultWindow.
+func New(opts Options) *Budget {
+	if opts.Window < slices {
+		opts.Window = defaultWindow
+	}
+	return &Budget{opts: opts}
+}
 
 func (b *Budget) advance(now time.Duration) *slice {
 	width := b.opts.Window / slices
