--- a/cmd/pomelo-fleet-agent/main.go
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -14,6 +14,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/agent"
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleetproc"
+	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -46,12 +47,16 @@
 		return settings.Watch(ctx, func(s *platform.Settings) { store.SetAddress(s.Store.Address) })
 	})
 	group.Go("metrics", func(ctx context.Context) error {
-		return fleetproc.ServeMetrics(ctx, s.MetricsAddress, map[string]expvar.Var{
-			"log_lines_dropped": settings.Sink.Dropped(),
-			"store_calls":       expvar.Func(func() any { all, _ := store.Calls(); return all }),
-			"store_failures":    expvar.Func(func() any { _, failed := store.Calls(); return failed }),
-		})
+		return fleetproc.ServeMetrics(ctx, s.MetricsAddress, vars(settings.Sink, store))
 	})
 	log.Info("started", "address", s.PeerAddress, "engine", s.EngineAddress, "service", s.EngineService)
 	return group.Wait()
 }
+
+func vars(sink *logsink.Sink, store *platform.Store) map[string]expvar.Var {
+	return map[string]expvar.Var{
+		"log_lines_dropped": sink.Dropped(),
+		"store_calls":       expvar.Func(func() any { all, _ := store.Calls(); return all }),
+		"store_failures":    expvar.Func(func() any { _, failed := store.Calls(); return failed }),
+	}
+}
