Leave the part of a gateway that stops to the others

A gateway said that it was leaving and nobody listened, so for up to 30 s after an orderly restart the others kept its part of every limit unused. A gateway that is merely silent still keeps its part. The test fails on the code before (known stays at 3).

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -84,6 +84,7 @@
 	lost        bool
 	planner     bool // it plans, by its last update
 	storeAway   bool // it cannot read the store, by its last update
+	left        bool // it stops, by its last update
 	rows        *duty.Ring[*wirepb.StoreRow]
 	use         map[string]float64
 	demand      map[string]float64
@@ -167,18 +168,20 @@
 	}
 }
 
-// Count returns the number of gateways that are heard and of those that are known, this one included in both.
+// Count returns the number of gateways that are heard and of those that are known, this one included in both. One that
+// said that it stops is no longer known once it is silent: it leaves its part to the others.
 func (m *Mesh) Count() (heard, known int) {
 	now := m.opts.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heard, known = 1, 1
 	for _, p := range m.peers {
-		if p.name == "" {
+		isHeard := now-p.heardAt <= heardFor
+		if p.name == "" || (p.left && !isHeard) {
 			continue
 		}
 		known++
-		if now-p.heardAt <= heardFor {
+		if isHeard {
 			heard++
 		}
 	}
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -122,6 +122,21 @@
 		Eventually(late.heardOf("old"), soon).Should(BeEquivalentTo(5))
 	})
 
+	// Guards against a share of each limit that is lost while a gateway is restarted in an orderly way.
+	It("leaves the part of a gateway that stops to the others, and keeps that of one that is silent", func(ctx SpecContext) {
+		a := join(ctx, "a")
+		leaves, stopLeaves := context.WithCancel(ctx)
+		b := join(leaves, "b", a.address)
+		silent, stopSilent := context.WithCancel(ctx)
+		join(silent, "c", a.address)
+		Eventually(func() int { n, _ := a.mesh.Count(); return n }, soon).Should(Equal(3))
+		b.mesh.Leave()
+		time.Sleep(500 * time.Millisecond) // two updates
+		stopLeaves()
+		stopSilent()
+		Eventually(func() []int { heard, known := a.mesh.Count(); return []int{heard, known} }, soon).Should(Equal([]int{1, 2}))
+	})
+
 	It("passes a refund on", func(ctx SpecContext) {
 		a := join(ctx, "a")
 		b := join(ctx, "b", a.address)
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -128,7 +128,7 @@
 		}
 	}
 	p.name, p.incarnation, p.heardAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
-	p.planner, p.storeAway = u.GetPlannerEpoch() != 0, u.GetStoreAway()
+	p.planner, p.storeAway, p.left = u.GetPlannerEpoch() != 0, u.GetStoreAway(), u.GetLeaving()
 	use, demand := make(map[string]float64), make(map[string]float64)
 	for _, o := range u.GetUse() {
 		use[o.GetOrganisation()] = o.GetUsed() - p.use[o.GetOrganisation()] // negative after a refund
