Send every row only to peers that lack some

Cause: each gateway sent every row it knew to each peer at the start of a stream: 21 gateways that start together move 1.4 MB each way over links of 10 Mbit/s, a second of the recovery. Gateways now compare a hash of what they know and send the rows to a peer that differs for 400 ms.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -13,6 +13,9 @@
 // Rows implements peers.Source.
 func (g *gateway) Rows() []*wirepb.StoreRow { return toWire(g.follower.Rows()) }
 
+// Knowledge implements peers.Source.
+func (g *gateway) Knowledge() uint64 { return g.view.Snapshot().Hash }
+
 // Loads implements peers.Source.
 func (g *gateway) Loads() []*wirepb.ReplicaLoad {
 	loads := g.table.Loads()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Snapshot is what a gateway knows at one moment. It is not changed after it was published.
@@ -14,6 +17,7 @@
 	Services map[string][]*Replica // listed servers by service, in order of their IDs
 	Replicas map[string]*Replica   // by ID
 	Out      map[string]bool       // data centres out of service
+	Hash     uint64                // of all of it but heartbeats, models and store versions; zero if nothing is known
 }
 
 // Usable reports whether new requests may go to the server.
@@ -63,9 +67,24 @@
 		}
 		s.Services[r.Service] = append(s.Services[r.Service], r)
 	}
+	s.Hash = hash(s)
 	v.current.Store(s)
 }
 
+// hash sums up what a snapshot says, so that gateways can compare what they know.
+func hash(s *Snapshot) uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	h := xxhash.New()
+	_, _ = fmt.Fprint(h, s.Config.Version, slices.Sorted(maps.Keys(s.Out))) // a hash takes everything
+	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
+		r := s.Replicas[id]
+		_, _ = fmt.Fprint(h, "/", id, r.Address, r.Draining, r.Born)
+	}
+	return h.Sum64()
+}
+
 // newer records the store version of an entry and reports whether it is newer than what is known.
 func (v *View) newer(entry string, version int64) bool {
 	if version <= v.versions[entry] {
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -37,6 +37,11 @@
 	// forgetAfter is the time without a word after which a peer that does not answer is no longer called, longer than
 	// a restart of its host.
 	forgetAfter = 30 * time.Second
+	// differFor is the time for which a peer's knowledge differs before it gets every row. Gateways that start together
+	// read the store themselves within that time, and news on their way arrive.
+	differFor = 400 * time.Millisecond
+	// resendAfter is the pause before a peer gets every row again.
+	resendAfter = 2 * time.Second
 	// pendingRows bounds the rows that wait for one peer. A peer that misses some gets everything again.
 	pendingRows = 4096
 )
@@ -45,6 +50,8 @@
 type Source interface {
 	// Rows returns every row that is known.
 	Rows() []*wirepb.StoreRow
+	// Knowledge returns a hash of what the rows say, which is equal at gateways that know the same, or zero.
+	Knowledge() uint64
 	// Loads returns what is under way here.
 	Loads() []*wirepb.ReplicaLoad
 	// Use returns what was admitted since the start.
@@ -85,6 +92,7 @@
 	planner     bool // it plans, by its last update
 	storeAway   bool // it cannot read the store, by its last update
 	left        bool // it stops, by its last update
+	knowledge   uint64
 	rows        *duty.Ring[*wirepb.StoreRow]
 	use         map[string]float64
 	demand      map[string]float64
@@ -217,6 +225,12 @@
 	return before < n
 }
 
+func (m *Mesh) knows(p *peer) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return p.knowledge
+}
+
 func (m *Mesh) plans(p *peer) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -290,19 +304,26 @@
 	}
 }
 
-// tell sends everything once and then what changes.
+// tell sends what changes, and every row once to a peer that lacks some.
 func (m *Mesh) tell(ctx context.Context, p *peer, stream *transport.Stream) error {
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	for p.rows.Len() > 0 {
-		<-p.rows.C() // the first update has them all
+		<-p.rows.C() // from before the stream; the peer gets every row if it lacks them
 	}
 	source := m.opts.Source
 	sent := newSent()
-	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, Rows: source.Rows()}
+	u := &wirepb.PeerUpdate{Identity: m.opts.Identity}
 	lastSend := time.Now()
+	differs := time.Now()
 	for {
 		sent.changes(u, source, m.members(), m.plans(p))
+		if u.GetKnowledge() == 0 || u.GetKnowledge() == m.knows(p) {
+			differs = time.Now()
+		} else if time.Since(differs) >= differFor {
+			u.Rows = source.Rows()
+			differs = time.Now().Add(resendAfter)
+		}
 		m.mu.Lock()
 		u.Leaving = m.leave
 		m.mu.Unlock()
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -31,9 +31,11 @@
 	mu    sync.Mutex
 	used  float64
 	heard map[string]float64
+	rows  int // that it was sent
+	knows uint64
 }
 
-func (m *member) Rows() []*wirepb.StoreRow      { return nil }
+func (m *member) Rows() []*wirepb.StoreRow      { return []*wirepb.StoreRow{{Key: "config", Version: 1}} }
 func (m *member) Loads() []*wirepb.ReplicaLoad  { return nil }
 func (m *member) Demand() []*wirepb.ModelDemand { return nil }
 func (m *member) PlannerEpoch() int64           { return 0 }
@@ -46,9 +48,28 @@
 	return []*wirepb.OrganisationUse{{Organisation: "clerks", Used: m.used}}
 }
 
-func (m *member) Update(peer string, _ *wirepb.PeerUpdate, use, _ map[string]float64) {
+func (m *member) Knowledge() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.knows
+}
+
+func (m *member) learn(knowledge uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.knows = knowledge
+}
+
+func (m *member) received() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows
+}
+
+func (m *member) Update(peer string, u *wirepb.PeerUpdate, use, _ map[string]float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows += len(u.GetRows())
 	m.heard[peer] += use["clerks"]
 }
 
@@ -137,6 +158,20 @@
 		Eventually(func() []int { heard, known := a.mesh.Count(); return []int{heard, known} }, soon).Should(Equal([]int{1, 2}))
 	})
 
+	// Guards against every gateway that sends every row to every other one when all start together, and against one that
+	// cannot read the store and gets none.
+	It("sends every row to a peer that lacks some, and to no other", func(ctx SpecContext) {
+		a := join(ctx, "a")
+		a.learn(7)
+		b := join(ctx, "b", a.address)
+		b.learn(7)
+		Eventually(func() int { n, _ := b.mesh.Count(); return n }, soon).Should(Equal(2))
+		Consistently(func() int { return a.received() + b.received() }, time.Second).Should(Equal(0))
+		c := join(ctx, "c", a.address)
+		Eventually(c.received, soon).Should(BeNumerically(">=", 2), "from both")
+		Expect(a.received() + b.received()).To(Equal(0))
+	})
+
 	It("passes a refund on", func(ctx SpecContext) {
 		a := join(ctx, "a")
 		b := join(ctx, "b", a.address)
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -16,6 +16,7 @@
 	members []string
 	loads   map[string]*wirepb.ReplicaLoad
 	away    bool
+	known   uint64
 	use     map[string]float64
 	demand  map[string]float64
 	epoch   int64
@@ -48,7 +49,7 @@
 			}
 		}
 	}
-	u.PlannerEpoch, u.StoreAway = source.PlannerEpoch(), source.StoreAway()
+	u.PlannerEpoch, u.StoreAway, u.Knowledge = source.PlannerEpoch(), source.StoreAway(), source.Knowledge()
 }
 
 // changedLoads adds the loads that differ from those sent before, also those that ended.
@@ -73,8 +74,8 @@
 func (s *sent) quiet(u *wirepb.PeerUpdate) bool {
 	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
 		len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && !u.GetLeaving() && u.GetPlannerEpoch() == s.epoch &&
-		u.GetStoreAway() == s.away
-	s.epoch, s.away = u.GetPlannerEpoch(), u.GetStoreAway()
+		u.GetStoreAway() == s.away && u.GetKnowledge() == s.known
+	s.epoch, s.away, s.known = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetKnowledge()
 	return same
 }
 
@@ -129,6 +130,7 @@
 	}
 	p.name, p.incarnation, p.heardAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
 	p.planner, p.storeAway, p.left = u.GetPlannerEpoch() != 0, u.GetStoreAway(), u.GetLeaving()
+	p.knowledge = u.GetKnowledge()
 	use, demand := make(map[string]float64), make(map[string]float64)
 	for _, o := range u.GetUse() {
 		use[o.GetOrganisation()] = o.GetUsed() - p.use[o.GetOrganisation()] // negative after a refund
