--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -41,13 +41,9 @@
 func (q *request) run(ctx context.Context) errkind.Kind {
 	s := q.server
 	s.budget(q.service).Request(s.opts.Clock())
-	counted := false
 	for {
 		choice, replica, err := q.choose(ctx)
-		if !counted {
-			counted = true
-			s.opts.Demand.Add(q.service, q.model, demandOf(q, choice))
-		}
+		q.countDemand(choice)
 		if err != nil {
 			return q.refuse(q.final(ctx, err))
 		}
@@ -69,13 +65,20 @@
 // shared by its requests and takes about as long as reading some hundred tokens.
 const outputCost = 8
 
-// demandOf returns what the request asks of its model, in prompt tokens.
-func demandOf(q *request, c *dispatch.Candidate) float64 {
+// countDemand adds what the request asks of its model, in prompt tokens, once. c is the chosen server, or nil while there
+// is none.
+func (q *request) countDemand(c *dispatch.Candidate) {
+	if q.counted {
+		return
+	}
+	q.counted = true
 	work := outputCost * q.output
 	if c != nil {
-		return work + c.Uncached
+		work += c.Uncached
+	} else {
+		work += float64(q.prompt.Total) / 2
 	}
-	return work + float64(q.prompt.Total)/2
+	q.server.opts.Demand.Add(q.service, q.model, work)
 }
 
 // choose returns the best server for the request, or the error to refuse it with. It waits while the model is being
@@ -99,6 +102,7 @@
 			return nil, nil, &refusal{errkind.New(why, "none of the servers of %s can take the request", q.service),
 				retryAfter(q.loadTime() / 2)}
 		}
+		q.countDemand(nil) // the planner must know what is waited for
 		select {
 		case <-change:
 		case <-time.After(waitPoll):
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -131,6 +131,7 @@
 	tried     map[string]bool // servers that this request was sent to
 	runs      int             // attempts that may have run
 	unsent    int             // attempts that ended before anything was sent
+	counted   bool            // the demand of the model is counted
 	started   bool            // the head of the answer was sent
 	lastEvent string          // last event that was sent to the caller
 	first     time.Duration   // from the arrival to the first event or the answer
