--- a/internal/limitholder/busy_test.go
+++ b/internal/limitholder/busy_test.go
@@ -1,6 +1,8 @@
 package limitholder
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
 // TestBusyHolderIsAskedAgain guards against a request within the rate that is refused with limits_unavailable because
@@ -23,15 +26,27 @@
 			g.Expect(f.gateways[address].Round(t.Context())).To(Succeed())
 		}
 		f.store.away = true
-		f.cut["a1"] = true
-		time.AfterFunc(300*time.Millisecond, func() { f.cut["a1"] = false })
 		start := time.Now()
+		other.opts.Caller = &busyCaller{f, start.Add(300 * time.Millisecond)}
 		_, err := f.reserve(other, 10)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(time.Since(start)).To(BeNumerically("~", 300*time.Millisecond, 60*time.Millisecond))
 
-		f.cut["a1"] = true
+		other.opts.Caller = &busyCaller{f, start.Add(time.Hour)}
 		g.Expect(errkind.Of(func() error { _, err := f.reserve(other, 10); return err }())).To(Equal(errkind.LimitsUnavailable))
 		g.Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second), "a holder that stays away does not hold requests")
 	})
 }
+
+// busyCaller gets no answers until a time.
+type busyCaller struct {
+	Caller
+	until time.Time
+}
+
+func (c *busyCaller) Call(ctx context.Context, address string, m *wirepb.Envelope) (*wirepb.Envelope, error) {
+	if time.Now().Before(c.until) {
+		return nil, errors.New("busy")
+	}
+	return c.Caller.Call(ctx, address, m)
+}
