--- /dev/null
+++ b/examples/fleet/fleet_test.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"os"
+	"testing"
+
+	"github.com/pomelowheel/pomelowheel/platform"
+)
+
+// Guards against an example that no longer matches the settings and the configuration.
+func TestTheExampleLoads(t *testing.T) {
+	for _, name := range []string{"gateway", "agent-1", "agent-2"} {
+		if _, err := platform.LoadSettings(name + ".json"); err != nil {
+			t.Error(err)
+		}
+	}
+	value, err := os.ReadFile("configuration.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := platform.DecodeConfiguration(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range c.Routes {
+		for _, target := range r.Targets {
+			if c.Services[target.Service] == nil {
+				t.Errorf("route %s leads to %s, which is not configured", r.Name, target.Service)
+			}
+		}
+	}
+}
