Count what other gateways admitted while an organisation is not known here; leave hosts that stand still

Cause, limits: a gateway made an organisation's bucket with the first request of it that came here, and subtracted at once all that the others had admitted since the start, after the bucket had been capped at its burst. Buckets now exist from the first report of a peer on.

The agent's silence did not count, because an agent may die alone, and a silent engine did not either. A server that is overdue for all requests and whose host does not report is now left: it costs 3 s in the choice, its requests move before their own patience ends, its copies do not count in the plan, and gateways tell each other.

Ruled out: adoption of peers' levels after a restart (levels differ between gateways by what each subtracted late, also without a restart); refunds and second runs (too few).

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -18,11 +18,12 @@
 
 // Loads implements peers.Source.
 func (g *gateway) Loads() []*wirepb.ReplicaLoad {
-	loads := g.table.Loads()
+	loads := g.table.Loads(bootclock.Now())
 	list := make([]*wirepb.ReplicaLoad, 0, len(loads))
 	for id, l := range loads {
 		list = append(list, &wirepb.ReplicaLoad{
 			Replica: id, InFlight: int32(l.InFlight), PrefillTokens: int64(l.Prefill), MemoryTokens: int64(l.Memory),
+			Stalled: l.Stalled,
 		})
 	}
 	return list
@@ -49,6 +50,7 @@
 	for _, l := range u.GetLoads() {
 		loads[l.GetReplica()] = dispatch.Load{
 			InFlight: int(l.GetInFlight()), Prefill: float64(l.GetPrefillTokens()), Memory: float64(l.GetMemoryTokens()),
+			Stalled: l.GetStalled(),
 		}
 	}
 	g.table.UpdatePeer(peer, bootclock.Now(), loads, u.GetIdentity() != nil)
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -102,7 +102,7 @@
 			return 1
 		}
 		return 1 / float64(g.mesh.Addresses())
-	})
+	}, g.view.Organisation)
 	g.agents = agents.New(agents.Options{
 		Identity: identity, View: g.view, Pool: g.sessions, Port: agentPort, Clock: clock, Log: log,
 		Changed: func() { g.server.FleetChanged() },
@@ -119,6 +119,7 @@
 	})
 	g.planner = fleetplan.New(fleetplan.Options{
 		View: g.view, Agents: g.agents, Lease: g.lease, Clock: clock, Rate: g.table.Rate, Totals: g.demand.Totals,
+		Stalled:    func(server string) bool { return g.table.Stalled(server, clock()) },
 		FirstStart: s.FirstStart, Log: log,
 	})
 	g.server = ingress.New(ingress.Options{
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -27,6 +27,9 @@
 	// memoryWaitMS is the wait in milliseconds for a server's whole memory to be freed by requests that end: about
 	// the duration of a request.
 	memoryWaitMS = 1500
+	// stalledMS is the cost of a server that sends nothing and whose host does not report either: about the rest of an
+	// ordinary freeze of a host.
+	stalledMS = 3000
 	// slotWaitMS is the wait in milliseconds for one round of requests when every slot is taken.
 	slotWaitMS = 1000
 )
@@ -48,6 +51,8 @@
 	Slowness   float64 // measured time over predicted time, 1 for an ordinary server
 	NoAdapter  bool    // the adapter must be loaded first
 	PenaltyMS  float64 // for recent failures
+	Stalled    bool    // its requests are overdue and it sends nothing
+	Reporting  bool    // a process on its host reports, so the host does not stand still
 }
 
 // Predicted returns the time to the first token, or to the answer of a plain service, without the penalties.
@@ -83,6 +88,9 @@
 		if c.Rate > 0 {
 			cost += batchMS * float64(c.InFlight)
 		}
+		if c.Stalled && !c.Reporting {
+			cost += stalledMS
+		}
 		if c.DataCentre != dataCentre {
 			cost += remoteMS
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -121,7 +121,7 @@
 		k.Done(time.Second, i%3 == 0)
 		k.Done(time.Second, false)
 	}
-	if loads := table.Loads(); len(loads) != 0 {
+	if loads := table.Loads(time.Minute); len(loads) != 0 {
 		t.Fatalf("left: %+v", loads)
 	}
 }
@@ -161,3 +161,50 @@
 		}
 	}
 }
+
+// Guards against requests that wait at a host that stands still: it accepts connections and sends nothing. The load is a
+// few streams of a hot model; then nothing comes any more from the server that holds the prompt's cache.
+func TestAServerThatStandsStillIsLeft(t *testing.T) {
+	here, peer := dispatch.NewTable(), dispatch.NewTable()
+	ids := []string{"a", "b"}
+	p := prompt("ward", ids...)
+	tickets := map[*dispatch.Table]*dispatch.Ticket{}
+	for _, table := range []*dispatch.Table{here, peer} {
+		c := fill(table, 0, p, "a")[0]
+		tickets[table] = table.Begin(&c, 0, "m0", "s", p)
+		for now := 250 * ms; now <= time.Second; now += 100 * ms {
+			tickets[table].First(now)
+		}
+	}
+	if here.Stalled("a", 1900*ms) {
+		t.Fatal("stalled although an event came 0.9 s ago")
+	}
+	if !here.Stalled("a", 2100*ms) {
+		t.Fatal("not stalled 1.1 s after the last event")
+	}
+	list := fill(here, 2100*ms, p, ids...)
+	if got := list[dispatch.Choose(list, "a")].ID; got != "b" {
+		t.Fatalf("chose %s, which sends nothing", got)
+	}
+	for i := range list {
+		list[i].Reporting = true
+	}
+	if got := list[dispatch.Choose(list, "a")].ID; got != "a" {
+		t.Fatalf("chose %s although the host of the other one reports", got)
+	}
+
+	third := dispatch.NewTable()
+	third.UpdatePeer("here", 2100*ms, here.Loads(2100*ms), true)
+	if !third.Stalled("a", 2100*ms) {
+		t.Fatal("a gateway without requests there does not take the peer's word")
+	}
+	tickets[peer].First(2100 * ms)
+	third.UpdatePeer("peer", 2100*ms, peer.Loads(2100*ms), true)
+	if third.Stalled("a", 2100*ms) {
+		t.Fatal("stalled although it works for another gateway")
+	}
+	tickets[here].Done(2200*ms, true)
+	if here.Stalled("a", 3*time.Second) {
+		t.Fatal("stalled without requests")
+	}
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -34,6 +34,9 @@
 	peerAge = 2 * time.Second
 	// prefixAge is the time for which a prompt part is taken to stay in a server's cache after its last use.
 	prefixAge = 20 * time.Second
+	// stallAfter is the time beyond the predicted one without any event or answer after which a server with requests
+	// counts as stalled, and the age of a peer's word on it. The longest pause between events that is on time is half of it.
+	stallAfter = time.Second
 	// maxPrefixes bounds the parts that are remembered for one server.
 	maxPrefixes = 4096
 )
@@ -43,6 +46,7 @@
 	InFlight int
 	Prefill  float64 // prompt tokens that wait for their first token
 	Memory   float64 // prompt and output tokens
+	Stalled  bool    // the requests are overdue and the server sent nothing for any of them
 }
 
 type server struct {
@@ -51,6 +55,7 @@
 	measured time.Duration
 	penalty  float64
 	failed   time.Duration
+	due      time.Duration            // when the server should have sent something, if it has requests
 	prefixes map[uint64]time.Duration // last use by hash of the prompt up to a part
 }
 
@@ -120,18 +125,44 @@
 }
 
 // Loads returns the loads of this gateway that are not zero.
-func (t *Table) Loads() map[string]Load {
+func (t *Table) Loads(now time.Duration) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loads := make(map[string]Load)
 	for id, s := range t.servers {
 		if s.load.InFlight > 0 {
-			loads[id] = s.load
+			load := s.load
+			load.Stalled = now > s.due
+			loads[id] = load
 		}
 	}
 	return loads
 }
 
+// Stalled reports whether requests at a server are overdue and it sends nothing, as far as this gateway and its peers
+// see. A host that stands still accepts requests all the same. A server that works for some gateway is not stalled.
+func (t *Table) Stalled(id string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stalled(id, now)
+}
+
+func (t *Table) stalled(id string, now time.Duration) bool {
+	if s := t.servers[id]; s != nil && s.load.InFlight > 0 {
+		return now > s.due
+	}
+	stalled := false
+	for _, p := range t.peers {
+		if l := p.loads[id]; now-p.at < peerAge && l.InFlight > 0 {
+			if !l.Stalled {
+				return false
+			}
+			stalled = true
+		}
+	}
+	return stalled
+}
+
 // Fill completes a candidate with what the table knows: loads, measured speed and the cached part of the prompt.
 func (t *Table) Fill(c *Candidate, now time.Duration, model, service string, prompt Prompt) {
 	t.mu.Lock()
@@ -146,6 +177,7 @@
 			load.Memory += l.Memory
 		}
 	}
+	c.Stalled = t.stalled(c.ID, now)
 	c.InFlight, c.Ahead, c.Memory = load.InFlight, load.Prefill, load.Memory
 	c.Slowness = s.slownessAt(now)
 	c.PenaltyMS = s.penaltyAt(now)
@@ -209,22 +241,24 @@
 	plain := *c
 	plain.Slowness = 1
 	ticket.waiting = plain.predictedMS()
+	s.due = max(s.due, now+stallAfter+time.Duration(ticket.waiting*float64(time.Millisecond)))
 	if c.Rate > 0 {
 		prompt.remember(s, now)
 	}
 	return ticket
 }
 
-// First records the first event of a stream, or the answer of a plain service, and learns from the time it took.
+// First records an event of a stream, or the answer of a plain service, and learns from the time that the first one took.
 func (k *Ticket) First(now time.Duration) {
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.server(k.id)
+	s.due = max(s.due, now+stallAfter)
 	if k.first || k.done {
 		return
 	}
 	k.first = true
-	s := t.server(k.id)
 	s.load.Prefill = math.Max(0, s.load.Prefill-k.prefill)
 	took := float64(now-k.started) / float64(time.Millisecond)
 	expected := k.waiting
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -94,6 +94,14 @@
 	return true
 }
 
+// Organisation returns an organisation of the newest configuration, or nil.
+func (v *View) Organisation(name string) *Organisation {
+	if c := v.Snapshot().Config; c != nil {
+		return c.Organisations[name]
+	}
+	return nil
+}
+
 // SetConfiguration takes a configuration over if it is newer. A configuration never goes back.
 func (v *View) SetConfiguration(c *Configuration, storeVersion int64) bool {
 	v.mu.Lock()
--- a/internal/fleetplan/planner.go
+++ b/internal/fleetplan/planner.go
@@ -37,6 +37,8 @@
 	Clock  bootclock.Clock
 	// Rate returns the prompt tokens a millisecond at which a model is read.
 	Rate func(model string) float64
+	// Stalled reports whether a server sends nothing although requests at it are overdue.
+	Stalled func(server string) bool
 	// Totals returns the demand that callers of this gateway asked for since its start.
 	Totals func() map[string]float64
 	// FirstStart says that the whole fleet starts, so that no other planner spent loads.
@@ -154,7 +156,8 @@
 	for _, r := range snapshot.Services[service.Name] {
 		report, fresh := p.opts.Agents.Status(r, now)
 		server := p.server(r, report, fresh, engine, reserve, now)
-		server.Usable = server.Usable && snapshot.Usable(r)
+		// A server that is silent together with its agent stands on a host that does. Its copies serve nobody.
+		server.Usable = server.Usable && snapshot.Usable(r) && (fresh || !p.opts.Stalled(r.ID))
 		loading += len(server.Loading)
 		in.Servers = append(in.Servers, server)
 		replicas[r.ID] = r
--- a/internal/ingress/candidates.go
+++ b/internal/ingress/candidates.go
@@ -122,6 +122,7 @@
 			why = firstReason(why, errkind.WarmingUp)
 			continue
 		}
+		_, c.Reporting = s.opts.Agents.Status(r, now)
 		s.opts.Table.Fill(&c, now, q.model, q.service, q.prompt)
 		if service != nil && service.MaxConnections > 0 && c.InFlight >= service.MaxConnections {
 			why = firstReason(why, errkind.Overloaded)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -48,7 +48,8 @@
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	runs := q.runs + 1 // with this attempt
-	timer := newWatchdog(q.patience(c), func() bool { return q.mayMove(ctx, runs) }, func() { cancel(errSlow) })
+	timer := newWatchdog(q.patience(c), func() bool { return s.stalled(replica) }, func() bool { return q.mayMove(ctx, runs) },
+		func() { cancel(errSlow) })
 	defer timer.Stop()
 	resp, err := s.opts.Pool.Do(attempt, q.upstream(c, replica))
 	if err != nil {
@@ -76,6 +77,13 @@
 	return r
 }
 
+// stalled reports whether a server sends nothing for any request and its host does not report either.
+func (s *Server) stalled(r *fleet.Replica) bool {
+	now := s.opts.Clock()
+	_, reporting := s.opts.Agents.Status(r, now)
+	return !reporting && s.opts.Table.Stalled(r.ID, now)
+}
+
 // mayMove reports whether the request could go on at another server now, after as many runs. Silence alone ends no attempt: the server may
 // still answer in time.
 func (q *request) mayMove(ctx context.Context, runs int) bool {
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -102,7 +102,7 @@
 	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, MaxIdle: 4})
 	s.server = ingress.New(ingress.Options{
 		DataCentre: "a", View: s.view, Table: dispatch.NewTable(), Pool: pool, Clock: clock, Gateways: alone,
-		Rank: func(string) int { return 0 }, Limits: ingress.NewLimits(clock, alone, func() float64 { return 1 }), Demand: ingress.NewDemand(),
+		Rank: func(string) int { return 0 }, Limits: ingress.NewLimits(clock, alone, func() float64 { return 1 }, s.view.Organisation), Demand: ingress.NewDemand(),
 		Metrics: ingress.NewMetrics(), Log: log,
 		Retry: retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Use: 0.8},
 		Agents: agents.New(agents.Options{
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -275,3 +275,20 @@
 			ContainSubstring("i-9"))))
 	})
 })
+
+var _ = Describe("a host that stands still", func() {
+	// Guards against requests that wait most of their time at a server that sends nothing to anybody, because a single
+	// silent answer is given up only after seconds.
+	It("loses its requests to another server as soon as it is overdue for all of them", func() {
+		r := route(idempotent, 8*time.Second)
+		r.Target = 6 * time.Second // half of it is the patience with one silent answer
+		s := newSite(r)
+		s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{Hang: 1})
+		s.add("i-2", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		for range 2 {
+			_, a := s.ask(http.MethodGet, "/a/", map[string]string{"X-Deadline-Ms": "8000"}, "")
+			Expect(a.status).To(Equal(http.StatusOK))
+			Expect(a.took).To(BeNumerically("<", 2*time.Second), "the patience is 3 s")
+		}
+	})
+})
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -19,22 +19,24 @@
 	clock    bootclock.Clock
 	gateways func() (heard, known int)
 	share    func() float64 // of the burst at the start
-	started  time.Duration  // from when buckets accrue
-	heard    float64        // fraction of the gateways that reported at the last look
+	lookup   func(organisation string) *fleet.Organisation
+	started  time.Duration // from when buckets accrue
+	heard    float64       // fraction of the gateways that reported at the last look
 
 	mu      sync.Mutex
 	buckets map[string]*orglimit.Bucket
 	used    map[string]float64 // admitted here since the start
-	pending map[string]float64 // admitted elsewhere before the bucket existed
-	levels  map[string]float64 // that a peer reported before the bucket existed
+	pending map[string]float64 // admitted elsewhere before the organisation was known
+	levels  map[string]float64 // that a peer reported before the organisation was known
 }
 
 // NewLimits returns limits of a gateway among those that gateways counts. share returns the part of the burst that a
 // bucket starts with, 0 to 1: all of it when the whole fleet starts, and this gateway's part after a restart, because the
-// others may have admitted the rest just now.
-func NewLimits(clock bootclock.Clock, gateways func() (heard, known int), share func() float64) *Limits {
+// others may have admitted the rest just now. lookup returns an organisation of the newest configuration, or nil.
+func NewLimits(clock bootclock.Clock, gateways func() (heard, known int), share func() float64,
+	lookup func(organisation string) *fleet.Organisation) *Limits {
 	return &Limits{
-		clock: clock, gateways: gateways, share: share, started: clock(), heard: 1,
+		clock: clock, gateways: gateways, share: share, lookup: lookup, started: clock(), heard: 1,
 		buckets: make(map[string]*orglimit.Bucket), used: make(map[string]float64), pending: make(map[string]float64),
 		levels: make(map[string]float64),
 	}
@@ -106,10 +108,8 @@
 func (l *Limits) UsedElsewhere(use map[string]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reach, now := l.reach(), l.clock()
 	for name, size := range use {
-		if b := l.buckets[name]; b != nil {
-			b.Update(now, b.Limit(), reach)
+		if b := l.bucketOf(name); b != nil {
 			b.UsedElsewhere(size)
 		} else {
 			l.pending[name] += size
@@ -117,6 +117,16 @@
 	}
 }
 
+// bucketOf returns the bucket of an organisation, or nil if it is not known yet. A bucket must exist from the first report
+// on, also if no request of the organisation came here: what is subtracted later all at once would not accrue again
+// meanwhile.
+func (l *Limits) bucketOf(name string) *orglimit.Bucket {
+	if o := l.lookup(name); o != nil {
+		return l.bucket(o)
+	}
+	return l.buckets[name]
+}
+
 // Adopt lowers the levels of a gateway that has just started to those that a peer reports.
 func (l *Limits) Adopt(use []*wirepb.OrganisationUse) {
 	l.mu.Lock()
@@ -125,7 +135,7 @@
 		return
 	}
 	for _, u := range use {
-		if b := l.buckets[u.GetOrganisation()]; b != nil {
+		if b := l.bucketOf(u.GetOrganisation()); b != nil {
 			b.Lower(u.GetLevel())
 		} else {
 			l.levels[u.GetOrganisation()] = u.GetLevel()
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -17,7 +17,7 @@
 	total := 0.0
 	for range gateways {
 		l := ingress.NewLimits(func() time.Duration { return 0 }, func() (int, int) { return gateways, gateways },
-			func() float64 { return 1.0 / gateways })
+			func() float64 { return 1.0 / gateways }, known(org))
 		for {
 			if ok, _, _ := l.Take(org, 1); !ok {
 				break
@@ -35,7 +35,7 @@
 	now := time.Duration(0)
 	org := &fleet.Organisation{Name: "o", Rate: 10, Burst: 1000, ByTokens: true}
 	l := ingress.NewLimits(func() time.Duration { return now }, func() (int, int) { return 2, 2 },
-		func() float64 { return 0.5 })
+		func() float64 { return 0.5 }, known(org))
 	l.Adopt([]*wirepb.OrganisationUse{{Organisation: "o", Level: -50}})
 	if ok, _, level := l.Take(org, 1); ok || level != -50 {
 		t.Fatalf("admitted %v at level %.0f, expected a refusal at -50", ok, level)
@@ -46,3 +46,29 @@
 		t.Fatalf("refused at level %.0f long after the start", level)
 	}
 }
+
+// Guards against a gateway that refuses the first request of an organisation because it subtracts at once what the others
+// admitted since the start, although that accrued again long ago. The load is half the rate through another gateway.
+func TestAGatewayThatSeesAnOrganisationLateAdmitsIt(t *testing.T) {
+	now := time.Duration(0)
+	org := &fleet.Organisation{Name: "o", Rate: 1000, Burst: 1000, ByTokens: true}
+	l := ingress.NewLimits(func() time.Duration { return now }, func() (int, int) { return 2, 2 },
+		func() float64 { return 1 }, known(org))
+	for range 100 {
+		now += 100 * time.Millisecond
+		l.UsedElsewhere(map[string]float64{"o": 50})
+	}
+	if ok, _, level := l.Take(org, 400); !ok || level < 900 {
+		t.Fatalf("admitted %v at level %.0f, expected an almost full bucket", ok, level)
+	}
+}
+
+// known returns the lookup of a configuration with one organisation.
+func known(org *fleet.Organisation) func(string) *fleet.Organisation {
+	return func(name string) *fleet.Organisation {
+		if name == org.Name {
+			return org
+		}
+		return nil
+	}
+}
