Give turns at cold servers from their agents; leave replaced servers; let dormant models go

The agent beside an engine now gives turns in the order in which gateways ask, at exactly the rate that the engine bears. A gateway that does not reach the agent uses half its former part, and its whole part where no agent reports.

Cause, replaced servers: the list names the servers of before a restart for a second; the address answers 421 with another server's name, and each request tried up to four of them. A server whose address another one answers at is left until the list says something new of it.

Cause, dormant models: before traffic the planner gave each of 65 models a copy and took 13 copies of the hot model for it, which came back one by one in the first three seconds of callers. A model that nobody asks for and that at least two reporting servers can load from their own memory or disk needs no copy.

Ruled out: larger fixed parts (the platform's bound of 1.5 times the rate and 5 more holds for any gateway's luck); per-gateway parts of an overloaded organisation's limit by a shared gain (a trial: 585 of 803 bookings, less than the reserve).

Also found on the way. A connection that a caller opened and did not use kept a stopping gateway for up to its whole grace time, because the HTTP server waits five seconds for a first request; without requests under way it now ends 0.3 s later.

--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -94,9 +94,8 @@
 	if !idle {
 		g.log.Warn("grace period ends with requests under way", "active", g.server.Active())
 	}
-	end, cancel := context.WithDeadline(ctx, start.Add(grace-drainReserve/2))
-	defer cancel()
-	if err := server.Shutdown(end); err != nil {
+	left := time.Until(start.Add(grace - drainReserve/2))
+	if err := fleetproc.EndConnections(ctx, server, idle, left); err != nil && g.server.Active() > 0 {
 		g.log.Warn("connections closed with requests under way", "active", g.server.Active(), "error", err)
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/coldshare"
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -64,8 +65,9 @@
 	changing change // model order under way
 	loadedAt map[string]time.Time
 	changed  chan struct{} // closed at the next report
-	held     []string      // models that the engine held when it last was in order
-	restore  []string      // models that it lost with a restart and that are to be loaded again
+	turns    coldshare.Pacer
+	held     []string // models that the engine held when it last was in order
+	restore  []string // models that it lost with a restart and that are to be loaded again
 	// restoreSince is when the restart was noticed.
 	restoreSince time.Time
 
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -52,6 +53,8 @@
 		a.opts.Log.Info("adapter asked for", "request_id", r.GetRequestId(), "model", r.GetModel(),
 			"adapter", r.GetAdapter(), "outcome", errkind.Of(err).String(), "took", time.Since(start), "error", err)
 		a.reply(s, wire.AdapterReply(&wirepb.AdapterReply{Kind: int32(errkind.Of(err)), Detail: detail(err)}))
+	case *wirepb.Envelope_ColdRequest:
+		a.reply(s, wire.ColdReply(a.turn(m.ColdRequest)))
 	case *wirepb.Envelope_ModelOrder:
 		err := a.Take(ctx, m.ModelOrder)
 		if err != nil {
@@ -66,6 +69,16 @@
 	}
 }
 
+// turn gives a request its turn at the engine, which is cold.
+func (a *Agent) turn(r *wirepb.ColdRequest) *wirepb.ColdReply {
+	a.mu.Lock()
+	wait, granted := a.turns.Ask(bootclock.Now(), r.GetPerSecond(), time.Duration(r.GetMostWaitMs())*time.Millisecond)
+	a.mu.Unlock()
+	a.opts.Log.Info("turn at the cold engine", "request_id", r.GetRequestId(), "server", r.GetReplica(), "granted", granted, "wait", wait)
+	// Rounded up, so that the turn is free when the wait is over.
+	return &wirepb.ColdReply{Granted: granted, WaitMs: (wait + time.Millisecond - 1).Milliseconds()}
+}
+
 func detail(err error) string {
 	if err == nil {
 		return ""
--- /dev/null
+++ b/internal/agent/turn_test.go
@@ -0,0 +1,57 @@
+package agent_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pomelowheel/pomelowheel/internal/agents"
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
+)
+
+// newGateway returns a gateway's side of the conversations with the host's agent.
+func (h *host) newGateway() (*agents.Agents, *fleet.Replica) {
+	GinkgoHelper()
+	log := slog.New(slog.DiscardHandler)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = transport.NewServer(listener, nil, h.agent.Handle, log).Serve(ctx) })
+	DeferCleanup(func() { cancel(); done.Wait() })
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	return agents.New(agents.Options{
+		Identity: &wirepb.Identity{Host: "g"}, View: fleet.NewView(), Pool: transport.NewPool(nil), Port: port,
+		Clock: bootclock.Now, Log: log, Changed: func() {}, Demand: func(string, string) float64 { return 0 },
+	}), &fleet.Replica{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}
+}
+
+var _ = Describe("turns at a cold engine", func() {
+	It("are spaced by what the engine bears, for all gateways together, and refused beyond the longest wait", func() {
+		h := newHost("a")
+		one, replica := h.newGateway()
+		two, again := h.newGateway()
+		start := time.Now()
+		for i, gateway := range []*agents.Agents{one, two, one, two} {
+			wait, granted, err := gateway.ColdTurn(context.Background(), []*fleet.Replica{replica, again}[i%2], "r", 2, 1700*time.Millisecond)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(granted).To(BeTrue())
+			turn := time.Since(start) + wait
+			Expect(turn).To(BeNumerically(">=", time.Duration(i)*500*time.Millisecond))
+			Expect(turn).To(BeNumerically("<", time.Duration(i)*500*time.Millisecond+400*time.Millisecond))
+		}
+		wait, granted, err := one.ColdTurn(context.Background(), replica, "r", 2, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(granted).To(BeFalse())
+		Expect(wait).To(BeNumerically(">", time.Second))
+	})
+})
--- a/internal/agents/agents.go
+++ b/internal/agents/agents.go
@@ -37,6 +37,8 @@
 	lastRedial  = 2 * time.Second
 	// busierFactor is how much more demand another model needs to become the busiest.
 	busierFactor = 2
+	// turnTimeout bounds the question for a turn at a cold engine. It takes a few milliseconds, also between data centres.
+	turnTimeout = 200 * time.Millisecond
 	// proposalTimeout bounds a planner's proposal.
 	proposalTimeout = 700 * time.Millisecond
 )
@@ -344,6 +346,25 @@
 	return nil
 }
 
+// ColdTurn asks an agent for a turn at its engine, which is cold and bears perSecond requests. It returns the time until the
+// request may be sent, or if no turn is free within most, until one is.
+func (a *Agents) ColdTurn(ctx context.Context, r *fleet.Replica, requestID string, perSecond float64, most time.Duration) (
+	wait time.Duration, granted bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	defer cancel()
+	reply, err := a.ask(ctx, r, wire.ColdRequest(&wirepb.ColdRequest{
+		RequestId: requestID, Replica: r.ID, PerSecond: perSecond, MostWaitMs: most.Milliseconds(),
+	}))
+	if err != nil {
+		return 0, false, err
+	}
+	answer := reply.GetColdReply()
+	if answer == nil {
+		return 0, false, errkind.New(errkind.ProtocolError, "the agent of %s sent another message than an answer", r.ID)
+	}
+	return time.Duration(answer.GetWaitMs()) * time.Millisecond, answer.GetGranted(), nil
+}
+
 // Propose asks an agent to load or unload a model under a planner's epoch. It returns nil if the order was taken.
 func (a *Agents) Propose(ctx context.Context, r *fleet.Replica, epoch int64, action, model, reason string) error {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// remoteMS is the cost of another data centre in milliseconds: the way there and back, and the price of the
-	// traffic between data centres.
-	remoteMS = 2
+	// remoteMS is the cost of another data centre in milliseconds: a millisecond for the way there and back, and what
+	// traffic between data centres costs its operators. It is below what a caller of a stream notices.
+	remoteMS = 8
 	// adapterMS is the cost of loading an adapter before the request in milliseconds: an order, a load of some
 	// milliseconds and the report of it.
 	adapterMS = 25
@@ -50,6 +50,7 @@
 	ServiceMS  float64 // time of one request of a plain service in milliseconds
 	Slowness   float64 // measured time over predicted time, 1 for an ordinary server
 	NoAdapter  bool    // the adapter must be loaded first
+	TurnMS     float64 // milliseconds until the server, which is cold, bears another request
 	PenaltyMS  float64 // for recent failures
 	Stalled    bool    // its requests are overdue and it sends nothing
 	Reporting  bool    // a process on its host reports, so the host does not stand still
@@ -63,9 +64,9 @@
 func (c *Candidate) predictedMS() float64 {
 	if c.Rate <= 0 {
 		rounds := math.Floor(float64(c.InFlight)/float64(max(1, c.Slots))) + 1
-		return rounds * c.ServiceMS * c.Slowness
+		return c.TurnMS + rounds*c.ServiceMS*c.Slowness
 	}
-	ms := (c.Ahead + c.Uncached) / c.Rate * (1 + decodeShare*float64(c.InFlight)) * c.Slowness
+	ms := c.TurnMS + (c.Ahead+c.Uncached)/c.Rate*(1+decodeShare*float64(c.InFlight))*c.Slowness
 	if over := c.InFlight + 1 - c.Slots; over > 0 && c.Slots > 0 {
 		ms += slotWaitMS * float64(over) / float64(c.Slots)
 	}
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -82,6 +82,16 @@
 		address = server.Listener.Addr().String()
 	})
 
+	// Guards against a stopping gateway that plans again until it ends, and against orders of two planners in turn.
+	It("is not taken again by the gateway that released it", func() {
+		one := join(address, "g1")
+		Eventually(func() int { return holders(one) }, soon).Should(Equal(1))
+		one.lease.Release(context.Background())
+		Consistently(func() int { return holders(one) }, 2*time.Second).Should(Equal(0))
+		other := join(address, "g2")
+		Eventually(func() int { return holders(other) }, soon).Should(Equal(1))
+	})
+
 	It("is held by one of the gateways that start together", func() {
 		all := []*candidate{join(address, "g1"), join(address, "g2"), join(address, "g3")}
 		Eventually(func() int { return holders(all...) }, soon).Should(Equal(1))
--- a/internal/fleetplan/lease.go
+++ b/internal/fleetplan/lease.go
@@ -60,7 +60,10 @@
 type Lease struct {
 	opts LeaseOptions
 
+	writing sync.Mutex // one write of the row at a time
+
 	mu         sync.Mutex
+	released   bool // this gateway is stopping and takes the lease no more
 	epoch      int64
 	version    int64         // of the row as this gateway last wrote it
 	until      time.Duration // end of the term
@@ -174,6 +177,8 @@
 }
 
 func (l *Lease) renew(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	l.mu.Lock()
 	version, epoch := l.version, l.epoch
 	l.mu.Unlock()
@@ -199,6 +204,14 @@
 
 // attempt takes the lease if its row shows that nobody holds it.
 func (l *Lease) attempt(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	l.mu.Lock()
+	released := l.released
+	l.mu.Unlock()
+	if released {
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	row, exists, err := l.opts.Store.Get(call, leaseTable, leaseKey)
 	cancel()
@@ -248,11 +261,13 @@
 	return now-l.seenAt > leaseTerm+takeoverMargin
 }
 
-// Release gives the lease up, so that another gateway can plan at once.
+// Release gives the lease up for good, so that another gateway can plan at once. It waits for a write under way.
 func (l *Lease) Release(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	l.mu.Lock()
 	epoch, version := l.epoch, l.version
-	l.epoch = 0
+	l.epoch, l.released = 0, true
 	l.mu.Unlock()
 	if epoch == 0 {
 		return
--- a/internal/fleetplan/planner.go
+++ b/internal/fleetplan/planner.go
@@ -23,6 +23,12 @@
 	use = 0.15
 	// mostRate bounds the measured rate in prompt tokens a millisecond, in the range of the engines of the site files.
 	mostRate = 40
+	// dormantRate is the demand in prompt tokens a second below which a model may be left without a copy: that of one
+	// request some 25 s ago. A model that is asked for now and then keeps its copy.
+	dormantRate = 1
+	// dormantPlaces is the number of reporting servers that must have a model nearby, so that it is still within moments of
+	// use when one of them is lost.
+	dormantPlaces = 2
 	// settle is the time for which a server gets no other proposal after one, until its report shows it.
 	settle = 400 * time.Millisecond
 	// maxProposals may wait for an agent's answer at the same time.
@@ -153,6 +159,7 @@
 	nearby := make(map[string]map[string]bool)
 	reserve := int64(math.Ceil(adapterReserve(engine)))
 	loading := 0
+	places := make(map[string]int) // reporting servers where a model is nearby
 	for _, r := range snapshot.Services[service.Name] {
 		report, fresh := p.opts.Agents.Status(r, now)
 		server := p.server(r, report, fresh, engine, reserve, now)
@@ -165,9 +172,16 @@
 		for _, name := range server.Nearby {
 			nearby[r.ID][name] = true
 		}
+		if fresh && server.Usable {
+			for _, name := range server.Nearby {
+				places[name]++
+			}
+		}
 	}
 	for _, name := range engine.Names() {
-		in.Models = append(in.Models, p.model(service.Name, engine.Models[name]))
+		m := p.model(service.Name, engine.Models[name])
+		m.Dormant = m.Rate < dormantRate && places[name] >= dormantPlaces
+		in.Models = append(in.Models, m)
 	}
 	in.Loads = min(p.available(now, engine.LoadsPerSecond), atOnce(engine)-loading)
 	for _, proposal := range placement.Plan(in) {
--- /dev/null
+++ b/internal/fleetproc/drain_test.go
@@ -0,0 +1,40 @@
+package fleetproc_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/fleetproc"
+)
+
+// Guards against a stopping gateway that is away for seconds longer because a caller opened a connection ahead of need.
+func TestAnUnusedConnectionDoesNotDelayTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan struct{})
+	server := &http.Server{ConnState: func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			close(accepted)
+		}
+	}}
+	go func() { _ = server.Serve(listener) }() // ends with the server
+	unused, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = unused.Close() }()
+	<-accepted
+	start := time.Now()
+	_ = fleetproc.EndConnections(context.Background(), server, true, 4*time.Second) // the unused one may be left over
+	if took := time.Since(start); took > time.Second {
+		t.Fatalf("the end took %v", took)
+	}
+	if err := server.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/fleetproc/fleetproc.go
+++ b/internal/fleetproc/fleetproc.go
@@ -31,6 +31,8 @@
 	settingsInterval = 2 * time.Second
 	// shutdownTimeout bounds the end of a small HTTP server.
 	shutdownTimeout = 200 * time.Millisecond
+	// idleClose bounds the end of connections without requests: a few exchanges with the slowest callers.
+	idleClose = 300 * time.Millisecond
 	// headerTimeout bounds the head of a request to a small HTTP server.
 	headerTimeout = 2 * time.Second
 )
@@ -153,6 +155,17 @@
 	return ctx.Err()
 }
 
+// EndConnections closes the connections of a server and waits for the requests under way, at most for limit. Without
+// any it waits for idleClose only: callers open connections that they do not use, and the process would wait for them.
+func EndConnections(ctx context.Context, server *http.Server, idle bool, limit time.Duration) error {
+	if idle {
+		limit = min(limit, idleClose)
+	}
+	end, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return server.Shutdown(end)
+}
+
 // WaitIdle waits until idle reports true for quiet without a break, or until limit has passed. It reports whether it
 // became idle.
 func WaitIdle(ctx context.Context, limit, quiet time.Duration, idle func() bool) bool {
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -96,7 +96,13 @@
 				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "%v predicted at %s, %v left",
 					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
 			}
-			return c, byID[c.ID], nil
+			if q.takeTurn(ctx, c, byID[c.ID]) {
+				return c, byID[c.ID], nil
+			}
+			if ctx.Err() == nil {
+				continue
+			}
+			return nil, nil, errkind.Wrap(errkind.WarmingUp, ctx.Err(), "no turn at a cold server in time")
 		}
 		if !q.mayWait(why) {
 			return nil, nil, &refusal{errkind.New(why, "none of the servers of %s can take the request", q.service),
@@ -227,7 +233,7 @@
 		slog.String("request_id", q.caller.ID), slog.String("server", c.ID), slog.Int("candidates", candidates),
 		slog.Duration("predicted", c.Predicted()), slog.Int("in_flight", c.InFlight), slog.Float64("ahead", c.Ahead),
 		slog.Float64("uncached", c.Uncached), slog.Float64("slowness", c.Slowness), slog.Float64("penalty_ms", c.PenaltyMS),
-		slog.Bool("adapter_missing", c.NoAdapter))
+		slog.Bool("adapter_missing", c.NoAdapter), slog.Float64("turn_ms", c.TurnMS))
 }
 
 // statusOK reports whether a status is a success.
--- a/internal/ingress/candidates.go
+++ b/internal/ingress/candidates.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pomelowheel/pomelowheel/internal/coldshare"
 	"github.com/pomelowheel/pomelowheel/internal/dispatch"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
@@ -18,13 +17,37 @@
 // anyAdapter stands for all adapters that a server does not hold, while its agent cannot have any loaded.
 const anyAdapter = "\x00adapter"
 
-// absences remembers which server said that it lacks a model.
+// absences remembers which server said that it lacks a model, and which is no longer at its address.
 type absences struct {
-	mu sync.Mutex
-	at map[[2]string]time.Duration // by server and model
+	mu       sync.Mutex
+	at       map[[2]string]time.Duration // by server and model
+	replaced map[string]int64            // list version of servers at whose address another one answered
 }
 
-func newAbsences() *absences { return &absences{at: make(map[[2]string]time.Duration)} }
+func newAbsences() *absences {
+	return &absences{at: make(map[[2]string]time.Duration), replaced: make(map[string]int64)}
+}
+
+// noteReplaced records that another server answers at the address that the list gave for this one. The list lags behind
+// when many servers start again at once; its next entry for the server counts again.
+func (a *absences) noteReplaced(r *fleet.Replica) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.replaced[r.ID] = r.ListVersion
+}
+
+func (a *absences) isReplaced(r *fleet.Replica) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	version, ok := a.replaced[r.ID]
+	return ok && r.ListVersion <= version
+}
+
+func (a *absences) forget(server string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.replaced, server)
+}
 
 func (a *absences) note(server, model string, now time.Duration) {
 	a.mu.Lock()
@@ -94,7 +117,7 @@
 	byID := make(map[string]*fleet.Replica)
 	for _, r := range snapshot.Services[q.service] {
 		switch {
-		case q.tried[r.ID]:
+		case q.tried[r.ID], s.absent.isReplaced(r):
 			continue
 		case r.Draining, s.leaving(r, now):
 			why = firstReason(why, errkind.Draining)
@@ -118,10 +141,12 @@
 				c.NoAdapter = !has
 			}
 		}
-		if s.coldAndFull(r, service, now) {
+		turn, ok := s.coldTurn(r, service, now)
+		if !ok || turn > q.turnPatience() {
 			why = firstReason(why, errkind.WarmingUp)
 			continue
 		}
+		c.TurnMS = float64(turn) / float64(time.Millisecond)
 		_, c.Reporting = s.opts.Agents.Status(r, now)
 		s.opts.Table.Fill(&c, now, q.model, q.service, q.prompt)
 		if service != nil && service.MaxConnections > 0 && c.InFlight >= service.MaxConnections {
@@ -152,36 +177,3 @@
 	u, fresh := s.opts.Agents.Status(r, now)
 	return fresh && u.GetDraining()
 }
-
-// coldAndFull reports whether the server is cold and this gateway's part of what it bears is used up.
-func (s *Server) coldAndFull(r *fleet.Replica, service *fleet.Service, now time.Duration) bool {
-	if service == nil || service.ColdPerSecond <= 0 {
-		return false
-	}
-	_, gateways := s.opts.Gateways()
-	rate := coldshare.Part(service.ColdPerSecond, gateways, s.opts.Rank(r.ID))
-	s.coldMu.Lock()
-	defer s.coldMu.Unlock()
-	s.cold.Notice(r.ID, r.ListVersion, r.Cold, now)
-	if u, fresh := s.opts.Agents.Status(r, now); fresh && r.Born != 0 && u.GetBorn() > r.Born {
-		// The server started again under its ID, and the list does not say so yet.
-		s.cold.Notice(r.ID, -u.GetBorn(), service.ColdStart, now)
-	}
-	return s.cold.Cold(r.ID, now) && !s.cold.Free(r.ID, rate, now)
-}
-
-// spendCold counts a request to a server in this gateway's part, if the server is cold.
-func (s *Server) spendCold(id string) {
-	s.coldMu.Lock()
-	defer s.coldMu.Unlock()
-	s.cold.Spend(id)
-}
-
-// ForgetServers drops what is known of servers that are gone.
-func (s *Server) ForgetServers(ids []string) {
-	s.coldMu.Lock()
-	defer s.coldMu.Unlock()
-	for _, id := range ids {
-		s.cold.Forget(id)
-	}
-}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -66,7 +66,7 @@
 	if answer.NotRun {
 		ticket.Done(s.opts.Clock(), false)
 		q.drain(resp)
-		return q.notRun(c, resp, answer)
+		return q.notRun(c, replica, resp, answer)
 	}
 	q.ran()
 	r := q.relay(ctx, resp, answer, ticket, timer, c)
@@ -129,13 +129,14 @@
 }
 
 // notRun interprets the answer of a server that did not run the request.
-func (q *request) notRun(c *dispatch.Candidate, resp *upstream.Response, answer platform.Answer) result {
+func (q *request) notRun(c *dispatch.Candidate, replica *fleet.Replica, resp *upstream.Response, answer platform.Answer) result {
 	s := q.server
 	kind := errkind.Overloaded
 	if resp.Status == http.StatusMisdirectedRequest {
 		kind = errkind.ModelNotResident
 		if answer.Instance != "" && answer.Instance != c.ID {
 			kind = errkind.BackendUnreachable // another server has the address
+			s.absent.noteReplaced(replica)
 		} else if q.model != "" {
 			s.absent.note(c.ID, q.model, s.opts.Clock())
 			s.absent.note(c.ID, q.modelKey, s.opts.Clock())
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -292,3 +292,21 @@
 		}
 	})
 })
+
+var _ = Describe("a server whose address another one took over", func() {
+	// Guards against requests that go to every server of the time before a restart first, because the list still has them.
+	It("gets one request and no more until the list says something new of it", func() {
+		s := newSite(route(once, time.Second))
+		now := s.add("i-new", fake.ReplicaOptions{}, fake.ReplicaFaults{Slow: 100 * time.Millisecond}) // so the other one looks better
+		address := s.view.Snapshot().Replicas["i-new"].Address
+		s.version++
+		s.view.SetReplica(&fleet.Replica{ID: "i-a", Service: "s", Address: address, DataCentre: "a", Slots: 64, ListVersion: s.version})
+		for range 8 {
+			_, a := s.ask(http.MethodPost, "/a/", nil, "")
+			Expect(a.status).To(Equal(http.StatusOK))
+		}
+		runs, _ := now.Runs()
+		Expect(runs).To(HaveLen(8))
+		Expect(len(s.lines("server did not run the request"))).To(BeNumerically("<=", 1))
+	})
+})
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -34,6 +34,9 @@
 	// drainServes is how long a draining server takes requests. The balancer sends no new connections after two seconds;
 	// what comes later on kept connections is refused as not run, because the process may end before it is done.
 	drainServes = 2500 * time.Millisecond
+	// ownHolders is the number of servers of the own data centre that hold a model from which on its prompts are kept there:
+	// two, so that the loss of one does not send them all away.
+	ownHolders = 2
 	// writeGrace is the time after a request's end for which its answer may still be written to a slow caller.
 	writeGrace = 2 * time.Second
 )
@@ -66,14 +69,17 @@
 	retries map[string]*retrybudget.Budget // by service
 	changed chan struct{}                  // closed when the fleet may have changed
 
-	coldMu sync.Mutex
-	cold   *coldshare.Shares
+	coldMu    sync.Mutex
+	cold      *coldshare.Shares
+	coldFree  map[string]time.Duration // when the agent of a cold server has a free turn, as it said last
+	coldAlone map[string]time.Duration // until when an agent that did not answer is not asked
 }
 
 // New returns a server.
 func New(opts Options) *Server {
 	return &Server{
-		opts: opts, cold: coldshare.New(), absent: newAbsences(),
+		opts: opts, absent: newAbsences(),
+		cold: coldshare.New(), coldFree: make(map[string]time.Duration), coldAlone: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
 }
@@ -244,13 +250,19 @@
 	for _, p := range q.caller.Prompt {
 		parts = append(parts, dispatch.Part(p))
 	}
-	var holders []string
+	var holders, local []string
 	snapshot := q.server.opts.View.Snapshot()
 	for _, r := range snapshot.Services[q.service] {
 		if snapshot.Usable(r) && q.server.holds(r, q.model, q.server.opts.Clock()) {
 			holders = append(holders, r.ID)
+			if r.DataCentre == q.server.opts.DataCentre {
+				local = append(local, r.ID)
+			}
 		}
 	}
+	if len(local) >= ownHolders {
+		holders = local
+	}
 	q.prompt = dispatch.NewPrompt(q.modelKey, q.caller.PromptTokens, parts, holders)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,6 +36,9 @@
 	MinCopies int
 	Copies    int     // for the demand
 	Rate      float64 // tokens a second; for the order and the log
+	// Dormant says that nobody asks for the model and that it loads within moments where it lies. It needs no copy, and its
+	// copies make room for those that are asked for.
+	Dormant bool
 }
 
 // Input is what a plan is made from.
@@ -135,6 +138,8 @@
 // lacks returns the class of the next copy that a model needs; ClassSurplus if it needs none.
 func (p *plan) lacks(m *modelState) Class {
 	switch {
+	case m.Dormant:
+		return ClassSurplus
 	case m.copies() == 0:
 		return ClassReachable
 	case p.dataCentres > 1 && m.spread() < 2:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -51,6 +51,22 @@
 		Expect(Plan(in)).To(BeEmpty(), "only last copies and an unknown model are left")
 	})
 
+	It("guards against copies of models that nobody asks for in the place of copies that callers wait for", func() {
+		in := Input{
+			Servers: []Server{server("s1", "a", "x", "y"), server("s2", "a", "x", "z")},
+			Models:  []Model{x, y, z}, WeightsPart: 1, Loads: 2, OneDataCentre: true,
+		}
+		in.Models[1].Rate, in.Models[1].Copies = 5, 2
+		in.Servers[0].Nearby, in.Servers[1].Nearby = []string{"x", "z"}, []string{"x", "z"}
+		Expect(actions(Plan(in))).To(Equal([]string{"unload x s2 surplus"}), "the last copy of z stays")
+		in.Models[0].Dormant, in.Models[2].Dormant = true, true
+		in.Servers[1] = server("s2", "a", "z", "w")
+		in.Models = append(in.Models, Model{Name: "w", MemoryMB: 40, Rate: 1, Copies: 1})
+		Expect(actions(Plan(in))).To(Equal([]string{"unload z s2 surplus"}), "z loads within moments once it is asked for")
+		in.Servers[0], in.Servers[1] = server("s1", "a", "y", "w"), server("s2", "a", "y")
+		Expect(Plan(in)).To(BeEmpty(), "x and z are not loaded before they are asked for")
+	})
+
 	It("guards against both copies in one data centre and against unused memory while demand waits", func() {
 		in := Input{
 			Servers: []Server{server("s1", "a", "x"), server("s2", "a"), server("s3", "b")},
--- a/internal/systemtest/system_test.go
+++ b/internal/systemtest/system_test.go
@@ -327,13 +327,16 @@
 	s.procs[name] = p
 }
 
+// keptLog is the part of a log, in bytes, that the report of a failed spec keeps: some seconds of a gateway under load.
+const keptLog = 60_000
+
 // stop ends every process. It keeps the end of the logs in the report of a failed spec.
 func (s *System) stop() {
 	for _, p := range s.procs {
 		p.stop()
 		if CurrentSpecReport().Failed() {
 			text := p.logText()
-			AddReportEntry(p.name, ReportEntryVisibilityFailureOrVerbose, text[max(0, len(text)-4000):])
+			AddReportEntry(p.name, ReportEntryVisibilityFailureOrVerbose, text[max(0, len(text)-keptLog):])
 		}
 	}
 	_ = os.RemoveAll(s.dir)
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -26,3 +26,13 @@
 func AdapterReply(r *wirepb.AdapterReply) *wirepb.Envelope {
 	return &wirepb.Envelope{Message: &wirepb.Envelope_AdapterReply{AdapterReply: r}}
 }
+
+// ColdRequest wraps r in a frame.
+func ColdRequest(r *wirepb.ColdRequest) *wirepb.Envelope {
+	return &wirepb.Envelope{Message: &wirepb.Envelope_ColdRequest{ColdRequest: r}}
+}
+
+// ColdReply wraps r in a frame.
+func ColdReply(r *wirepb.ColdReply) *wirepb.Envelope {
+	return &wirepb.Envelope{Message: &wirepb.Envelope_ColdReply{ColdReply: r}}
+}
