Count in the choice what a prompt does to streams and caches

Prompts were sent where they were read soonest, whatever streams ran there, and pushed each other out of the caches, so that they were read again.

Change: reading a token costs once more its time, for what it pushes out, and 4 ms a thousand tokens for each request in the batch, whose next event waits.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -24,6 +24,12 @@
 	// batchMS is the cost of each request in a server's batch in milliseconds: all its streams get slower, those that run
 	// and this one, whose events share the steps with the prompts of the others.
 	batchMS = 3
+	// evictShare is the cost of reading a token of a prompt in multiples of the time that it takes, beyond that time: what is
+	// read anew takes the place of other prompts in the cache, which then have to be read anew too.
+	evictShare = 1
+	// stretchMS is the cost in milliseconds of reading a thousand tokens for each request in the batch, whose next event
+	// waits meanwhile.
+	stretchMS = 4
 	// memoryWaitMS is the wait in milliseconds for a server's whole memory to be freed by requests that end: about
 	// the duration of a request.
 	memoryWaitMS = 1500
@@ -87,7 +93,7 @@
 		c := &candidates[i]
 		cost := c.predictedMS() + c.PenaltyMS + float64(c.InFlight)/float64(max(1, c.Slots))
 		if c.Rate > 0 {
-			cost += batchMS * float64(c.InFlight)
+			cost += batchMS*float64(c.InFlight) + stretchMS*float64(c.InFlight)*c.Uncached/1000 + evictShare*c.Uncached/c.Rate
 		}
 		if c.Stalled && !c.Reporting {
 			cost += stalledMS
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -52,7 +52,7 @@
 	}
 	if q.route != nil {
 		attrs = append(attrs, slog.String("route", q.route.Name), slog.String("service", q.service),
-			slog.Duration("first", q.first))
+			slog.Duration("first", q.first), slog.Duration("longest_gap", q.gap))
 	}
 	if q.org != nil {
 		attrs = append(attrs, slog.String("organisation", q.org.Name), slog.Float64("charged", q.charged),
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -203,6 +203,7 @@
 // relayStream passes whole events on as they arrive.
 func (q *request) relayStream(resp *upstream.Response, ticket *dispatch.Ticket, timer *watchdog) result {
 	events := newEventReader(resp)
+	var last time.Time // of the last event
 	flush := http.NewResponseController(q.writer)
 	for {
 		event, err := events.next()
@@ -214,6 +215,11 @@
 		case err != nil:
 			return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the stream broke off: %w", err)}
 		}
+		now := time.Now()
+		if !last.IsZero() {
+			q.gap = max(q.gap, now.Sub(last))
+		}
+		last = now
 		ticket.First(q.server.opts.Clock())
 		timer.Reset(max(leastGap, gapFactor*q.route.GapTarget))
 		if event.id != "" && !after(event.id, q.lastEvent) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -141,6 +141,7 @@
 	started   bool            // the head of the answer was sent
 	lastEvent string          // last event that was sent to the caller
 	first     time.Duration   // from the arrival to the first event or the answer
+	gap       time.Duration   // longest pause between two events of a server
 
 	mu       sync.Mutex
 	reserved bool // the next attempt is in the retry budget
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,8 +36,8 @@
 	MinCopies int
 	Copies    int     // for the demand
 	Rate      float64 // tokens a second; for the order and the log
-	// Dormant says that nobody asks for the model and that it loads within moments where it lies. It needs no copy, and its
-	// copies make room for those that are asked for.
+	// Dormant says that nobody asks for the model and that it loads within moments where it lies. It needs no copy, but a
+	// last one that is there stays: to load it again would cost more than its place.
 	Dormant bool
 }
 
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -167,8 +167,6 @@
 		dataCentres--
 	}
 	switch {
-	case m.Dormant:
-		return ClassSurplus
 	case left < 1:
 		return ClassReachable
 	case p.dataCentres > 1 && dataCentres < 2:
