--- a/internal/agent/turn_test.go
+++ b/internal/agent/turn_test.go
@@ -17,8 +17,8 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
-// newGateway returns a gateway's side of the conversations with the host's agent.
-func (h *host) newGateway() (*agents.Agents, *fleet.Replica) {
+// newGateway returns a gateway's side of the conversations with the host's agent, the host's server and the gateway's view.
+func (h *host) newGateway() (*agents.Agents, *fleet.Replica, *fleet.View) {
 	GinkgoHelper()
 	log := slog.New(slog.DiscardHandler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -29,17 +29,18 @@
 	DeferCleanup(func() { cancel(); done.Wait() })
 	_, port, err := net.SplitHostPort(listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
+	view := fleet.NewView()
 	return agents.New(agents.Options{
-		Identity: &wirepb.Identity{Host: "g"}, View: fleet.NewView(), Pool: transport.NewPool(nil), Port: port,
+		Identity: &wirepb.Identity{Host: "g"}, View: view, Pool: transport.NewPool(nil), Port: port,
 		Clock: bootclock.Now, Log: log, Changed: func() {}, Demand: func(string, string) float64 { return 0 },
-	}), &fleet.Replica{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}
+	}), &fleet.Replica{ID: "i-1", Service: "s", Address: "127.0.0.1:1"}, view
 }
 
 var _ = Describe("turns at a cold engine", func() {
 	It("are spaced by what the engine bears, for all gateways together, and refused beyond the longest wait", func() {
 		h := newHost("a")
-		one, replica := h.newGateway()
-		two, again := h.newGateway()
+		one, replica, _ := h.newGateway()
+		two, again, _ := h.newGateway()
 		start := time.Now()
 		for i, gateway := range []*agents.Agents{one, two, one, two} {
 			wait, granted, err := gateway.ColdTurn(context.Background(), []*fleet.Replica{replica, again}[i%2], "r", 2, 1700*time.Millisecond)
