Ask for the whole history where operators race

Each of the 25 was in the history when its round ended. The check is as strict: it compares with all changes now. The search for key secrets reads all, too.

Ruled out: a lost change (the spec finds every accepted ID after each round); load (it only lets more changes through).

--- a/internal/systemtest/configuration_test.go
+++ b/internal/systemtest/configuration_test.go
@@ -31,13 +31,16 @@
 	return r
 }
 
+// allChanges is more than the changes of any spec. pomeloctl lists the newest 20 if it is not told how many.
+const allChanges = "1000"
+
 // history returns the change IDs of all accepted changes in order, each once for each row.
 func (s *System) history() []string {
 	GinkgoHelper()
 	var changes []struct {
 		ID string `json:"id"`
 	}
-	Expect(json.Unmarshal([]byte(s.Ctl("history", "-o", "json")), &changes)).To(Succeed())
+	Expect(json.Unmarshal([]byte(s.Ctl("history", "-n", allChanges, "-o", "json")), &changes)).To(Succeed())
 	var ids []string
 	for _, c := range changes {
 		ids = append(ids, c.ID)
--- a/internal/systemtest/keys_test.go
+++ b/internal/systemtest/keys_test.go
@@ -178,7 +178,7 @@
 			everything.Write(raw)
 		}
 		Expect(reached).To(Equal(1), "the call with the key in its query and header did not reach the service")
-		everything.WriteString(s.Ctl("history", "-o", "json"))
+		everything.WriteString(s.Ctl("history", "-n", allChanges, "-o", "json"))
 		for id := range keyIDs {
 			Expect(strings.Contains(everything.String(), key(id))).To(BeFalse(), "the key "+id+" was found")
 		}
