Send store rows to each gateway from four others instead of from all

Cause: every gateway sent each changed configuration, and all rows to a gateway that lacked some, to every other one.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -114,7 +114,7 @@
 	})
 	g.follower = discovery.New(discovery.Options{
 		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery,
-		IsReader: g.mesh.IsStoreReader, Publish: g.publish, OnRemoved: g.forgetServers, Log: log,
+		IsReader: g.mesh.IsStoreReader, Publish: g.publish, RelaysRows: g.mesh.RelaysRows, OnRemoved: g.forgetServers, Log: log,
 	})
 	g.lease = fleetplanner.NewLease(fleetplanner.LeaseOptions{
 		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -63,6 +63,8 @@
 	IsReader func(n int) bool
 	// Publish is called with rows to send to the other gateways.
 	Publish func(rows []platform.Row)
+	// RelaysRows reports whether changes of servers that came from other gateways are published as well.
+	RelaysRows func() bool
 	// OnRemoved is called with the IDs of servers that were removed from the view.
 	OnRemoved func(ids []string)
 	Log       *slog.Logger
@@ -233,7 +235,8 @@
 
 // Apply merges rows into the view and ignores rows that are not newer than the known ones. fromStore says that this
 // process read the rows from the store itself: then changes are published to the other gateways. Changes of the
-// operator's table are always published, because a peer may reach neither the store nor the sender.
+// operator's table are always published, because a peer may reach neither the store nor the sender. In a fleet where no
+// reader reaches all others, changes of servers are published too.
 func (f *Follower) Apply(rows []platform.Row, fromStore bool) {
 	var updates []platform.Row
 	var removedIDs []string
@@ -247,7 +250,7 @@
 			updates = append(updates, row)
 		case platform.TableServers:
 			changed, removed := f.applyServer(row)
-			if changed && fromStore {
+			if changed && (fromStore || f.opts.RelaysRows()) {
 				updates = append(updates, row)
 			}
 			if removed {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -47,6 +47,7 @@
 	g.follower = discovery.New(discovery.Options{
 		Store: platform.NewStore(server.Listener.Addr().String()), View: g.view, Clock: bootclock.Now,
 		RemovalGrace: time.Second, IsReader: func(int) bool { return g.reads.Load() }, OnRemoved: func([]string) {},
+		RelaysRows: func() bool { return false },
 		Publish: func(rows []platform.Row) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -34,6 +34,8 @@
 	rowCount   int                // number of rows received
 	rowsHash   uint64
 
+	newest int64 // version of the newest row received or published
+
 	load  int32                 // requests in flight at backend server i-1
 	loads []*wirepb.ReplicaLoad // received
 }
@@ -98,10 +100,33 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rowCount += len(u.GetRows())
+	var newer []*wirepb.StoreRow
+	for _, r := range u.GetRows() {
+		if r.GetVersion() > m.newest {
+			m.newest, newer = r.GetVersion(), append(newer, r)
+		}
+	}
+	if newer != nil {
+		defer m.mesh.Publish(newer)
+	}
 	m.loads = append(m.loads, u.GetLoads()...)
 	m.usePerPeer[peer] += use["clerks"]
 }
 
+// publish publishes a row of the given version.
+func (m *member) publish(version int64) {
+	m.mu.Lock()
+	m.newest = version
+	m.mu.Unlock()
+	m.mesh.Publish([]*wirepb.StoreRow{{Key: "config", Version: version}})
+}
+
+func (m *member) newestVersion() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest
+}
+
 func (m *member) admit(n float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -122,7 +147,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	log := slog.New(slog.DiscardHandler)
-	m := &member{address: listener.Addr().String(), usePerPeer: make(map[string]float64)}
+	m := &member{address: listener.Addr().String(), usePerPeer: make(map[string]float64), newest: 1}
 	pool := transport.NewPool(nil)
 	m.mesh = peers.New(peers.Options{
 		Identity: &wirepb.Identity{Host: name, Incarnation: fmt.Sprint(name, time.Now()), Address: m.address},
@@ -202,6 +227,37 @@
 		Expect(a.receivedRows() + b.receivedRows()).To(Equal(0))
 	})
 
+	// Guards against a changed configuration that every gateway sends to every other one: in a fleet of a hundred, the
+	// copies filled the links for seconds after each change.
+	It("passes a row to every gateway of a large fleet in a bounded number of copies for each", func(ctx SpecContext) {
+		const gateways, rounds, copiesEach = 24, 3, 4
+		var fleet []*member
+		hub := startMember(ctx, "g0")
+		fleet = append(fleet, hub)
+		for i := 1; i < gateways; i++ {
+			fleet = append(fleet, startMember(ctx, fmt.Sprint("g", i), hub.address))
+		}
+		for _, m := range fleet {
+			Eventually(func() int { n, _ := m.mesh.Count(); return n }, 3*eventuallyTimeout).Should(Equal(gateways))
+		}
+		copies := func() int {
+			n := 0
+			for _, m := range fleet {
+				n += m.receivedRows()
+			}
+			return n
+		}
+		before := copies()
+		for version := int64(2); version < 2+rounds; version++ {
+			fleet[version].publish(version)
+			for _, m := range fleet {
+				Eventually(m.newestVersion, eventuallyTimeout).Should(Equal(version))
+			}
+		}
+		Consistently(func() int { return copies() - before }, "300ms").
+			Should(BeNumerically("<=", rounds*gateways*copiesEach))
+	})
+
 	// Guards against loads that are counted for no server, or for a wrong one, because only the first load of a server on a
 	// stream carries its name.
 	It("reports each load of a backend server under the server's name", func(ctx SpecContext) {
