Bound what a backend server in trouble may send, in size and time

The bytes of a stream are passed on as before. Errors about malformed responses are cut at 200 bytes, so that junk does not fill the log.

--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -19,6 +19,9 @@
 	// maxBufferedBytes bounds a response that is read completely before it is relayed. Longer ones are relayed as
 	// they arrive.
 	maxBufferedBytes = 256 << 10
+	// discardTimeout bounds the time to read a body that is not relayed. The request is sent to another server, or the caller
+	// gets its answer, only after that.
+	discardTimeout = 50 * time.Millisecond
 	// A request that may be repeated waits for a server that sends nothing for silenceTimeoutFactor times the
 	// predicted time, and at least for minSilenceTimeout and half of the route's Target, before it is sent to another
 	// server.
@@ -158,7 +161,7 @@
 
 // discardBody reads a short body, so that the connection can be reused.
 func (q *request) discardBody(resp *upstream.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBytes)); err != nil {
+	if err := resp.Discard(maxBufferedBytes, discardTimeout); err != nil {
 		q.server.opts.Log.Debug("response body not read; the connection is closed", "request_id", q.caller.ID, "error", err)
 	}
 }
@@ -227,13 +230,15 @@
 		case err != nil:
 			return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the stream broke off: %w", err)}
 		}
-		now := time.Now()
-		if !lastEventAt.IsZero() {
-			q.longestGap = max(q.longestGap, now.Sub(lastEventAt))
+		if event.hasData {
+			now := time.Now()
+			if !lastEventAt.IsZero() {
+				q.longestGap = max(q.longestGap, now.Sub(lastEventAt))
+			}
+			lastEventAt = now
+			attempt.RecordProgress(q.server.opts.Clock())
+			timer.Reset(max(minGapTimeout, gapTimeoutFactor*q.route.MaxEventGap))
 		}
-		lastEventAt = now
-		attempt.RecordProgress(q.server.opts.Clock())
-		timer.Reset(max(minGapTimeout, gapTimeoutFactor*q.route.MaxEventGap))
 		if event.id != "" && !eventIDAfter(event.id, q.lastEvent) {
 			continue // the caller got it from an earlier attempt
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,6 +18,9 @@
 // maxSkippedBytes bounds the body of one skipped response, in bytes.
 const maxSkippedBytes = 1 << 20
 
+// maxErrorText bounds the text of an error about a malformed response, in bytes.
+const maxErrorText = 200
+
 // Request is a request to one backend server.
 type Request struct {
 	Server  string // ID of the server; connections are reused for the same ID only
@@ -96,9 +99,11 @@
 // so that it arrives where the next one is expected; such responses are skipped.
 func readHead(c *conn, r Request) (*http.Response, error) {
 	for range maxSkippedResponses + 1 {
+		c.inHead, c.headLeft = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.inHead = false
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read response: %w", boundText(err))
 		}
 		switch {
 		case resp.StatusCode < http.StatusOK: // an interim response
@@ -115,6 +120,16 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// boundText returns err, or an error with the beginning of its text if that is long: net/http puts malformed bytes of the
+// server into its errors.
+func boundText(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorText || errors.Is(err, errHeadTooLarge) {
+		return err
+	}
+	return errors.New(text[:maxErrorText])
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
@@ -124,6 +139,22 @@
 	return n, err
 }
 
+// Discard reads the rest of the body, so that Close can keep the connection. It gives up, and Close then closes the
+// connection, if the body is longer than maxBytes or takes longer than maxTime.
+func (r *Response) Discard(maxBytes int64, maxTime time.Duration) error {
+	if err := r.conn.SetReadDeadline(time.Now().Add(maxTime)); err != nil {
+		return fmt.Errorf("discard the response body: %w", err)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r, maxBytes))
+	switch {
+	case err != nil:
+		return fmt.Errorf("discard the response body: %w", err)
+	case !r.complete:
+		return fmt.Errorf("discard the response body: more than %d bytes", n)
+	}
+	return r.conn.SetReadDeadline(time.Time{})
+}
+
 // Close keeps the connection for another request if the request was sent and the response read completely. Otherwise
 // it closes the connection, which makes the server cancel the request.
 func (r *Response) Close() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,8 @@
 	idleTimeoutFactor = 0.85
 	// readBufferBytes is the size of a connection's read buffer in bytes.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and header of a response, in bytes.
+	maxHeadBytes = 64 << 10
 )
 
 // ErrNotSent means that no byte of the request was sent.
@@ -60,9 +62,27 @@
 
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	server  string
-	expires time.Time // when it is too old to be reused
+	reader   *bufio.Reader
+	server   string
+	expires  time.Time // when it is too old to be reused
+	headLeft int       // bytes that may still be read while the header of a response is read
+	inHead   bool
+}
+
+// errHeadTooLarge means that the server sent more than maxHeadBytes without ending the header of its response.
+var errHeadTooLarge = errors.New("the header of the response exceeds the size limit")
+
+// Read implements io.Reader. It bounds the bytes of a header, which net/http reads without a limit.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.inHead {
+		if c.headLeft <= 0 {
+			return 0, errHeadTooLarge
+		}
+		b = b[:min(len(b), c.headLeft)]
+	}
+	n, err := c.Conn.Read(b)
+	c.headLeft -= n
+	return n, err
 }
 
 // empty reports whether nothing has arrived on an idle connection. If the server closed it, or sent bytes that
@@ -113,7 +133,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes), server: server}, nil
+	c := &conn{Conn: netConn, server: server}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 func (p *Pool) putIdle(c *conn, idle time.Duration) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -235,3 +235,69 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// Guards against a server in trouble whose header never ends: net/http reads a header of any size into memory.
+func TestAHeaderWithoutEndIsRefusedAfterABoundedSize(t *testing.T) {
+	for name, chunk := range map[string]string{
+		"lines":    strings.Repeat("j", 1000) + "\r\nX-Junk: ",
+		"one line": strings.Repeat("j", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = read(r)
+				total, _ := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-More: ")
+				for total < 64<<20 {
+					n, err := io.WriteString(c, chunk)
+					total += n
+					if err != nil {
+						break
+					}
+				}
+				sent <- total
+			})
+			if _, err := send(pool(), address, "1", "x"); err == nil || !strings.Contains(err.Error(), "size limit") {
+				t.Fatalf("got %v, expected an error about the size limit", err)
+			}
+			// The rest of what the server sent fits the buffers of the connection.
+			if total := <-sent; total > 16<<20 {
+				t.Fatalf("the connection was read up to %d bytes", total)
+			}
+		})
+	}
+}
+
+// Guards against a request that waits for the body of a server that said it did not run it, for as long as the server
+// sends a byte now and then.
+func TestADiscardedBodyIsReadForABoundedTime(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = read(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nContent-Length: 1000\r\n\r\n")
+		for range 1000 {
+			if _, err := io.WriteString(c, "x"); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	p := pool()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 2 {
+		resp, err := p.Do(ctx, upstream.Request{
+			Server: "s", Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}},
+			Matches: func(int, http.Header) bool { return true },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if err := resp.Discard(1<<20, 100*time.Millisecond); err == nil || time.Since(start) > time.Second {
+			t.Fatalf("discarding took %v, error %v", time.Since(start), err)
+		}
+		resp.Close()
+	}
+	if n := connections.Load(); n != 2 {
+		t.Fatalf("%d connections, expected 2: one with an unread body was used again", n)
+	}
+}
