End only the stream when the handler of a peer's message panics

Cause: no goroutine of the programs recovered, so an unexpected error in the handling of one message of a gateway, sidecar or agent ended the process with all its requests. Duties of a process still end it when they panic: their state may be broken, and the platform restarts it.

Test: a handler that panics on one message ended the test's process before; now its stream ends, with the stack in the log, and the other stream of the session goes on.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -151,6 +152,7 @@
 		go func() {
 			defer s.wg.Done()
 			defer func() { _ = conn.Close() }()
+			defer s.recoverHandler(conn)
 			streamCtx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			s.handler(streamCtx, &Stream{Conn: conn})
@@ -158,6 +160,15 @@
 	}
 }
 
+// recoverHandler ends a stream whose handler panicked, so that one message does not end the process and with it the
+// requests of all other streams.
+func (s *Server) recoverHandler(conn net.Conn) {
+	if cause := recover(); cause != nil {
+		s.log.Error("handler of a peer's stream panicked; the stream is closed", "peer", conn.RemoteAddr().String(),
+			"cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
+}
+
 // Close stops accepting sessions, closes the open ones and waits until all handlers have returned.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -42,6 +42,41 @@
 }
 
 var _ = Describe("sessions between processes", func() {
+	// Guards against one message that takes the whole process down.
+	It("ends only the stream whose handler panics", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
+			for {
+				e, err := s.Recv()
+				if err != nil {
+					return
+				}
+				if e.GetCancel().GetRequestId() == "bad" {
+					panic("unexpected message")
+				}
+				if s.Send(e) != nil {
+					return
+				}
+			}
+		}, slog.New(slog.DiscardHandler))
+		go func() { _ = server.Serve(context.Background()) }()
+		DeferCleanup(server.Close)
+		pool := transport.NewPool(nil)
+		defer pool.Close()
+		other, err := pool.Open(context.Background(), server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		bad, err := pool.Open(context.Background(), server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bad.Send(cancelFrame("bad"))).To(Succeed())
+		_, err = bad.Recv()
+		Expect(err).To(HaveOccurred())
+		Expect(other.Send(cancelFrame("a"))).To(Succeed())
+		got, err := other.Recv()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.GetCancel().GetRequestId()).To(Equal("a"))
+	})
+
 	It("carries concurrent streams on one session", func() {
 		server := startEchoServer()
 		pool := transport.NewPool(nil)
