Let a planned stop wait for a request that arrives in pieces

Cause: net/http counts a kept connection as idle until it has read the whole header of the next request, and Shutdown closes idle connections; a request of which a part had arrived was cut off without an answer. The gateway now tracks connections on which bytes arrived since the last response, and stops after those requests, at most 1 s after the last byte of one.

Tests: a request in three pieces over 300 ms on a kept connection while the server stops (cut off with a broken pipe without the count); a request that stops arriving does not delay the end.

--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -48,9 +48,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	arrivals := fleetprocess.NewArrivals()
 	server := &http.Server{
 		Handler: g.server, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxCallerHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: arrivals.ConnState,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -62,20 +64,20 @@
 	group.Go("callers", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(callers); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(arrivals.Listener(callers)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve callers: %w", err)
 		}
 		return ctx.Err()
 	})
 	log.Info("started", "address", g.settings.CallerAddress, "peers", g.settings.ControlAddress,
 		"data_centre", g.settings.DataCentre, "store", g.settings.Store.Address, "first_start", g.settings.FirstStart)
-	g.drainOnSignal(group.Context(), server)
+	g.drainOnSignal(group.Context(), server, arrivals)
 	cancel()
 	return group.Wait()
 }
 
 // drainOnSignal waits for a signal and drains the gateway. It returns when that is done or when ctx ends.
-func (g *gateway) drainOnSignal(ctx context.Context, server *http.Server) {
+func (g *gateway) drainOnSignal(ctx context.Context, server *http.Server, arrivals *fleetprocess.Arrivals) {
 	signalled, stop := fleetprocess.NotifyTermination(ctx)
 	defer stop()
 	<-signalled.Done()
@@ -91,7 +93,9 @@
 	g.server.Drain()
 	g.mesh.AnnounceShutdown()
 	g.lease.Release(ctx)
-	idle := fleetprocess.WaitIdle(ctx, grace-drainReserve, drainIdleTime, func() bool { return g.server.Active() == 0 })
+	idle := fleetprocess.WaitIdle(ctx, grace-drainReserve, drainIdleTime, func() bool {
+		return g.server.Active() == 0 && arrivals.Pending(time.Now()) == 0
+	})
 	if !idle {
 		g.log.Warn("grace period is about to end with requests in progress", "active", g.server.Active())
 	}
