Read a gateway's own state once for the updates to all its peers

Cause: each stream to a peer read and sorted the members, the loads and the use by itself, 408 times a second with 103 gateways. The state is now read again after a tenth of the update interval, and loads are compared field by field.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -117,6 +117,9 @@
 	ctx     context.Context
 	wg      sync.WaitGroup
 	leaving bool
+
+	stateMu sync.Mutex
+	state   *ownState // as last read, shared by the streams to all peers
 }
 
 // New returns a mesh that connects to no gateway until Run is called.
@@ -331,6 +334,43 @@
 	return list
 }
 
+// ownState is the state of this gateway that its updates carry. It is not changed after it was read.
+type ownState struct {
+	readAt           time.Time
+	members          []string
+	loads            map[string]*wirepb.ReplicaLoad // by backend server
+	use              []*wirepb.OrganisationUse
+	demand           []*wirepb.ModelDemand
+	plannerEpoch     int64
+	storeUnreachable bool
+	rowsHash         uint64
+}
+
+// ownState returns the state to send. It is read again after a tenth of the update interval, and not for each of the peers: in a
+// fleet of a hundred gateways, reading it for each took a fifth of the processor time of the exchange.
+func (m *Mesh) ownState() *ownState {
+	maxAge := m.updateInterval() / 10
+	m.stateMu.Lock()
+	defer m.stateMu.Unlock()
+	if m.state == nil || time.Since(m.state.readAt) >= maxAge {
+		source := m.opts.Source
+		m.state = &ownState{
+			readAt: time.Now(), members: m.memberAddresses(), loads: loadsByReplica(source.Loads()), use: source.Use(),
+			demand:       source.Demand(),
+			plannerEpoch: source.PlannerEpoch(), storeUnreachable: source.StoreUnavailable(), rowsHash: source.RowsHash(),
+		}
+	}
+	return m.state
+}
+
+func loadsByReplica(list []*wirepb.ReplicaLoad) map[string]*wirepb.ReplicaLoad {
+	loads := make(map[string]*wirepb.ReplicaLoad, len(list))
+	for _, l := range list {
+		loads[l.GetReplica()] = l
+	}
+	return loads
+}
+
 func (m *Mesh) updateInterval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -370,7 +410,7 @@
 	lastSend := time.Now()
 	differsSince := time.Now()
 	for {
-		sent.addChanges(u, source, m.memberAddresses(), m.peerIsPlanner(p))
+		sent.addChanges(u, m.ownState(), m.peerIsPlanner(p))
 		if u.GetKnowledge() == 0 || u.GetKnowledge() == m.peerRowsHash(p) {
 			differsSince = time.Now()
 		} else if time.Since(differsSince) >= m.resyncDelayFor(p) {
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -83,50 +81,56 @@
 
 // addChanges adds to u what changed since the last call. planner says that the peer holds the planner's lease and needs the
 // demand.
-func (s *sentState) addChanges(u *wirepb.PeerUpdate, source Source, members []string, planner bool) {
-	if !slices.Equal(members, s.members) {
-		u.Members, s.members = members, members
-	}
-	s.addChangedLoads(u, source.Loads())
-	for _, o := range source.Use() {
-		if s.use[o.GetOrganisation()] != o.GetUsed() {
-			s.use[o.GetOrganisation()] = o.GetUsed()
-			if u.GetIdentity() == nil {
-				o.Level = 0 // needed only in the first update of a stream, by a gateway that has just started
-			}
-			o.Number, o.Organisation = s.organisations.encode(o.GetOrganisation())
-			u.Use = append(u.Use, o)
+func (s *sentState) addChanges(u *wirepb.PeerUpdate, own *ownState, planner bool) {
+	if !slices.Equal(own.members, s.members) {
+		u.Members, s.members = own.members, own.members
+	}
+	s.addChangedLoads(u, own.loads)
+	for _, o := range own.use {
+		if s.use[o.GetOrganisation()] == o.GetUsed() {
+			continue
+		}
+		s.use[o.GetOrganisation()] = o.GetUsed()
+		number, name := s.organisations.encode(o.GetOrganisation())
+		changed := &wirepb.OrganisationUse{Number: number, Organisation: name, Used: o.GetUsed()}
+		if u.GetIdentity() != nil {
+			changed.Level = o.GetLevel() // needed only in the first update of a stream, by a gateway that has just started
 		}
+		u.Use = append(u.Use, changed)
 	}
 	if planner {
-		for _, d := range source.Demand() {
+		for _, d := range own.demand {
 			if s.demand[d.GetModel()] != d.GetWorkTokens() {
 				s.demand[d.GetModel()] = d.GetWorkTokens()
 				u.Demand = append(u.Demand, d)
 			}
 		}
 	}
-	u.PlannerEpoch, u.StoreAway, u.Knowledge = source.PlannerEpoch(), source.StoreUnavailable(), source.RowsHash()
+	u.PlannerEpoch, u.StoreAway, u.Knowledge = own.plannerEpoch, own.storeUnreachable, own.rowsHash
 }
 
 // addChangedLoads adds the loads that differ from those sent before. A load that ended is sent as zero.
-func (s *sentState) addChangedLoads(u *wirepb.PeerUpdate, loads []*wirepb.ReplicaLoad) {
-	present := make(map[string]bool, len(loads))
-	for _, l := range loads {
-		present[l.GetReplica()] = true
-		if !proto.Equal(l, s.loads[l.GetReplica()]) {
-			s.loads[l.GetReplica()] = l
+func (s *sentState) addChangedLoads(u *wirepb.PeerUpdate, loads map[string]*wirepb.ReplicaLoad) {
+	for id, l := range loads {
+		if !sameLoad(l, s.loads[id]) {
+			s.loads[id] = l
 			u.Loads = append(u.Loads, s.encodeLoad(l))
 		}
 	}
 	for id := range s.loads {
-		if !present[id] {
+		if loads[id] == nil {
 			delete(s.loads, id)
 			u.Loads = append(u.Loads, s.encodeLoad(&wirepb.ReplicaLoad{Replica: id}))
 		}
 	}
 }
 
+// sameLoad reports whether two loads of one backend server are equal. b may be nil.
+func sameLoad(a, b *wirepb.ReplicaLoad) bool {
+	return b != nil && a.GetInFlight() == b.GetInFlight() && a.GetPrefillTokens() == b.GetPrefillTokens() &&
+		a.GetMemoryTokens() == b.GetMemoryTokens() && a.GetStalled() == b.GetStalled()
+}
+
 // encodeLoad returns a copy of a load with its name encoded. The original keeps its name, for the comparison with later
 // loads.
 func (s *sentState) encodeLoad(l *wirepb.ReplicaLoad) *wirepb.ReplicaLoad {
