--- a/internal/fleetlimit/bucket_test.go
+++ b/internal/fleetlimit/bucket_test.go
@@ -118,18 +118,25 @@
 }
 
 // Guards against gateways that all admit requests at the same moment: each learns what the others admitted only after
-// the exchange interval. The load is one organisation that sends five times its rate through 21 gateways; the bound is
-// the platform's for any eight seconds.
+// the exchange interval. The load is one organisation that sends five times its rate, at the size of the grown and of the
+// large sites; the bound is the platform's for any eight seconds.
 func TestAHotOrganisationAtManyGateways(t *testing.T) {
+	t.Run("21 gateways", func(t *testing.T) {
+		checkHotOrganisation(t, 21, 250*time.Millisecond, fleetlimit.Limit{Rate: 60_000, Burst: 60_000})
+	})
+	t.Run("103 gateways", func(t *testing.T) {
+		checkHotOrganisation(t, 103, 250*time.Millisecond, fleetlimit.Limit{Rate: 400_000, Burst: 400_000})
+	})
+}
+
+func checkHotOrganisation(t *testing.T, gateways int, exchange time.Duration, limit fleetlimit.Limit) {
+	t.Helper()
 	const (
-		gateways = 21
-		step     = 5 * time.Millisecond
-		exchange = 250 * time.Millisecond
-		size     = 9500
+		step = 5 * time.Millisecond
+		size = 9500
 		// quotaSlack is what the platform allows, in tokens, beyond a tenth of the limit in its window of 8 s.
 		quotaSlack = 110_000
 	)
-	limit := fleetlimit.Limit{Rate: 60_000, Burst: 60_000}
 	type report struct {
 		at   time.Duration
 		from int
@@ -153,15 +160,14 @@
 			}
 			inFlight = inFlight[1:]
 		}
-		if rng.Float64() > 5*limit.Rate/size*step.Seconds() {
-			continue
-		}
-		at := rng.IntN(gateways)
-		buckets[at].Update(now, limit, 1)
-		if ok, _ := buckets[at].Take(size); ok {
-			all = append(all, admission{now, size})
-			inFlight = append(inFlight, report{now + exchange, at, size})
-			served += size
+		for requests := 5 * limit.Rate / size * step.Seconds(); rng.Float64() <= requests; requests-- {
+			at := rng.IntN(gateways)
+			buckets[at].Update(now, limit, 1)
+			if ok, _ := buckets[at].Take(size); ok {
+				all = append(all, admission{now, size})
+				inFlight = append(inFlight, report{now + exchange, at, size})
+				served += size
+			}
 		}
 	}
 	for i, from := range all {
