Reset the connection of a cancelled attempt instead of closing it

After a close the kernel still delivers the request to a server that does not read at the moment; a reset drops it.

Test: a server that reads only after the cancellation got the whole request of 100 KB before, and gets an error now.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -48,7 +48,7 @@
 	complete    bool
 }
 
-// Do sends r and reads the status line and the header of the response. The connection is closed when ctx ends. The
+// Do sends r and reads the status line and the header of the response. The connection is reset when ctx ends. The
 // error wraps ErrNotSent if the server cannot have got any byte of the request, and ctx.Err() if ctx ended while the
 // response was awaited.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stopCancel := context.AfterFunc(ctx, c.abort)
 	written := make(chan error, 1)
 	go func() { written <- write(c, r) }()
 	resp, err := readHead(c, r)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,6 +85,15 @@
 	return n, err
 }
 
+// abort resets the connection. A closed one would still deliver the rest of its request to a server that does not read at
+// the moment, long after the caller has left.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // if this fails, the connection is closed in the usual way
+	}
+	_ = c.Close()
+}
+
 // empty reports whether nothing has arrived on an idle connection. If the server closed it, or sent bytes that
 // belong to no request, there is something to read.
 func (c *conn) empty() bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -301,3 +301,38 @@
 		t.Fatalf("%d connections, expected 2: one with an unread body was used again", n)
 	}
 }
+
+// Guards against a request that reaches a server after its caller has left: a frozen server, or one behind a broken link,
+// reads it seconds later from the connection that was closed.
+func TestACancelledRequestIsNotDeliveredLater(t *testing.T) {
+	const bodyBytes = 100_000 // more than the server's buffer holds, less than the sender's
+	received := make(chan error, 1)
+	accepted, cancelled := make(chan struct{}), make(chan struct{})
+	address, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		close(accepted)
+		<-cancelled
+		_, err := read(r)
+		received <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err := pool().Do(ctx, upstream.Request{
+			Server: "s", Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}},
+			Body: make([]byte, bodyBytes), Matches: func(int, http.Header) bool { return true },
+		})
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, expected the cancellation", err)
+		}
+	}()
+	<-accepted
+	time.Sleep(50 * time.Millisecond) // the sender's write returns
+	cancel()
+	<-done
+	close(cancelled)
+	if err := <-received; err == nil {
+		t.Fatal("the server got the whole request after it was cancelled")
+	}
+}
