Return a complete answer although the engine does not end its response

Cause: after the last event the client of the model engine read on to the end of the response, for as long as the engine sent bytes; a complete answer then ended at the request's deadline as unknown.

It now waits 200 ms and reads 64 KB at most, and closes the connection after that.

Tests: trailing bytes at full speed and one now and then (both failed at the deadline before).

--- a/internal/engineclient/chat.go
+++ b/internal/engineclient/chat.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 )
@@ -18,6 +19,12 @@
 // maxEventBytes bounds one line of an event stream.
 const maxEventBytes = 1 << 20
 
+const (
+	// endTimeout bounds the wait for the end of a response after its last event, and maxTrailingBytes what is read of it.
+	endTimeout       = 200 * time.Millisecond
+	maxTrailingBytes = 64 << 10
+)
+
 // ChatRequest is a request for one chat completion.
 type ChatRequest struct {
 	RequestID    string
@@ -90,7 +97,19 @@
 	if response.StatusCode != http.StatusOK {
 		return ChatResult{}, statusError(response)
 	}
-	return readEvents(response.Body, emit)
+	result, err := readEvents(response.Body, emit)
+	if err == nil {
+		awaitEnd(response.Body)
+	}
+	return result, err
+}
+
+// awaitEnd waits for the end of a response whose answer is complete, because the engine frees the request's memory before
+// it ends the response. The bytes of an engine that sends more than that are not waited for.
+func awaitEnd(body io.ReadCloser) {
+	timer := time.AfterFunc(endTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxTrailingBytes))
 }
 
 func statusError(response *http.Response) error {
@@ -161,8 +180,6 @@
 			if result.OutputTokens == 0 {
 				result.OutputTokens = streamedTokens
 			}
-			// The engine frees the request's memory before it ends the response.
-			_, _ = io.Copy(io.Discard, r)
 			return result, nil
 		}
 		chunk, err := result.add(data)
--- a/internal/engineclient/chat_test.go
+++ b/internal/engineclient/chat_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -48,6 +49,38 @@
 		}))
 		DeferCleanup(server.Close)
 	})
+	// Guards against a complete answer that is held until the request's deadline, because the engine goes on to send bytes.
+	DescribeTable("returns a complete answer although the response does not end", func(trailing string, pause time.Duration) {
+		stop := make(chan struct{})
+		endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "r1")
+			_, err := w.Write([]byte(completeStream))
+			for err == nil {
+				err = http.NewResponseController(w).Flush()
+				if err == nil {
+					_, err = w.Write([]byte(trailing))
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(pause):
+				}
+			}
+		}))
+		DeferCleanup(endless.Close)
+		DeferCleanup(func() { close(stop) })
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		start := time.Now()
+		result, err := New(endless.URL).Chat(ctx, ChatRequest{RequestID: "r1", Model: "m",
+			Body: []byte(`{"messages":[{"role":"user","content":"hi"}]}`)}, func(Chunk) error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.OutputTokens).To(BeEquivalentTo(2))
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+	},
+		Entry("at full speed", strings.Repeat("j", 4096), time.Duration(0)),
+		Entry("a byte now and then", "j", 20*time.Millisecond),
+	)
 	chat := func() (string, ChatResult, error) {
 		var text strings.Builder
 		r := ChatRequest{RequestID: "r1", Model: "m", Priority: 3, MaxTokens: 10, ResumeText: "so far", ResumeTokens: 4,
