--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,7 +55,6 @@
 type Agent struct {
 	opts          Options
 	fencingNumber atomic.Int64 // zero until the store issued one
-	subscribers   atomic.Int64 // streams of gateways that get reports
 
 	mu              sync.Mutex
 	report          *fleet.Report
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -22,11 +22,6 @@
 	// minReportInterval is the shortest pause between two reports to a gateway. While adapters load, the report is read far
 	// more often than that.
 	minReportInterval = 40 * time.Millisecond
-	// adapterReportInterval is the shortest pause, for each gateway beyond unpacedSubscribers that gets reports, between two
-	// reports that differ in adapters only. Adapters change several times a second under load, and a gateway that does not know
-	// of one yet asks the agent, which answers at once.
-	adapterReportInterval = 5 * time.Millisecond
-	unpacedSubscribers    = 32
 	// adapterTimeout bounds the load of an adapter, even if the gateway would wait longer.
 	adapterTimeout = 400 * time.Millisecond
 )
@@ -122,17 +117,13 @@
 			}
 		}
 	}()
-	a.subscribers.Add(1)
-	defer a.subscribers.Add(-1)
 	var last *wirepb.AgentUpdate
 	var sentAt time.Time
 	for {
 		_, nextReport := a.currentReport()
 		u := a.agentUpdate()
 		same := last != nil && u != nil && proto.Equal(u, last)
-		pause := reportPause(u, last, int(a.subscribers.Load()))
-		wait := maxReportInterval
-		if u != nil && time.Since(sentAt) >= pause {
+		if u != nil && (!same || time.Since(sentAt) >= maxReportInterval) {
 			last, sentAt = u, time.Now()
 			if same {
 				u = &wirepb.AgentUpdate{Unchanged: true}
@@ -144,49 +135,15 @@
 				a.opts.Log.Info("report to gateway not sent; stream closed", "gateway", gateway, "error", err)
 				return
 			}
-		} else if u != nil {
-			wait = pause - time.Since(sentAt)
 		}
 		if background.Sleep(ctx, minReportInterval) != nil {
 			return
 		}
 		select {
 		case <-nextReport:
-		case <-time.After(wait):
+		case <-time.After(maxReportInterval):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
-
-// reportPause returns the shortest pause between report last, which is nil before the first one, and the next report u to a
-// gateway, if that many gateways get reports. A change of a model or of the engine's state is reported at once.
-func reportPause(u, last *wirepb.AgentUpdate, subscribers int) time.Duration {
-	switch {
-	case u == nil || last == nil:
-		return 0
-	case proto.Equal(u, last):
-		return maxReportInterval
-	case equalButAdapters(u, last):
-		beyond := max(0, subscribers-unpacedSubscribers)
-		return min(minReportInterval+time.Duration(beyond)*adapterReportInterval, maxReportInterval)
-	}
-	return 0
-}
-
-// equalButAdapters reports whether two reports are equal except for the adapters that the engine holds, and the sequence
-// number, which each load of an adapter advances.
-func equalButAdapters(a, b *wirepb.AgentUpdate) bool {
-	return proto.Equal(withoutAdapters(a), withoutAdapters(b))
-}
-
-func withoutAdapters(u *wirepb.AgentUpdate) *wirepb.AgentUpdate {
-	short := &wirepb.AgentUpdate{
-		Born: u.GetBorn(), Busy: u.GetBusy(), Draining: u.GetDraining(), Nearby: u.GetNearby(), Loading: u.GetLoading(),
-		Unloading: u.GetUnloading(),
-	}
-	for _, m := range u.GetModels() {
-		short.Models = append(short.Models, &wirepb.EngineModel{Model: m.GetModel()})
-	}
-	return short
-}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -346,17 +346,17 @@
 	rowsHash         uint64
 }
 
-// ownState returns the state to send. It is read again after a tenth of the update interval, and not for each of the peers: in a
-// fleet of a hundred gateways, reading it for each took a fifth of the processor time of the exchange.
-func (m *Mesh) ownState() *ownState {
+// currentState returns the state to send. It is read again after a tenth of the update interval, and not for each of the
+// peers: in a fleet of a hundred gateways, reading it for each took a fifth of the processor time of the exchange.
+func (m *Mesh) currentState() *ownState {
 	maxAge := m.updateInterval() / 10
 	m.stateMu.Lock()
 	defer m.stateMu.Unlock()
 	if m.state == nil || time.Since(m.state.readAt) >= maxAge {
 		source := m.opts.Source
 		m.state = &ownState{
-			readAt: time.Now(), members: m.memberAddresses(), loads: loadsByReplica(source.Loads()), use: source.Use(),
-			demand:       source.Demand(),
+			readAt: time.Now(), members: m.memberAddresses(),
+			loads: loadsByReplica(source.Loads()), use: source.Use(), demand: source.Demand(),
 			plannerEpoch: source.PlannerEpoch(), storeUnreachable: source.StoreUnavailable(), rowsHash: source.RowsHash(),
 		}
 	}
@@ -410,7 +410,7 @@
 	lastSend := time.Now()
 	differsSince := time.Now()
 	for {
-		sent.addChanges(u, m.ownState(), m.peerIsPlanner(p))
+		sent.addChanges(u, m.currentState(), m.peerIsPlanner(p))
 		if u.GetKnowledge() == 0 || u.GetKnowledge() == m.peerRowsHash(p) {
 			differsSince = time.Now()
 		} else if time.Since(differsSince) >= m.resyncDelayFor(p) {
--- a/internal/sidecar/model_test.go
+++ b/internal/sidecar/model_test.go
@@ -199,7 +199,9 @@
 		func(status int, models []engineclient.ModelState, want errkind.Kind) {
 			load()
 			reject, report := e.restart(status, models)
-			first, second := h.start(chat("m", "x")), h.start(chat("m", "y"))
+			first := h.start(chat("m", "x"))
+			Eventually(e.chatCount).Should(Equal(1))
+			second := h.start(chat("m", "y"))
 			Eventually(func() int64 { return h.server.Status().GetQueued() }).Should(BeEquivalentTo(1))
 			close(reject)
 			Expect(first.finish().refused).To(BeTrue())
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -90,8 +90,8 @@
 	demand             map[string]*modelDemand
 	backendIncarnation string // as last reported by the engine; empty before the first report
 	failedStateReads   int    // reads of the engine's state that failed in a row
-	// suspectSince is when an answer of the engine last suggested that it has restarted. It is zero once a state that
-	// was requested later has been read. Until then no queued request is started.
+	// suspectSince is when an answer of the engine last suggested that it has restarted, or zero after a state that was
+	// requested later has been read. No queued request is started while it is set.
 	suspectSince    time.Time
 	endedByKind     map[errkind.Kind]int64
 	draining        bool
