--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -33,6 +33,7 @@
 	view     *fleet.View
 	follower *discovery.Follower
 	reads    atomic.Bool
+	relays   atomic.Bool
 
 	mu        sync.Mutex
 	published []platform.Row
@@ -47,7 +48,7 @@
 	g.follower = discovery.New(discovery.Options{
 		Store: platform.NewStore(server.Listener.Addr().String()), View: g.view, Clock: bootclock.Now,
 		RemovalGrace: time.Second, IsReader: func(int) bool { return g.reads.Load() }, OnRemoved: func([]string) {},
-		RelaysRows: func() bool { return false },
+		RelaysRows: g.relays.Load,
 		Publish: func(rows []platform.Row) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
@@ -159,6 +160,31 @@
 		Expect(other.version()).To(BeEquivalentTo(4), "older rows change nothing")
 	})
 
+	// Guards against a server that only some gateways of a large fleet learn of, because each gateway gets rows from a few
+	// others and these pass nothing on; and against rows that go round for ever.
+	It("passes on a server that it learnt of from a peer once in a large fleet, and not in a small one", func() {
+		g := newGateway(fake.NewStore())
+		row := func(id string, version int64) []platform.Row {
+			return []platform.Row{{Table: platform.TableServers, Key: id, Value: entry("10.0.0.1:1"), Version: version}}
+		}
+		published := func() (ids []string) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			for _, r := range g.published {
+				ids = append(ids, r.Key)
+			}
+			return ids
+		}
+		g.follower.Apply(row("i-1", 7), false)
+		Expect(published()).To(BeEmpty())
+		g.relays.Store(true)
+		for range 3 {
+			g.follower.Apply(row("i-2", 8), false)
+		}
+		Expect(published()).To(Equal([]string{"i-2"}))
+		Expect(g.servers()).To(Equal(2))
+	})
+
 	It("does not call the store while other gateways read it", func() {
 		configure(store, 1)
 		g := newGateway(store)
