Give the server of the cancellation test a small buffer before it accepts

Cause: the connection had received the body into its default buffer before the server accepted it and made the buffer small.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -308,13 +309,31 @@
 	const bodyBytes = 100_000 // more than the server's buffer holds, less than the sender's
 	received := make(chan error, 1)
 	accepted, cancelled := make(chan struct{}), make(chan struct{})
-	address, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
-		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	// The buffer is set on the listener, because a connection receives up to its buffer before it is accepted.
+	smallBuffer := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+		})
+		return errors.Join(err, setErr)
+	}}
+	l, err := smallBuffer.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
 		close(accepted)
 		<-cancelled
-		_, err := read(r)
+		_, err = read(bufio.NewReader(c))
 		received <- err
-	})
+	}()
+	address := l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
