Copy what is logged of a lost peer while the lock is held

Cause: expirePeers read the name and the time of the last update of a lost peer after it had released the lock, while an update of that peer could be written. No test fails each time without the change: the race detector sees it only if a peer is heard within 200 ms after its loss.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -169,14 +169,19 @@
 // expirePeers marks peers without a recent update as lost and removes those, seeds excepted, that have sent none for
 // forgetAfter.
 func (m *Mesh) expirePeers() {
+	// lostPeer is a copy, because an update of the peer may arrive as soon as m.mu is released.
+	type lostPeer struct {
+		name, address string
+		silence       time.Duration
+	}
 	now := m.opts.Clock()
 	seeds := m.opts.Seeds()
-	var lost []*peer
+	var lost []lostPeer
 	m.mu.Lock()
 	for a, p := range m.peers {
 		if p.name != "" && !p.lost && now-p.lastUpdateAt > peerTimeout {
 			p.lost = true
-			lost = append(lost, p)
+			lost = append(lost, lostPeer{p.name, p.address, now - p.lastUpdateAt})
 		}
 		if now-max(p.lastUpdateAt, p.addedAt) > forgetAfter && !slices.Contains(seeds, a) {
 			p.stop()
@@ -186,7 +191,7 @@
 	m.mu.Unlock()
 	for _, p := range lost {
 		m.opts.Log.Warn("no update from peer; peer counts as lost",
-			"peer", p.name, "address", p.address, "silence", now-p.lastUpdateAt)
+			"peer", p.name, "address", p.address, "silence", p.silence)
 		m.opts.Pool.Drop(p.address)
 		m.opts.Sink.PeerLost(p.name)
 	}
