--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -38,17 +38,8 @@
 	// forgetAfter is the time without an update after which a peer that is not a seed is removed. It is longer than a
 	// restart of the peer's host. It is also the read timeout of a stream from a peer.
 	forgetAfter = 30 * time.Second
-	// resyncDelay is the time for which a peer's hash of its rows must differ before its first providers send it all rows.
-	// Gateways that start together read the store themselves within that time, and rows in transit arrive.
-	resyncDelay = 400 * time.Millisecond
 	// resyncPause is the additional pause before all rows are sent to a peer again.
 	resyncPause = 2 * time.Second
-	// RowProviders is the number of gateways that send rows to a given one. Each gateway passes on the rows that are new to
-	// it, so all gateways get a row in a few hops. If every gateway sent a changed configuration to every other one, the
-	// copies would fill the links of a large fleet for seconds.
-	RowProviders = 4
-	// unheardTimeout is the time after which a gateway that never sent an update no longer counts as a provider of rows.
-	unheardTimeout = 3 * time.Second
 	// maxPendingRows bounds the rows that are queued for one peer. A peer that misses some gets all rows again.
 	maxPendingRows = 4096
 )
@@ -267,57 +258,6 @@
 	return len(m.peers) + 1
 }
 
-// Publish queues rows for the peers that this gateway provides with rows. If a peer's queue is full, the row is dropped
-// for that peer.
-func (m *Mesh) Publish(rows []*wirepb.StoreRow) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if m.providerRank(p) >= RowProviders {
-			continue
-		}
-		for _, r := range rows {
-			if !p.rows.Offer(r) {
-				m.opts.Log.Warn("row not sent to peer: its queue is full", "peer", p.address, "key", r.GetKey())
-			}
-		}
-	}
-}
-
-// providerRank returns this gateway's position, from zero, among the gateways that may provide peer p with rows, in an order
-// that depends on p. Gateways that know the same gateways compute the same order. The caller holds m.mu.
-func (m *Mesh) providerRank(p *peer) int {
-	now := m.opts.Clock()
-	rank, own := 0, providerScore(m.opts.Identity.GetAddress(), p.address)
-	for _, other := range m.peers {
-		alive := !other.lost && (other.name != "" || now-other.addedAt < unheardTimeout)
-		if other != p && alive && providerScore(other.address, p.address) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-func providerScore(provider, receiver string) uint64 {
-	return xxhash.Sum64String(provider + ">" + receiver)
-}
-
-// resyncDelayFor returns the time for which the hash of p's rows must differ before this gateway sends it all rows. It grows
-// with the gateway's rank as a provider of p, so that the next gateways follow only if the first ones cannot reach p.
-func (m *Mesh) resyncDelayFor(p *peer) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return resyncDelay * time.Duration(1+m.providerRank(p)/RowProviders)
-}
-
-// RelaysRows reports whether gateways have to pass on the rows that they get from peers: in a small fleet the gateways that
-// read the store send them to all others.
-func (m *Mesh) RelaysRows() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.peers) > RowProviders
-}
-
 // AnnounceShutdown announces to the peers, with the next update to each, that this gateway is shutting down and admits no more
 // requests.
 func (m *Mesh) AnnounceShutdown() {
@@ -339,43 +279,6 @@
 	return list
 }
 
-// ownState is the state of this gateway that its updates carry. It is not changed after it was read.
-type ownState struct {
-	readAt           time.Time
-	members          []string
-	loads            map[string]*wirepb.ReplicaLoad // by backend server
-	use              []*wirepb.OrganisationUse
-	demand           []*wirepb.ModelDemand
-	plannerEpoch     int64
-	storeUnreachable bool
-	rowsHash         uint64
-}
-
-// currentState returns the state to send. It is read again after a tenth of the update interval, and not for each of the
-// peers: in a fleet of a hundred gateways, reading it for each took a fifth of the processor time of the exchange.
-func (m *Mesh) currentState() *ownState {
-	maxAge := m.updateInterval() / 10
-	m.stateMu.Lock()
-	defer m.stateMu.Unlock()
-	if m.state == nil || time.Since(m.state.readAt) >= maxAge {
-		source := m.opts.Source
-		m.state = &ownState{
-			readAt: time.Now(), members: m.memberAddresses(),
-			loads: loadsByReplica(source.Loads()), use: source.Use(), demand: source.Demand(),
-			plannerEpoch: source.PlannerEpoch(), storeUnreachable: source.StoreUnavailable(), rowsHash: source.RowsHash(),
-		}
-	}
-	return m.state
-}
-
-func loadsByReplica(list []*wirepb.ReplicaLoad) map[string]*wirepb.ReplicaLoad {
-	loads := make(map[string]*wirepb.ReplicaLoad, len(list))
-	for _, l := range list {
-		loads[l.GetReplica()] = l
-	}
-	return loads
-}
-
 func (m *Mesh) updateInterval() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
