Wait for states instead of times in the tests of a stop and of a cancellation

The request that arrives in pieces now waits until the stop has looked at the connection since the piece before, and the cancelled request until half of its body is in the sender's kernel; before, a slow machine let it pass without a body sent. The panic's spec uses the echo server that stood beside it.

--- a/internal/fleetprocess/drain_test.go
+++ b/internal/fleetprocess/drain_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/gomega"
+
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 )
 
@@ -60,33 +62,43 @@
 	}
 	defer func() { _ = c.Close() }()
 	responses := bufio.NewReader(c)
-	get := func(pieces ...string) (*http.Response, error) {
-		for i, piece := range pieces {
-			if i > 0 {
-				time.Sleep(150 * time.Millisecond)
-			}
-			if _, err := io.WriteString(c, piece); err != nil {
-				return nil, err
-			}
+	send := func(piece string) {
+		t.Helper()
+		if _, err := io.WriteString(c, piece); err != nil {
+			t.Fatalf("the request was cut off: %v", err)
 		}
-		return http.ReadResponse(responses, nil)
 	}
-	if _, err := get("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := http.ReadResponse(responses, nil); err != nil {
 		t.Fatal(err)
 	}
-	if n := arrivals.Pending(time.Now()); n != 0 {
-		t.Fatalf("%d requests pending on an idle connection, expected none", n)
-	}
+	awaitPending(t, arrivals, 0)
+	send("GET / HTTP/1.1\r\n")
+	awaitPending(t, arrivals, 1)
+	checks := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		<-time.After(50 * time.Millisecond) // the first piece has arrived
-		idle := fleetprocess.WaitIdle(context.Background(), 3*time.Second, 20*time.Millisecond, func() bool {
+		idle := fleetprocess.WaitIdle(context.Background(), 10*time.Second, 20*time.Millisecond, func() bool {
+			select {
+			case checks <- struct{}{}:
+			default:
+			}
 			return arrivals.Pending(time.Now()) == 0
 		})
 		_ = fleetprocess.EndConnections(context.Background(), server, idle, time.Second)
 	}()
-	response, err := get("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n")
+	for _, piece := range []string{"Host: h\r\n", "\r\n"} {
+		for range 3 { // the stop has looked at the connection since the piece before
+			select {
+			case <-checks:
+			case <-ended:
+				t.Fatal("the server stopped while a request arrived")
+			}
+		}
+		send(piece)
+	}
+	response, err := http.ReadResponse(responses, nil)
 	if err != nil {
 		t.Fatalf("the request was cut off: %v", err)
 	}
@@ -117,13 +129,15 @@
 	if _, err := io.WriteString(c, "GET / HT"); err != nil {
 		t.Fatal(err)
 	}
-	for end := time.Now().Add(2 * time.Second); arrivals.Pending(time.Now()) == 0; {
-		if time.Now().After(end) {
-			t.Fatal("the request that arrives in part is not seen")
-		}
-		time.Sleep(time.Millisecond)
-	}
+	awaitPending(t, arrivals, 1)
 	if n := arrivals.Pending(time.Now().Add(2 * time.Second)); n != 0 {
 		t.Fatalf("%d requests pending 2 s after the last byte, expected none", n)
 	}
 }
+
+// awaitPending waits until that many requests arrive in part.
+func awaitPending(t *testing.T, a *fleetprocess.Arrivals, want int) {
+	t.Helper()
+	gomega.NewWithT(t).Eventually(func() int { return a.Pending(time.Now()) }, 5*time.Second, "1ms").
+		Should(gomega.Equal(want))
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -25,12 +25,16 @@
 	return &wirepb.Envelope{Message: &wirepb.Envelope_Cancel{Cancel: &wirepb.Cancel{RequestId: id}}}
 }
 
+// startEchoServer starts a server that returns each frame. It panics at a Cancel of the request "bad".
 func startEchoServer() *transport.Server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
 		for {
 			e, err := s.Recv()
+			if e.GetCancel().GetRequestId() == "bad" {
+				panic("unexpected message")
+			}
 			if err != nil || s.Send(e) != nil {
 				return
 			}
@@ -44,24 +48,7 @@
 var _ = Describe("sessions between processes", func() {
 	// Guards against one message that takes the whole process down.
 	It("ends only the stream whose handler panics", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
-			for {
-				e, err := s.Recv()
-				if err != nil {
-					return
-				}
-				if e.GetCancel().GetRequestId() == "bad" {
-					panic("unexpected message")
-				}
-				if s.Send(e) != nil {
-					return
-				}
-			}
-		}, slog.New(slog.DiscardHandler))
-		go func() { _ = server.Serve(context.Background()) }()
-		DeferCleanup(server.Close)
+		server := startEchoServer()
 		pool := transport.NewPool(nil)
 		defer pool.Close()
 		other, err := pool.Open(context.Background(), server.Addr().String())
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,12 +8,15 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
 )
 
@@ -334,11 +337,17 @@
 		received <- err
 	}()
 	address := l.Addr().String()
+	sender := make(chan syscall.RawConn, 1)
+	p := upstream.NewPool(upstream.Options{DialTimeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		sender <- raw
+		return nil
+	}})
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, err := pool().Do(ctx, upstream.Request{
+		_, err := p.Do(ctx, upstream.Request{
 			Server: "s", Address: address, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}},
 			Body: make([]byte, bodyBytes), Matches: func(int, http.Header) bool { return true },
 		})
@@ -347,7 +356,12 @@
 		}
 	}()
 	<-accepted
-	time.Sleep(50 * time.Millisecond) // the sender's write returns
+	raw := <-sender
+	for end := time.Now().Add(5 * time.Second); unsentBytes(t, raw) < bodyBytes/2; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("the sender did not write its request")
+		}
+	}
 	cancel()
 	<-done
 	close(cancelled)
@@ -355,3 +369,14 @@
 		t.Fatal("the server got the whole request after it was cancelled")
 	}
 }
+
+// unsentBytes returns the number of bytes that were written to a connection and that the other side has not received.
+func unsentBytes(t *testing.T, raw syscall.RawConn) int {
+	t.Helper()
+	n, ioctlErr := 0, error(nil)
+	err := raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err := errors.Join(err, ioctlErr); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
