--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -218,7 +218,7 @@
 			"error", err)
 		return
 	}
-	f.opts.Log.Debug("store call failed; retrying", "table", table, "error", err)
+	f.opts.Log.Info("store call failed; retrying", "table", table, "silence", silence, "error", err)
 }
 
 func (f *Follower) expireLoop(ctx context.Context) error {
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -297,7 +298,7 @@
 			m.opts.Pool.Drop(p.address)
 		}
 		if ctx.Err() == nil {
-			m.opts.Log.Debug("stream to peer ended; reconnecting", "peer", p.address, "error", err)
+			m.opts.Log.Info("stream to peer ended; reconnecting", "peer", p.address, "error", err)
 		}
 		if background.Sleep(ctx, redialPause/2+rand.N(redialPause)) != nil {
 			return
@@ -323,6 +324,8 @@
 			differsSince = time.Now()
 		} else if time.Since(differsSince) >= m.resyncDelayFor(p) {
 			u.Rows = source.Rows()
+			m.opts.Log.Info("sending all rows to peer, because its rows differ", "peer", p.address, "rows", len(u.GetRows()),
+				"bytes", rowBytes(u.GetRows()), "differs_for", time.Since(differsSince))
 			differsSince = time.Now().Add(resyncPause)
 		}
 		m.mu.Lock()
@@ -332,9 +335,9 @@
 			if err := stream.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 				return err
 			}
-			err := stream.Send(wire.PeerUpdate(u))
-			if err != nil {
-				return err
+			start := time.Now()
+			if err := stream.Send(wire.PeerUpdate(u)); err != nil {
+				return fmt.Errorf("update with %d bytes of rows not written in %v: %w", rowBytes(u.GetRows()), time.Since(start), err)
 			}
 			lastSend = time.Now()
 		}
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -70,3 +70,11 @@
 	defer m.mu.Unlock()
 	return len(m.peers) > rowProviders
 }
+
+func rowBytes(rows []*wirepb.StoreRow) int {
+	n := 0
+	for _, r := range rows {
+		n += len(r.GetValue())
+	}
+	return n
+}
