--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -137,7 +137,7 @@
 	return g, nil
 }
 
-// start starts the background tasks of the gateway in group.
+// start starts the background tasks of the gateway in group, without the metrics, which a process publishes once.
 func (g *gateway) start(group *background.Group) {
 	group.Go("discovery", g.follower.Run)
 	group.Go("peers", g.mesh.Run)
@@ -150,9 +150,6 @@
 	group.Go("readiness", func(ctx context.Context) error {
 		return fleetprocess.Serve(ctx, g.settings.ReadinessAddress, g.readiness())
 	})
-	group.Go("metrics", func(ctx context.Context) error {
-		return fleetprocess.ServeMetrics(ctx, g.settings.MetricsAddress, g.vars())
-	})
 }
 
 // readiness returns the handler of readiness checks. It responds on every path, because the platform requests only
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -58,6 +58,9 @@
 	defer cancel()
 	group := background.NewGroup(ctx, log)
 	g.start(group)
+	group.Go("metrics", func(ctx context.Context) error {
+		return fleetprocess.ServeMetrics(ctx, g.settings.MetricsAddress, g.vars())
+	})
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
 	})
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -36,6 +36,9 @@
 	newest     int64 // version of the newest row received or published
 	hashesRows bool  // RowsHash follows newest
 
+	value []byte   // of the newest row
+	lost  []string // peers that counted as lost
+
 	load  int32                 // requests in flight at backend server i-1
 	loads []*wirepb.ReplicaLoad // received
 }
@@ -67,13 +70,26 @@
 }
 
 func (m *member) Rows() []*wirepb.StoreRow {
-	return []*wirepb.StoreRow{{Key: "config", Version: max(m.newestVersion(), 1)}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return []*wirepb.StoreRow{{Key: "config", Version: max(m.newest, 1), Value: m.value}}
 }
 
 func (m *member) Demand() []*wirepb.ModelDemand { return nil }
 func (m *member) PlannerEpoch() int64           { return 0 }
 func (m *member) StoreUnavailable() bool        { return false }
-func (m *member) PeerLost(string)               {}
+
+func (m *member) PeerLost(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost = append(m.lost, name)
+}
+
+func (m *member) lostPeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
 
 func (m *member) Use() []*wirepb.OrganisationUse {
 	m.mu.Lock()
@@ -109,7 +125,7 @@
 	var newer []*wirepb.StoreRow
 	for _, r := range u.GetRows() {
 		if r.GetVersion() > m.newest {
-			m.newest, newer = r.GetVersion(), append(newer, r)
+			m.newest, m.value, newer = r.GetVersion(), r.GetValue(), append(newer, r)
 		}
 	}
 	if newer != nil {
@@ -120,11 +136,19 @@
 }
 
 // publish publishes a row of the given version.
-func (m *member) publish(version int64) {
+func (m *member) publish(version int64) { m.publishValue(version, nil) }
+
+func (m *member) publishValue(version int64, value []byte) {
 	m.mu.Lock()
-	m.newest = version
+	m.newest, m.value = version, value
 	m.mu.Unlock()
-	m.mesh.Publish([]*wirepb.StoreRow{{Key: "config", Version: version}})
+	m.mesh.Publish([]*wirepb.StoreRow{{Key: "config", Version: version, Value: value}})
+}
+
+func (m *member) newestValue() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.value
 }
 
 func (m *member) newestVersion() int64 {
@@ -149,6 +173,15 @@
 
 // startMember starts a gateway that knows only the seeds.
 func startMember(ctx context.Context, name string, seeds ...string) *member {
+	GinkgoHelper()
+	sameListener := func(l net.Listener) net.Listener { return l }
+	return startMemberBehind(ctx, func(f func()) { DeferCleanup(f) }, sameListener, name, seeds...)
+}
+
+// startMemberBehind starts a gateway whose incoming connections come from the listener that behind returns. The gateway
+// stops when ctx ends; the function given to cleanup stops it too and waits until it has stopped.
+func startMemberBehind(ctx context.Context, cleanup func(func()), behind func(net.Listener) net.Listener, name string,
+	seeds ...string) *member {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -159,7 +192,7 @@
 		Identity: &wirepb.Identity{Host: name, Incarnation: fmt.Sprint(name, time.Now()), Address: m.address},
 		Seeds:    func() []string { return seeds }, Pool: pool, Clock: bootclock.Now, Source: m, Sink: m, Log: log,
 	})
-	server := transport.NewServer(listener, nil, func(ctx context.Context, s *transport.Stream) {
+	server := transport.NewServer(behind(listener), nil, func(ctx context.Context, s *transport.Stream) {
 		if frame, err := s.Recv(); err == nil && frame.GetPeerUpdate() != nil {
 			m.mesh.Receive(ctx, s, frame.GetPeerUpdate())
 		}
@@ -168,7 +201,7 @@
 	var done sync.WaitGroup
 	done.Go(func() { _ = m.mesh.Run(ctx) })
 	done.Go(func() { _ = server.Serve(ctx) })
-	DeferCleanup(func() {
+	cleanup(func() {
 		cancel()
 		pool.Close()
 		done.Wait()
--- /dev/null
+++ b/internal/peers/slowlink_test.go
@@ -0,0 +1,92 @@
+package peers_test
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/time/rate"
+)
+
+// slowListener accepts connections whose reads share one link of limited rate.
+type slowListener struct {
+	net.Listener
+	link *rate.Limiter // bytes per second
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{c, l.link}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	link *rate.Limiter
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), c.link.Burst())])
+	if n > 0 {
+		if waitErr := c.link.WaitN(context.Background(), n); waitErr != nil {
+			return n, waitErr
+		}
+	}
+	return n, err
+}
+
+const (
+	// configurationBound is the time in which a confirmed configuration has to be in force.
+	configurationBound = 3 * time.Second
+	slowLinkBytes      = 1_250_000 // per second: 10 Mbit/s
+	slowLinkBurst      = 16 << 10
+	largeRowBytes      = 1 << 20
+)
+
+// slowFleet starts fast gateways and one whose incoming link is slow, all connected. They stop with the test.
+func slowFleet(t *testing.T, fast int) (all []*member, slow *member) {
+	sameListener := func(l net.Listener) net.Listener { return l }
+	hub := startMemberBehind(t.Context(), t.Cleanup, sameListener, "fast-0")
+	all = append(all, hub)
+	for i := 1; i < fast; i++ {
+		all = append(all, startMemberBehind(t.Context(), t.Cleanup, sameListener, fmt.Sprint("fast-", i), hub.address))
+	}
+	slow = startMemberBehind(t.Context(), t.Cleanup, func(l net.Listener) net.Listener {
+		return &slowListener{l, rate.NewLimiter(slowLinkBytes, slowLinkBurst)}
+	}, "slow", hub.address)
+	all = append(all, slow)
+	for _, m := range all {
+		Eventually(func() int { n, _ := m.mesh.Count(); return n }, 3*eventuallyTimeout).Should(Equal(len(all)))
+		m.mu.Lock()
+		m.hashesRows = true
+		m.mu.Unlock()
+	}
+	return all, slow
+}
+
+// Guards against a configuration that a slow link does not carry within the write timeout of an update: it was sent again
+// from its first byte by every provider, never arrived, and the updates behind it made all peers count as lost.
+func TestALargeConfigurationReachesAGatewayWithASlowLink(t *testing.T) {
+	RegisterTestingT(t)
+	all, slow := slowFleet(t, 6)
+	for version := int64(2); version <= 3; version++ {
+		value := make([]byte, largeRowBytes)
+		_, err := rand.Read(value)
+		Expect(err).NotTo(HaveOccurred())
+		start := time.Now()
+		all[0].publishValue(version, value)
+		for _, m := range all {
+			Eventually(m.newestVersion, configurationBound-time.Since(start), 10*time.Millisecond).Should(Equal(version))
+		}
+		Expect(slow.newestValue()).To(Equal(value))
+	}
+	for _, m := range all {
+		Expect(m.lostPeers()).To(BeEmpty(), "updates were not delivered beside the row")
+	}
+}
