Let gateways request large rows from one provider instead of receiving them in updates

Cause: a configuration was written into the updates of four providers, each within 1 s; where the link did not carry it in that time, the transfer ended and began again from the first byte, and gateways sent all rows once more after 400 ms of a differing hash. The updates behind the rows were late, so peers counted as lost and their sessions, with the transfers on them, were closed. The class of the fault: work that is cut off by a time limit, keeps nothing and is repeated by several, so that load prevents progress.

Now updates offer rows of over 8 KiB; a gateway requests a row from one provider at a time, compressed, in chunks with a time limit for each chunk. Rows are published before they are decoded.

Ruled out: processors (2 to 9% busy), a store that turns calls away, versions taken back. Raising the write timeout alone does not help: updates wait behind the row, and four copies compete for the link.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -13,6 +13,25 @@
 // Rows implements peers.Source.
 func (g *gateway) Rows() []*wirepb.StoreRow { return toWire(g.follower.Rows()) }
 
+// Row implements peers.Source.
+func (g *gateway) Row(table, key string) *wirepb.StoreRow {
+	if r, ok := g.follower.Row(table, key); ok {
+		return toWire([]platform.Row{r})[0]
+	}
+	return nil
+}
+
+// HasRow implements peers.Source.
+func (g *gateway) HasRow(table, key string, version int64) bool {
+	r, ok := g.follower.Row(table, key)
+	return ok && r.Version >= version
+}
+
+// ReceiveRow implements peers.Sink.
+func (g *gateway) ReceiveRow(row *wirepb.StoreRow) {
+	g.follower.Apply(fromWire([]*wirepb.StoreRow{row}), false)
+}
+
 // RowsHash implements peers.Source.
 func (g *gateway) RowsHash() uint64 { return g.view.Snapshot().Hash }
 
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -192,9 +192,7 @@
 		g.log.Debug("peer stream ended before its first message", "error", err)
 		return
 	}
-	if u := frame.GetPeerUpdate(); u != nil {
-		g.mesh.Receive(ctx, s, u)
-	}
+	g.mesh.Serve(ctx, s, frame)
 }
 
 // register writes this gateway's address into the store and connects to the registered gateways. It tries again
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -113,6 +113,14 @@
 	return slices.Collect(maps.Values(f.rows))
 }
 
+// Row returns the newest known row of a key, which may be a removal, and whether one is known.
+func (f *Follower) Row(table, key string) (platform.Row, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.rows[rowKey{table, key}]
+	return r, ok
+}
+
 // follow lists a table and then reads its changes while this gateway is a reader.
 func (f *Follower) follow(ctx context.Context, table string, pause time.Duration) error {
 	retry := backoff.NewExponentialBackOff()
@@ -246,8 +254,8 @@
 		}
 		switch row.Table {
 		case platform.TableOperator:
+			f.opts.Publish([]platform.Row{row}) // before it is decoded, which takes long on a slow host
 			f.applyOperator(row)
-			updates = append(updates, row)
 		case platform.TableServers:
 			changed, removed := f.applyServer(row)
 			if changed && (fromStore || f.opts.RelaysRows()) {
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -49,6 +49,10 @@
 type Source interface {
 	// Rows returns all store rows that this gateway has.
 	Rows() []*wirepb.StoreRow
+	// Row returns the row with the given table and key, or nil if this gateway does not have it.
+	Row(table, key string) *wirepb.StoreRow
+	// HasRow reports whether this gateway has the row in the given version or a newer one.
+	HasRow(table, key string, version int64) bool
 	// RowsHash returns a hash of the rows, or zero. Gateways with the same rows return the same hash.
 	RowsHash() uint64
 	// Loads returns the load that this gateway's requests in flight put on each backend server.
@@ -68,6 +72,8 @@
 	// Update is called for each update of a peer. use, by organisation in units of its limit, and demand, by model in work
 	// tokens, are the changes since the previous update. use is negative after a refund.
 	Update(peer string, u *wirepb.PeerUpdate, use, demand map[string]float64)
+	// ReceiveRow is called for each large row that this gateway requested from a peer.
+	ReceiveRow(row *wirepb.StoreRow)
 	// PeerLost is called when no update has arrived from a peer within the time limit.
 	PeerLost(peer string)
 }
@@ -106,16 +112,22 @@
 
 	mu      sync.Mutex
 	peers   map[string]*peer // by address
+	fetches map[rowKey]*rowFetch
 	ctx     context.Context
 	wg      sync.WaitGroup
 	leaving bool
 
 	stateMu sync.Mutex
 	state   *ownState // as last read, shared by the streams to all peers
+
+	compressMu     sync.Mutex
+	lastCompressed compressedRow
 }
 
 // New returns a mesh that connects to no gateway until Run is called.
-func New(opts Options) *Mesh { return &Mesh{opts: opts, peers: make(map[string]*peer)} }
+func New(opts Options) *Mesh {
+	return &Mesh{opts: opts, peers: make(map[string]*peer), fetches: make(map[rowKey]*rowFetch)}
+}
 
 // Run maintains streams to the seeds and to every gateway whose address becomes known, until ctx ends. It returns the
 // context's error.
@@ -316,6 +328,7 @@
 	source := m.opts.Source
 	sent := newSentState()
 	u := &wirepb.PeerUpdate{Identity: m.opts.Identity}
+	var pending []*wirepb.StoreRow
 	lastSend := time.Now()
 	differsSince := time.Now()
 	for {
@@ -323,11 +336,12 @@
 		if u.GetKnowledge() == 0 || u.GetKnowledge() == m.peerRowsHash(p) {
 			differsSince = time.Now()
 		} else if time.Since(differsSince) >= m.resyncDelayFor(p) {
-			u.Rows = source.Rows()
-			m.opts.Log.Info("sending all rows to peer, because its rows differ", "peer", p.address, "rows", len(u.GetRows()),
-				"bytes", rowBytes(u.GetRows()), "differs_for", time.Since(differsSince))
+			pending = source.Rows()
+			m.opts.Log.Info("sending all rows to peer, because its rows differ", "peer", p.address, "rows", len(pending),
+				"differs_for", time.Since(differsSince))
 			differsSince = time.Now().Add(resyncPause)
 		}
+		u.Rows, u.Offers, pending = nextRows(pending)
 		m.mu.Lock()
 		u.Leaving = m.leaving
 		m.mu.Unlock()
@@ -342,8 +356,11 @@
 			lastSend = time.Now()
 		}
 		u = new(wirepb.PeerUpdate)
+		if len(pending) > 0 {
+			continue
+		}
 		var err error
-		if u.Rows, err = m.awaitRows(ctx, p); err != nil {
+		if pending, err = m.awaitRows(ctx, p); err != nil {
 			return err
 		}
 	}
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -75,6 +75,14 @@
 	return []*wirepb.StoreRow{{Key: "config", Version: max(m.newest, 1), Value: m.value}}
 }
 
+func (m *member) Row(string, string) *wirepb.StoreRow { return m.Rows()[0] }
+
+func (m *member) HasRow(_, _ string, version int64) bool { return m.newestVersion() >= version }
+
+func (m *member) ReceiveRow(row *wirepb.StoreRow) {
+	m.Update("", &wirepb.PeerUpdate{Rows: []*wirepb.StoreRow{row}}, nil, nil)
+}
+
 func (m *member) Demand() []*wirepb.ModelDemand { return nil }
 func (m *member) PlannerEpoch() int64           { return 0 }
 func (m *member) StoreUnavailable() bool        { return false }
@@ -193,8 +201,8 @@
 		Seeds:    func() []string { return seeds }, Pool: pool, Clock: bootclock.Now, Source: m, Sink: m, Log: log,
 	})
 	server := transport.NewServer(behind(listener), nil, func(ctx context.Context, s *transport.Stream) {
-		if frame, err := s.Recv(); err == nil && frame.GetPeerUpdate() != nil {
-			m.mesh.Receive(ctx, s, frame.GetPeerUpdate())
+		if frame, err := s.Recv(); err == nil {
+			m.mesh.Serve(ctx, s, frame)
 		}
 	}, log)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -143,16 +143,28 @@
 
 // unchanged reports whether u contains nothing new since the last call.
 func (s *sentState) unchanged(u *wirepb.PeerUpdate) bool {
-	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
+	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetOffers()) == 0 && len(u.GetLoads()) == 0 &&
 		len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
 		u.GetStoreAway() == s.storeUnreachable && u.GetKnowledge() == s.rowsHash
 	s.plannerEpoch, s.storeUnreachable, s.rowsHash = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetKnowledge()
 	return same
 }
 
-// Receive applies the updates of one peer until the stream fails or ctx ends. first is the update in the first frame of
+// Serve handles a stream that a peer opened, whose first frame is given. It returns when the stream ends or ctx is done.
+func (m *Mesh) Serve(ctx context.Context, stream *transport.Stream, first *wirepb.Envelope) {
+	switch message := first.GetMessage().(type) {
+	case *wirepb.Envelope_PeerUpdate:
+		m.receive(ctx, stream, message.PeerUpdate)
+	case *wirepb.Envelope_RowRequest:
+		m.sendRow(stream, message.RowRequest)
+	default:
+		m.opts.Log.Warn("stream closed: its first message is neither a peer update nor a request for a row")
+	}
+}
+
+// receive applies the updates of one peer until the stream fails or ctx ends. first is the update in the first frame of
 // the stream. A peer whose address is empty or the same as this gateway's is refused.
-func (m *Mesh) Receive(ctx context.Context, stream *transport.Stream, first *wirepb.PeerUpdate) {
+func (m *Mesh) receive(ctx context.Context, stream *transport.Stream, first *wirepb.PeerUpdate) {
 	identity := first.GetIdentity()
 	if identity.GetAddress() == "" || identity.GetAddress() == m.opts.Identity.GetAddress() {
 		m.opts.Log.Warn("peer refused: its address is empty or the same as this gateway's", "peer", identity.GetHost())
@@ -223,6 +235,7 @@
 			"incarnation", identity.GetIncarnation())
 	}
 	m.opts.Sink.Update(identity.GetHost(), u, use, demand)
+	m.receiveOffers(identity.GetAddress(), u.GetOffers())
 	m.AddAddresses(u.GetMembers())
 	return true
 }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -36,3 +36,13 @@
 func ColdReply(r *wirepb.ColdReply) *wirepb.Envelope {
 	return &wirepb.Envelope{Message: &wirepb.Envelope_ColdReply{ColdReply: r}}
 }
+
+// RowRequest returns an Envelope that carries r.
+func RowRequest(r *wirepb.RowRequest) *wirepb.Envelope {
+	return &wirepb.Envelope{Message: &wirepb.Envelope_RowRequest{RowRequest: r}}
+}
+
+// RowChunk returns an Envelope that carries c.
+func RowChunk(c *wirepb.RowChunk) *wirepb.Envelope {
+	return &wirepb.Envelope{Message: &wirepb.Envelope_RowChunk{RowChunk: c}}
+}
