Let a read of the store go on while its response arrives

Tests: internal/discovery "reads a configuration whose response takes longer than the time limit of a call"; both entries failed before (configuration not read within 10 s at 400 kB/s) and pass.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -22,12 +22,9 @@
 )
 
 const (
-	// callTimeout limits a read that does not wait for changes. The store answers within a few milliseconds.
-	callTimeout = time.Second
-	// feedWait is how long a feed call waits for a change. A silent connection is detected feedWait plus
-	// feedTimeoutMargin after the call, which is within the time in which a change has to be in force.
-	feedWait          = 1500 * time.Millisecond
-	feedTimeoutMargin = 500 * time.Millisecond
+	// feedWait is how long a feed call waits for a change. A silent connection is detected some time after it, which is within
+	// the time in which a change has to be in force.
+	feedWait = 1500 * time.Millisecond
 	// ReaderCount is the number of gateways that read the store; the others receive the rows from them. Two readers may fail
 	// at the same time.
 	ReaderCount = 3
@@ -168,8 +165,6 @@
 // version up to which the table is known.
 func (f *Follower) readTable(ctx context.Context, table string, version int64) (int64, error) {
 	if version < 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
 		rows, newest, err := f.opts.Store.List(ctx, table)
 		if err != nil {
 			return version, err
@@ -179,8 +174,6 @@
 		f.Apply(append(rows, f.removalsFor(table, rows, newest)...), true)
 		return newest, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedTimeoutMargin)
-	defer cancel()
 	rows, next, err := f.opts.Store.Feed(ctx, table, version, feedWait)
 	if err != nil {
 		return version, err
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,7 +27,10 @@
 	RunSpecs(t, "discovery")
 }
 
-const eventuallyTimeout = 5 * time.Second
+const (
+	eventuallyTimeout = 5 * time.Second
+	slowResponseBytes = 400_000 // of a store's response, per second
+)
 
 // gateway runs the discovery of one gateway against the given store.
 type gateway struct {
@@ -39,11 +44,14 @@
 	published []platform.Row
 }
 
-func newGateway(store *fake.Store) *gateway {
+func newGateway(store *fake.Store) *gateway { return newGatewayBehind(store, store.Handler()) }
+
+// newGatewayBehind returns a gateway whose calls to the store go through handler.
+func newGatewayBehind(store *fake.Store, handler http.Handler) *gateway {
 	GinkgoHelper()
 	g := &gateway{store: store, view: fleet.NewView()}
 	g.reads.Store(true)
-	server := httptest.NewServer(store.Handler())
+	server := httptest.NewServer(handler)
 	DeferCleanup(server.Close)
 	g.follower = discovery.New(discovery.Options{
 		Store: platform.NewStore(server.Listener.Addr().String()), View: g.view, Clock: bootclock.Now,
@@ -103,6 +111,34 @@
 		Consistently(g.version, 300*time.Millisecond).Should(BeEquivalentTo(9), "the previous configuration stays")
 	})
 
+	// Guards against a read of a large configuration that is given up while its response is arriving, and begins anew.
+	DescribeTable("reads a configuration whose response takes longer than the time limit of a call", func(before func(*fake.Store)) {
+		before(store)
+		handler := store.Handler()
+		g := newGatewayBehind(store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, r)
+			w.WriteHeader(recorder.Code)
+			for body := recorder.Body.Bytes(); len(body) > 0; {
+				n, _ := w.Write(body[:min(len(body), slowResponseBytes/20)])
+				body = body[n:]
+				_ = http.NewResponseController(w).Flush()
+				if n == 0 || len(body) == 0 {
+					return
+				}
+				time.Sleep(time.Second / 20)
+			}
+		}))
+		Eventually(g.version, 2*eventuallyTimeout).Should(BeEquivalentTo(1))
+		store.Put("op", "config", fmt.Appendf(nil, `{"version":2,"routes":[],"padding":%q}`, strings.Repeat("x", 3*slowResponseBytes)))
+		Eventually(g.version, 2*eventuallyTimeout).Should(BeEquivalentTo(2))
+	},
+		Entry("by the feed", func(s *fake.Store) { configure(s, 1) }),
+		Entry("by a list", func(s *fake.Store) {
+			s.Put("op", "config", fmt.Appendf(nil, `{"version":1,"padding":%q}`, strings.Repeat("x", 2*slowResponseBytes)))
+		}),
+	)
+
 	It("lists again when the store history is lost, and detects entries removed in the meantime", func() {
 		configure(store, 1)
 		store.Put("servers", "i-1", entry("10.0.0.1:80"))
