Refuse requests when the configuration is not confirmed and newer rows or no peer is known

Now readers confirm the operator's rows by hash, with the time on the store's clock; updates pass the confirmations on; a gateway without one reads the store itself before the bound, and above the bound refuses as not run if newer rows are known or no peer reports. A gateway that knows of newer rows answers 503 instead of 404 and 401.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"time"
+
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/discovery"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -57,6 +60,18 @@
 // StoreUnavailable implements peers.Source.
 func (g *gateway) StoreUnavailable() bool { return g.follower.StoreUnavailable() }
 
+// Freshness implements peers.Source.
+func (g *gateway) Freshness() (*wirepb.Freshness, bool) {
+	report, ok := g.freshness.Report(bootclock.Now())
+	if !ok {
+		return nil, false
+	}
+	return &wirepb.Freshness{
+		SentAtMs: report.SentAt.Milliseconds(), Version: report.Latest.Version, Hash: report.Latest.Hash,
+		AtMs: report.Latest.At.Milliseconds(),
+	}, g.mesh.IsStoreReader(discovery.ReaderCount)
+}
+
 // PlannerEpoch implements peers.Source.
 func (g *gateway) PlannerEpoch() int64 { return g.lease.Epoch() }
 
@@ -65,6 +80,14 @@
 	if rows := fromWire(u.GetRows()); len(rows) > 0 {
 		g.follower.Apply(rows, false)
 	}
+	if f := u.GetFreshness(); f != nil {
+		g.freshness.Receive(bootclock.Now(), peer, freshness.Report{
+			SentAt: time.Duration(f.GetSentAtMs()) * time.Millisecond,
+			Latest: freshness.Confirmation{
+				Version: f.GetVersion(), Hash: f.GetHash(), At: time.Duration(f.GetAtMs()) * time.Millisecond,
+			},
+		})
+	}
 	loads := make(map[string]fleetroute.Load, len(u.GetLoads()))
 	for _, l := range u.GetLoads() {
 		loads[l.GetReplica()] = fleetroute.Load{
@@ -89,7 +112,16 @@
 }
 
 // PeerLost implements peers.Sink.
-func (g *gateway) PeerLost(peer string) { g.table.DropPeer(peer) }
+func (g *gateway) PeerLost(peer string) {
+	g.table.DropPeer(peer)
+	g.freshness.Forget(peer)
+}
+
+// checkConfiguration returns an error if the configuration must not be used any longer.
+func (g *gateway) checkConfiguration() error {
+	_, known := g.mesh.Count()
+	return g.freshness.Check(bootclock.Now(), known == 1)
+}
 
 func (g *gateway) publish(rows []platform.Row) { g.mesh.Publish(toWire(rows)) }
 
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleetplanner"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/internal/peers"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -64,6 +65,7 @@
 	mesh         *peers.Mesh
 	agents       *agentclient.Client
 	follower     *discovery.Follower
+	freshness    *freshness.Tracker
 	lease        *fleetplanner.Lease
 	planner      *fleetplanner.Planner
 	server       *fleetgateway.Server
@@ -86,7 +88,7 @@
 	}
 	g := &gateway{
 		settings: s, log: log, store: platform.NewStore(s.Store.Address), view: fleet.NewView(), table: fleetroute.NewTable(),
-		demand: fleetgateway.NewDemand(), metrics: fleetgateway.NewMetrics(),
+		freshness: freshness.New(s.Bounds.Configuration), demand: fleetgateway.NewDemand(), metrics: fleetgateway.NewMetrics(),
 		sessions: transport.NewPoolWithControl(platform.SetTCPUserTimeout),
 		pool: upstream.NewPool(upstream.Options{
 			DialTimeout: backendDialTimeout, MaxIdle: maxIdlePerServer, Control: platform.SetTCPUserTimeout,
@@ -113,7 +115,7 @@
 		Demand:  func(service, model string) float64 { return g.planner.DemandOf(service, model) },
 	})
 	g.follower = discovery.New(discovery.Options{
-		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery,
+		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery, Freshness: g.freshness,
 		IsReader: g.mesh.IsStoreReader, Publish: g.publish, RelaysRows: g.mesh.RelaysRows, OnRemoved: g.forgetServers, Log: log,
 	})
 	g.lease = fleetplanner.NewLease(fleetplanner.LeaseOptions{
@@ -129,6 +131,7 @@
 	})
 	g.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
+		CheckConfiguration: g.checkConfiguration, ConfigurationBehind: g.freshness.Behind,
 		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
@@ -179,6 +182,10 @@
 		}
 		return 0
 	})
+	vars["config_age_ms"] = expvar.Func(func() any {
+		age, _ := g.freshness.Age(bootclock.Now())
+		return age.Milliseconds()
+	})
 	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
 	return vars
 }
@@ -202,19 +209,19 @@
 		call, cancel := context.WithTimeout(ctx, registerTimeout)
 		// The row is written before the list is read, so that of two gateways that start together at least one reads
 		// the other's row.
-		var rows []platform.Row
+		var registered platform.Page
 		_, _, _, err := g.store.Commit(call, nil, []platform.Row{{
 			Table: memberTable, Key: g.settings.Host, Value: []byte(g.settings.ControlAddress),
 		}})
 		if err == nil {
-			rows, _, err = g.store.List(call, memberTable)
+			registered, err = g.store.List(call, memberTable)
 		}
 		cancel()
 		if err == nil {
-			for _, r := range rows {
+			for _, r := range registered.Rows {
 				g.mesh.AddAddresses([]string{string(r.Value)})
 			}
-			g.log.Info("registered", "gateways", len(rows))
+			g.log.Info("registered", "gateways", len(registered.Rows))
 			return nil
 		}
 		g.log.Warn("gateway not registered in the store; trying again", "error", err)
--- a/cmd/pomelo-fleet-gateway/staleness_test.go
+++ b/cmd/pomelo-fleet-gateway/staleness_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -70,11 +69,19 @@
 		"provider":{"address":%q},"listen":{"front":"127.0.0.1:3","control":%q,"readiness":"127.0.0.1:0"},
 		"seeds":[%s],"bounds":{"config_ms":%d}}`, name, port, port, m.store.Listener.Addr(), m.peers, seedList,
 		configurationBound.Milliseconds()), 0o600)).To(Succeed())
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		defer func() { _ = log.Close() }()
+		if data, err := os.ReadFile(log.Name()); t.Failed() && err == nil {
+			t.Logf("log of %s:\n%s", name, data)
+		}
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started := make(chan struct{})
 	var done sync.WaitGroup
 	done.Go(func() {
-		fleetprocess.Main(name, []string{"-config", path}, io.Discard, os.Stderr,
+		fleetprocess.Main(name, []string{"-config", path}, log, os.Stderr,
 			func(_ context.Context, s *fleetprocess.Settings, log *slog.Logger) error {
 				var err error
 				if m.gateway, err = newGateway(s, log); err != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -14,17 +15,19 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
 const (
 	// feedWait is how long a feed call waits for a change. A silent connection is detected some time after it, which is within
 	// the time in which a change has to be in force.
-	feedWait = 1500 * time.Millisecond
+	feedWait = time.Second
 	// ReaderCount is the number of gateways that read the store; the others receive the rows from them. Two readers may fail
 	// at the same time.
 	ReaderCount = 3
@@ -46,8 +49,8 @@
 
 // Store is the part of the platform's store that discovery reads.
 type Store interface {
-	List(ctx context.Context, table string) ([]platform.Row, int64, error)
-	Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.Row, int64, error)
+	List(ctx context.Context, table string) (platform.Page, error)
+	Feed(ctx context.Context, table string, after int64, wait time.Duration) (platform.Page, error)
 }
 
 // Options configure a Follower. All fields are required.
@@ -56,6 +59,8 @@
 	View         *fleet.View
 	Clock        bootclock.Clock
 	RemovalGrace time.Duration // time after the end of an outage for which missing servers are kept
+	// Freshness is told which operator's rows this gateway has and when they were confirmed by a read.
+	Freshness *freshness.Tracker
 	// IsReader reports whether this gateway is among the first n gateways that are alive and can read the store.
 	IsReader func(n int) bool
 	// Publish is called with rows to send to the other gateways.
@@ -123,17 +128,28 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minBackoff, maxBackoff
 	version := int64(-1)
+	wait := feedWait
 	for ctx.Err() == nil {
-		if version >= 0 && !f.opts.IsReader(ReaderCount) {
+		reads := f.opts.IsReader(ReaderCount)
+		if table == platform.TableOperator && version >= 0 {
+			version = max(version, f.opts.Freshness.ConfirmedVersion()) // this gateway has these changes from its peers
+			if f.opts.Freshness.NeedsRead(f.opts.Clock()) {
+				reads, wait = true, 0
+			}
+		}
+		if version >= 0 && !reads {
 			if err := background.Sleep(ctx, readerCheckInterval); err != nil {
 				return err
 			}
 			f.lastAnswer.Store(int64(f.opts.Clock())) // time as a non-reader does not count as an outage
 			continue
 		}
-		next, err := f.readTable(ctx, table, version)
+		page, err := f.readTable(ctx, table, version, wait)
 		if err == nil {
-			version = next
+			version, wait = page.Version, feedWait
+			if len(page.Rows) > 0 {
+				wait = 0 // more changes may follow in another response
+			}
 			retry.Reset()
 			if err := background.Sleep(ctx, jitter(pause)); err != nil {
 				return err
@@ -161,26 +177,30 @@
 	return time.Duration(float64(d) * (0.9 + 0.2*rand.Float64()))
 }
 
-// readTable lists the whole table if version is negative and otherwise reads its changes after version. It returns the
-// version up to which the table is known.
-func (f *Follower) readTable(ctx context.Context, table string, version int64) (int64, error) {
-	if version < 0 {
-		rows, newest, err := f.opts.Store.List(ctx, table)
-		if err != nil {
-			return version, err
-		}
-		f.recordAnswer(table)
-		f.opts.Log.Info("table listed from the store", "table", table, "rows", len(rows), "version", newest)
-		f.Apply(append(rows, f.removalsFor(table, rows, newest)...), true)
-		return newest, nil
+// readTable lists the whole table if version is negative, and otherwise reads its changes after version.
+func (f *Follower) readTable(ctx context.Context, table string, version int64, wait time.Duration) (platform.Page, error) {
+	list := version < 0
+	var page platform.Page
+	var err error
+	if list {
+		page, err = f.opts.Store.List(ctx, table)
+	} else {
+		page, err = f.opts.Store.Feed(ctx, table, version, wait)
 	}
-	rows, next, err := f.opts.Store.Feed(ctx, table, version, feedWait)
 	if err != nil {
-		return version, err
+		return page, err
 	}
 	f.recordAnswer(table)
-	f.Apply(rows, true)
-	return next, nil
+	if list {
+		f.opts.Log.Info("table listed from the store", "table", table, "rows", len(page.Rows), "version", page.Version)
+		f.Apply(append(page.Rows, f.removalsFor(table, page.Rows, page.Version)...), true)
+	} else {
+		f.Apply(page.Rows, true)
+	}
+	if table == platform.TableOperator && (list || len(page.Rows) == 0) {
+		f.opts.Freshness.ConfirmRead(f.opts.Clock(), page.Version, page.ServerTime)
+	}
+	return page, nil
 }
 
 // removalsFor returns removals for the known rows of a table that are missing in a newer list of it.
@@ -276,9 +296,28 @@
 		return false
 	}
 	f.rows[k] = row
+	if row.Table == platform.TableOperator {
+		f.opts.Freshness.SetOwn(f.operatorState())
+	}
 	return true
 }
 
+// operatorState identifies the operator's rows. A removed row is not part of the hash, because a gateway that listed the table
+// later does not know of it. The caller holds f.mu.
+func (f *Follower) operatorState() freshness.State {
+	var state freshness.State
+	for k, r := range f.rows {
+		if k.table != platform.TableOperator {
+			continue
+		}
+		state.Newest = max(state.Newest, r.Version)
+		if !r.Deleted {
+			state.Hash ^= xxhash.Sum64String(fmt.Sprint(k.key, "/", r.Version))
+		}
+	}
+	return state
+}
+
 func (f *Follower) applyOperator(row platform.Row) {
 	if dataCentre, ok := platform.EvacuatedDataCentre(row.Key); ok {
 		if f.opts.View.SetOutOfService(dataCentre, !row.Deleted, row.Version) {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -19,6 +19,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/discovery"
 	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
@@ -56,7 +57,7 @@
 	g.follower = discovery.New(discovery.Options{
 		Store: platform.NewStore(server.Listener.Addr().String()), View: g.view, Clock: bootclock.Now,
 		RemovalGrace: time.Second, IsReader: func(int) bool { return g.reads.Load() }, OnRemoved: func([]string) {},
-		RelaysRows: g.relays.Load,
+		RelaysRows: g.relays.Load, Freshness: freshness.New(3 * time.Second),
 		Publish: func(rows []platform.Row) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -102,10 +102,11 @@
 	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, MaxIdle: 4})
 	s.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: "a", View: s.view, Table: fleetroute.NewTable(), Pool: pool, Clock: clock, Gateways: singleGateway,
-		Rank:    func(string) int { return 0 },
-		Limits:  fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
-		Demand:  fleetgateway.NewDemand(),
-		Metrics: fleetgateway.NewMetrics(), Log: log,
+		Rank: func(string) int { return 0 }, CheckConfiguration: func() error { return nil },
+		ConfigurationBehind: func() bool { return false },
+		Limits:              fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
+		Demand:              fleetgateway.NewDemand(),
+		Metrics:             fleetgateway.NewMetrics(), Log: log,
 		Retry: retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
 		Agents: agentclient.New(agentclient.Options{
 			Identity: &wirepb.Identity{Host: "g"}, View: s.view, Pool: transport.NewPool(nil), Port: "1", Clock: clock, Log: log,
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -54,11 +54,15 @@
 	Limits     *Limits
 	Demand     *Demand
 	Retry      retrybudget.Options
-	Clock      bootclock.Clock
-	Gateways   func() (heard, known int)
-	Rank       func(key string) int // this gateway's position in an order for the key that all gateways agree on, from zero
-	Metrics    *Metrics
-	Log        *slog.Logger
+	// CheckConfiguration returns an error if the view's configuration is too old to be used.
+	CheckConfiguration func() error
+	// ConfigurationBehind reports whether a newer configuration than the view's is in force.
+	ConfigurationBehind func() bool
+	Clock               bootclock.Clock
+	Gateways            func() (heard, known int)
+	Rank                func(key string) int // this gateway's position in an order for the key that all gateways agree on, from zero
+	Metrics             *Metrics
+	Log                 *slog.Logger
 }
 
 // Server is the http.Handler for callers. It is safe for concurrent use.
@@ -192,9 +196,11 @@
 	if q.config == nil {
 		return errkind.New(errkind.NotReady, "no configuration is known yet")
 	}
-	q.route = q.config.Match(q.http.Host, q.http.URL.EscapedPath())
-	if q.route == nil {
-		return errkind.New(errkind.RouteNotFound, "no route for this host and path")
+	if err := q.checkConfiguration(); err != nil {
+		return err
+	}
+	if err := q.match(); err != nil {
+		return err
 	}
 	wait := q.caller.Timeout
 	if wait == 0 {
@@ -204,18 +210,9 @@
 	if timeout := q.arrived.Add(q.route.Timeout); q.route.Timeout > 0 && timeout.Before(q.deadline) {
 		q.deadline = timeout
 	}
-	if !q.route.Public {
-		if q.caller.Key == "" && len(q.config.Organisations) > 0 {
-			return errkind.New(errkind.KeyMissing, "the route needs a key")
-		}
-		if q.org = q.config.Authenticate(q.caller.Key); q.org == nil && len(q.config.Organisations) > 0 {
-			return errkind.New(errkind.KeyUnknown, "the key is not in configuration version %d", q.config.Version)
-		}
-	}
 	if err := q.readBody(); err != nil {
 		return err
 	}
-	q.service = q.route.Pick(q.caller.ID)
 	q.describePrompt()
 	return q.charge()
 }
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,186 @@
+// Package freshness decides whether a gateway may still act on the operator's rows that it has. Use a Tracker to record which
+// state of these rows the store was last known to have, by the gateway's own reads and by what its peers report.
+package freshness
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	// clockMargin covers the error of the estimate of the store's clock, which is late by the time of a message.
+	clockMargin = 100 * time.Millisecond
+	// readFraction is the fraction of the bound after which a gateway confirms its rows by a read of its own.
+	readFraction = 0.8
+	// maxDrift is the largest difference in rate between two hosts' clocks, as a fraction.
+	maxDrift = 200e-6
+	// reportTimeout is the age up to which a peer's report says something about the present state of the fleet.
+	reportTimeout = time.Second
+)
+
+// State identifies the operator's rows that a gateway has.
+type State struct {
+	Newest int64  // version of the newest row or removal
+	Hash   uint64 // of the keys and versions of all rows
+}
+
+// Confirmation says that the rows with the given hash contained all changes up to a version of the store at a time on the
+// store's clock. The zero value confirms nothing.
+type Confirmation struct {
+	Version int64
+	Hash    uint64
+	At      time.Duration
+}
+
+// Report is what a gateway tells its peers.
+type Report struct {
+	SentAt time.Duration // on the store's clock, by the sender's estimate
+	Latest Confirmation  // latest one known to the sender, which need not be of its own rows
+}
+
+// Tracker tracks the age of the operator's rows that a gateway has. Its methods get the time on the gateway's own clock. It is
+// safe for concurrent use.
+type Tracker struct {
+	bound time.Duration
+
+	mu          sync.Mutex
+	offset      time.Duration // estimate, not too high, of the store's clock minus the gateway's, at offsetAt
+	offsetAt    time.Duration
+	offsetKnown bool
+	own         State
+	confirmed   Confirmation // latest one of the gateway's own rows
+	latest      Confirmation // latest one of any rows
+	peers       map[string]Report
+}
+
+// New returns a Tracker for rows that have to be in force at every gateway within bound after a change.
+func New(bound time.Duration) *Tracker {
+	return &Tracker{bound: bound - clockMargin, peers: make(map[string]Report)}
+}
+
+// SetOwn records the rows that the gateway has now.
+func (t *Tracker) SetOwn(s State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.own = s
+	t.confirm(t.latest)
+}
+
+// ConfirmRead records that the gateway has read all changes up to a version of the store. at is the time on the store's clock
+// in the store's response.
+func (t *Tracker) ConfirmRead(now time.Duration, version int64, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeStoreClock(now, at)
+	t.confirm(Confirmation{Version: version, Hash: t.own.Hash, At: at})
+}
+
+// Receive records a peer's report.
+func (t *Tracker) Receive(now time.Duration, peer string, r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeStoreClock(now, r.SentAt)
+	if r.SentAt >= t.peers[peer].SentAt {
+		t.peers[peer] = r
+	}
+	t.confirm(r.Latest)
+}
+
+// Forget removes the report of a peer that is lost.
+func (t *Tracker) Forget(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, peer)
+}
+
+// observeStoreClock raises the estimate of the store's clock to a time that the clock has passed.
+func (t *Tracker) observeStoreClock(now, storeTime time.Duration) {
+	if !t.offsetKnown || storeTime > t.storeTime(now) {
+		t.offset, t.offsetAt, t.offsetKnown = storeTime-now, now, true
+	}
+}
+
+// storeTime returns the estimate of the time on the store's clock. It loses maxDrift until the next observation, so that a
+// clock of this host that runs fast does not let confirmations seem older and older.
+func (t *Tracker) storeTime(now time.Duration) time.Duration {
+	return now + t.offset - time.Duration(maxDrift*float64(now-t.offsetAt))
+}
+
+func (t *Tracker) confirm(c Confirmation) {
+	if c.At > t.latest.At {
+		t.latest = c
+	}
+	if c.Hash == t.own.Hash && c.At > t.confirmed.At {
+		t.confirmed = c
+	}
+}
+
+// Report returns the report to send to peers, and whether there is one: it needs the store's clock.
+func (t *Tracker) Report(now time.Duration) (Report, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Report{SentAt: t.storeTime(now), Latest: t.latest}, t.offsetKnown
+}
+
+// ConfirmedVersion returns the version of the store up to which the gateway's rows are known to contain all changes, or zero.
+func (t *Tracker) ConfirmedVersion() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.confirmed.Hash != t.own.Hash {
+		return 0
+	}
+	return t.confirmed.Version
+}
+
+// Age returns the time for which the gateway's rows have not been confirmed, and whether it is known.
+func (t *Tracker) Age(now time.Duration) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.age(now), t.offsetKnown
+}
+
+// age counts from the last confirmation also if newer rows have replaced those that were confirmed.
+func (t *Tracker) age(now time.Duration) time.Duration { return t.storeTime(now) - t.confirmed.At }
+
+// NeedsRead reports whether the gateway should confirm its rows by a read of its own, because no peer has done so.
+func (t *Tracker) NeedsRead(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.offsetKnown && t.age(now) > time.Duration(readFraction*float64(t.bound))
+}
+
+// Behind reports whether the store has, or had, rows that the gateway lacks.
+func (t *Tracker) Behind() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.behind()
+}
+
+func (t *Tracker) behind() bool {
+	return t.latest.At > t.confirmed.At && t.latest.Hash != t.own.Hash && t.latest.Version >= t.own.Newest
+}
+
+// Check returns an error if the gateway must not act on its rows. Rows that were confirmed within the bound may be used. Older
+// ones may be used only if recent reports of peers know of no newer rows, because then the store is away for the whole fleet, or
+// if alone says that the gateway knows of no other one, because then nobody else can serve.
+func (t *Tracker) Check(now time.Duration, alone bool) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	age := t.age(now)
+	if !t.offsetKnown || age <= t.bound {
+		return nil
+	}
+	if t.behind() {
+		return fmt.Errorf("newer rows are in force: own rows not confirmed for %v, version %d is newer", age, t.latest.Version)
+	}
+	if alone {
+		return nil
+	}
+	for _, r := range t.peers {
+		if t.storeTime(now)-r.SentAt <= reportTimeout {
+			return nil
+		}
+	}
+	return fmt.Errorf("own rows not confirmed for %v, and no peer reports", age)
+}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -39,6 +39,8 @@
 	// forgetAfter is the time without an update after which a peer that is not a seed is removed. It is longer than a
 	// restart of the peer's host. It is also the read timeout of a stream from a peer.
 	forgetAfter = 30 * time.Second
+	// freshnessInterval is the pause between two reports of the age of the operator's rows to a peer.
+	freshnessInterval = 200 * time.Millisecond
 	// resyncPause is the additional pause before all rows are sent to a peer again.
 	resyncPause = 2 * time.Second
 	// maxPendingRows bounds the rows that are queued for one peer. A peer that misses some gets all rows again.
@@ -63,6 +65,9 @@
 	Demand() []*wirepb.ModelDemand
 	// StoreUnavailable reports whether this gateway cannot read the store.
 	StoreUnavailable() bool
+	// Freshness returns what this gateway knows about the age of the operator's rows, or nil, and whether all peers need it,
+	// because this gateway reads the store.
+	Freshness() (f *wirepb.Freshness, toAll bool)
 	// PlannerEpoch returns the epoch of the planner's lease if this gateway holds it, or zero.
 	PlannerEpoch() int64
 }
@@ -96,10 +101,12 @@
 	lastUpdateAt     time.Duration // zero if never
 	addedAt          time.Duration
 	lost             bool
-	isPlanner        bool                                // holds the planner's lease, by its last update
-	storeUnreachable bool                                // cannot read the store, by its last update
-	leaving          bool                                // is shutting down, by its last update
-	rowsHash         uint64                              // of the peer's rows, by its last update
+	isPlanner        bool   // holds the planner's lease, by its last update
+	storeUnreachable bool   // cannot read the store, by its last update
+	leaving          bool   // is shutting down, by its last update
+	rowsHash         uint64 // of the peer's rows, by its last update
+	provided         bool   // this gateway is one of the peer's providers, as of providedAt
+	providedAt       time.Duration
 	rows             *background.Queue[*wirepb.StoreRow] // to be sent to the peer
 	use              map[string]float64
 	demand           map[string]float64
@@ -331,8 +338,13 @@
 	var pending []*wirepb.StoreRow
 	lastSend := time.Now()
 	differsSince := time.Now()
+	var lastFreshness time.Time
 	for {
-		sent.addChanges(u, m.currentState(), m.peerIsPlanner(p))
+		own := m.currentState()
+		sent.addChanges(u, own, m.peerIsPlanner(p))
+		if time.Since(lastFreshness) >= freshnessInterval && (own.readsStore || m.provides(p)) {
+			u.Freshness, lastFreshness = own.freshness, time.Now()
+		}
 		if u.GetKnowledge() == 0 || u.GetKnowledge() == m.peerRowsHash(p) {
 			differsSince = time.Now()
 		} else if time.Since(differsSince) >= m.resyncDelayFor(p) {
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -85,7 +85,10 @@
 
 func (m *member) Demand() []*wirepb.ModelDemand { return nil }
 func (m *member) PlannerEpoch() int64           { return 0 }
-func (m *member) StoreUnavailable() bool        { return false }
+
+func (m *member) Freshness() (*wirepb.Freshness, bool) { return nil, false }
+
+func (m *member) StoreUnavailable() bool { return false }
 
 func (m *member) PeerLost(name string) {
 	m.mu.Lock()
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// provides reports whether this gateway is one of p's providers of rows. The answer may be a second old.
+func (m *Mesh) provides(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now := m.opts.Clock(); p.providedAt == 0 || now-p.providedAt >= time.Second {
+		p.provided, p.providedAt = m.providerRank(p) < rowProviders, now
+	}
+	return p.provided
+}
+
 // providerRank returns this gateway's position, from zero, among the gateways that may provide peer p with rows, in an order
 // that depends on p. Gateways that know the same gateways compute the same order. The caller holds m.mu.
 func (m *Mesh) providerRank(p *peer) int {
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -16,6 +16,8 @@
 	plannerEpoch     int64
 	storeUnreachable bool
 	rowsHash         uint64
+	freshness        *wirepb.Freshness
+	readsStore       bool
 }
 
 // currentState returns the state to send. It is read again after a tenth of the update interval, and not for each of the
@@ -31,6 +33,7 @@
 			loads: loadsByReplica(source.Loads()), use: source.Use(), demand: source.Demand(),
 			plannerEpoch: source.PlannerEpoch(), storeUnreachable: source.StoreUnavailable(), rowsHash: source.RowsHash(),
 		}
+		m.state.freshness, m.state.readsStore = source.Freshness()
 	}
 	return m.state
 }
