Check a waiting request again when the configuration or its server's state changes

Now the choice of a server begins with the newest configuration, and the chosen server is checked again after each wait. A request whose organisation changes is refunded and charged anew; a response that has begun does not go on at another service.

--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -87,6 +87,9 @@
 	s := q.server
 	for {
 		change := s.fleetChange()
+		if err := q.followConfiguration(); err != nil {
+			return nil, nil, err
+		}
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
 		if at := fleetroute.Choose(list, s.opts.DataCentre); at >= 0 {
@@ -96,7 +99,7 @@
 				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
 					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
 			}
-			if q.waitForTurn(ctx, c, byID[c.ID]) {
+			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(byID[c.ID]) {
 				return c, byID[c.ID], nil
 			}
 			if ctx.Err() == nil {
--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -1,9 +1,11 @@
 package fleetgateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
 )
 
 // staleRetryAfter is the Retry-After of a gateway whose configuration is old. The caller's next attempt reaches another gateway.
@@ -44,3 +46,47 @@
 	}
 	return nil
 }
+
+// followConfiguration applies a configuration that came into force while the request waited. It returns an error of one of the
+// kinds of match, OutcomeUnknown if a response has begun and the request belongs to another service now, or RateLimited.
+func (q *request) followConfiguration() error {
+	if err := q.checkConfiguration(); err != nil {
+		return err
+	}
+	newest := q.server.opts.View.Snapshot().Config
+	if newest == q.config {
+		return nil
+	}
+	service, org := q.service, q.org
+	q.config = newest
+	if err := q.match(); err != nil {
+		q.org = org // the charge is refunded to it
+		return err
+	}
+	if q.service != service {
+		if q.headSent {
+			return errkind.New(errkind.OutcomeUnknown, "the route belongs to another service since the response began")
+		}
+		q.model, q.modelKey = "", ""
+		q.describePrompt()
+	}
+	if org == q.org || (org != nil && q.org != nil && org.Name == q.org.Name) {
+		return nil
+	}
+	newOrg := q.org
+	q.org = org
+	q.refund()
+	q.org = newOrg
+	return q.charge()
+}
+
+var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen")
+
+// mayStillSend reports whether the request may be sent to the server that was chosen for it some time ago.
+func (q *request) mayStillSend(r *fleet.Replica) bool {
+	s := q.server
+	snapshot := s.opts.View.Snapshot()
+	current := snapshot.Replicas[r.ID]
+	return snapshot.Config == q.config && s.opts.CheckConfiguration() == nil && current != nil && snapshot.Usable(current) &&
+		!s.reportsDraining(current, s.opts.Clock())
+}
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -50,6 +50,10 @@
 			return result{kind: errkind.ModelNotResident, notRun: true, unsent: true, err: err}
 		}
 	}
+	if c.AdapterMissing && !q.mayStillSend(replica) {
+		delete(q.tried, c.ID)
+		return result{kind: errkind.NoCandidate, notRun: true, unsent: true, err: errChanged}
+	}
 	s.countColdRequest(c.ID)
 	attempt := s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -42,6 +43,8 @@
 	url         string
 	version     int64
 	clockOffset atomic.Int64 // added to the clock, in nanoseconds
+	stale       atomic.Bool  // the configuration is too old to be used
+	behind      atomic.Bool  // a newer configuration is in force
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -102,11 +105,16 @@
 	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, MaxIdle: 4})
 	s.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: "a", View: s.view, Table: fleetroute.NewTable(), Pool: pool, Clock: clock, Gateways: singleGateway,
-		Rank: func(string) int { return 0 }, CheckConfiguration: func() error { return nil },
-		ConfigurationBehind: func() bool { return false },
-		Limits:              fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
-		Demand:              fleetgateway.NewDemand(),
-		Metrics:             fleetgateway.NewMetrics(), Log: log,
+		Rank: func(string) int { return 0 }, ConfigurationBehind: s.behind.Load,
+		CheckConfiguration: func() error {
+			if s.stale.Load() {
+				return errors.New("not confirmed")
+			}
+			return nil
+		},
+		Limits:  fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
+		Demand:  fleetgateway.NewDemand(),
+		Metrics: fleetgateway.NewMetrics(), Log: log,
 		Retry: retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
 		Agents: agentclient.New(agentclient.Options{
 			Identity: &wirepb.Identity{Host: "g"}, View: s.view, Pool: transport.NewPool(nil), Port: "1", Clock: clock, Log: log,
