Make gateways with an old configuration not ready, and count forgotten peers as possibly alive

A gateway that is cut off forgets its peers after 30 s and would then have taken itself for the only one and answered by its old configuration again; now only announced shutdowns count.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -119,8 +119,17 @@
 
 // checkConfiguration returns an error if the configuration must not be used any longer.
 func (g *gateway) checkConfiguration() error {
-	_, known := g.mesh.Count()
-	return g.freshness.Check(bootclock.Now(), known == 1)
+	now := bootclock.Now()
+	err := g.freshness.Check(now, g.mesh.Alone())
+	if g.stale.Swap(err != nil) != (err != nil) {
+		age, _ := g.freshness.Age(now)
+		if err != nil {
+			g.log.Warn("configuration too old to be used; refusing requests", "age", age, "error", err)
+		} else {
+			g.log.Info("configuration may be used again", "age", age)
+		}
+	}
+	return err
 }
 
 func (g *gateway) publish(rows []platform.Row) { g.mesh.Publish(toWire(rows)) }
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -66,6 +67,7 @@
 	agents       *agentclient.Client
 	follower     *discovery.Follower
 	freshness    *freshness.Tracker
+	stale        atomic.Bool // the last check found the configuration too old
 	lease        *fleetplanner.Lease
 	planner      *fleetplanner.Planner
 	server       *fleetgateway.Server
--- a/cmd/pomelo-fleet-gateway/staleness_test.go
+++ b/cmd/pomelo-fleet-gateway/staleness_test.go
@@ -152,7 +152,10 @@
 	g.Expect(m.status("/old/1")).To(Equal(http.StatusServiceUnavailable), "ran by version 1")
 	g.Expect(m.status("/new/1")).To(Equal(http.StatusServiceUnavailable), "refused as version 1 says")
 
+	g.Expect(m.gateway.server.Ready()).To(BeFalse())
+
 	m.cut.Store(false)
 	g.Eventually(func() int { return m.status("/new/1") }, "3s").Should(Equal(http.StatusOK))
+	g.Expect(m.gateway.server.Ready()).To(BeTrue())
 	g.Expect(m.status("/old/1")).To(Equal(http.StatusNotFound))
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -197,7 +197,7 @@
 	} else {
 		f.Apply(page.Rows, true)
 	}
-	if table == platform.TableOperator && (list || len(page.Rows) == 0) {
+	if table == platform.TableOperator && (list || len(page.Rows) == 0) && page.ServerTime > 0 {
 		f.opts.Freshness.ConfirmRead(f.opts.Clock(), page.Version, page.ServerTime)
 	}
 	return page, nil
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -101,11 +101,11 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
-// Ready reports whether the balancer should send new connections: a configuration and servers are known, and the
-// gateway is not draining.
+// Ready reports whether the balancer should send new connections: a configuration that may be used and servers are known,
+// and the gateway is not draining.
 func (s *Server) Ready() bool {
 	snapshot := s.opts.View.Snapshot()
-	return snapshot.Config != nil && len(snapshot.Replicas) > 0 && s.draining.Load() == nil
+	return snapshot.Config != nil && len(snapshot.Replicas) > 0 && s.draining.Load() == nil && s.opts.CheckConfiguration() == nil
 }
 
 // FleetChanged makes requests that wait for a model to be loaded look for a server again.
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -123,6 +123,8 @@
 	ctx     context.Context
 	wg      sync.WaitGroup
 	leaving bool
+	// forgotten says that a peer was removed that had not announced its shutdown, and that no update has arrived since.
+	forgotten bool
 
 	stateMu sync.Mutex
 	state   *ownState // as last read, shared by the streams to all peers
@@ -197,6 +199,7 @@
 		if now-max(p.lastUpdateAt, p.addedAt) > forgetAfter && !slices.Contains(seeds, a) {
 			p.stop()
 			delete(m.peers, a)
+			m.forgotten = m.forgotten || (p.name != "" && !p.leaving)
 		}
 	}
 	m.mu.Unlock()
@@ -229,6 +232,15 @@
 	return heard, known
 }
 
+// Alone reports whether this gateway has no reason to believe that another one exists: all that it heard announced their
+// shutdown.
+func (m *Mesh) Alone() bool {
+	_, known := m.Count()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return known == 1 && !m.forgotten
+}
+
 // Rank returns the position, from zero, of this gateway among the known ones in an order that depends on key. Gateways
 // that know the same gateways compute the same order.
 func (m *Mesh) Rank(key string) int {
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -220,6 +220,7 @@
 	p.name, p.incarnation, p.lastUpdateAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
 	p.isPlanner, p.storeUnreachable, p.leaving = u.GetPlannerEpoch() != 0, u.GetStoreAway(), u.GetLeaving()
 	p.rowsHash = u.GetKnowledge()
+	m.forgotten = false
 	use, demand := make(map[string]float64), make(map[string]float64)
 	for _, o := range u.GetUse() {
 		use[o.GetOrganisation()] = float64(o.GetUsed()) - p.use[o.GetOrganisation()] // negative after a refund
