Let a transfer of configuration changes between processes outlast its round

A sidecar, which has only peers, never got it. Now a transfer goes on while each 16 KiB of it arrive within 1 s, and rounds ask for the version only while one is under way.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -29,6 +29,9 @@
 	// before it asks the peers.
 	roundTimeout = 3 * time.Second
 	peerTimeout  = time.Second
+	// transferTimeout limits the transfer of a delta, which may outlast the round. It goes on as long as each part arrives
+	// within peerTimeout.
+	transferTimeout = time.Minute
 	// storePollTimeout limits the table service reads of one poll, which may outlast the round.
 	storePollTimeout = 6 * time.Second
 	// refusalCacheTTL is the time for which a refusal is reused without running another round.
@@ -66,6 +69,8 @@
 	applyMu     sync.Mutex // serialises apply and guards subscribers
 	subscribers []func(*config.Snapshot)
 
+	transfers atomic.Int64 // requests to peers that have outlasted their rounds
+
 	mu               sync.Mutex // guards the fields below
 	confirmed        bool
 	confirmedAt      time.Time // at or before the sending of the request that confirmed the copy
--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"net"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
@@ -175,12 +177,15 @@
 	return peers[:min(peersKnown, maxPeersPerRound)], peersKnown
 }
 
-// peerAnswer is a peer's delta and the time at which it was requested.
+// peerAnswer is the outcome of a request to a peer that answered.
 type peerAnswer struct {
-	sent  time.Time
-	delta *wirepb.ConfigDelta
+	storeAway bool  // the peer cannot reach the table service
+	err       error // the delta could not be applied
 }
 
+// confirmOnly as the version of a request asks for no changes, only for the peer's version and its age.
+const confirmOnly = math.MaxInt64
+
 // Pull requests the changes up to version from the peer at address (IP:port), which is known to have that
 // version, without waiting for the next poll. It returns nil if the copy then has version or a newer one, and
 // otherwise an error of the kind errkind.ConfigStale. It waits at most peerTimeout.
@@ -191,11 +196,13 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	results := make(chan *peerAnswer, 1)
-	c.requestDelta(ctx, address, results)
-	if r := <-results; r != nil {
-		if err := c.applyAnswer(*r); err != nil {
-			return errkind.Wrap(errkind.ConfigStale, err, "apply configuration from %s", address)
+	go c.requestDelta(ctx, address, c.Version(), results)
+	select {
+	case r := <-results:
+		if r != nil && r.err != nil {
+			return errkind.Wrap(errkind.ConfigStale, r.err, "apply configuration from %s", address)
 		}
+	case <-ctx.Done():
 	}
 	if current := c.Version(); current < version {
 		return errkind.New(errkind.ConfigStale, "have version %d, need version %d from %s", current, version, address)
@@ -216,11 +223,15 @@
 	results := make(chan *peerAnswer, len(peers))
 	hedgeTimer := time.NewTimer(hedgeDelay)
 	defer hedgeTimer.Stop()
-	go c.requestDelta(ctx, peers[0], results)
+	since := c.Version()
+	if c.transfers.Load() > 0 {
+		since = confirmOnly // the changes are arriving; another copy would slow them down
+	}
+	go c.requestDelta(ctx, peers[0], since, results)
 	asked, answered := 1, 0
 	askOthers := func() {
 		for ; asked < len(peers); asked++ {
-			go c.requestDelta(ctx, peers[asked], results)
+			go c.requestDelta(ctx, peers[asked], since, results)
 		}
 	}
 	for answered < len(peers) {
@@ -240,15 +251,35 @@
 	}
 }
 
-func (c *Copy) requestDelta(ctx context.Context, address string, results chan<- *peerAnswer) {
+// requestDelta requests the changes after a version from a peer, applies them and sends the outcome to results, nil if the peer
+// did not answer. The transfer may outlast the round, whose end ctx is.
+func (c *Copy) requestDelta(ctx context.Context, address string, since int64, results chan<- *peerAnswer) {
+	transfer, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
+	defer cancel()
+	outlasted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		c.transfers.Add(1)
+		close(outlasted)
+	})
+	finish := func(a *peerAnswer) {
+		if !stop() {
+			<-outlasted
+			c.transfers.Add(-1)
+		}
+		results <- a // after the count, because the round may end with it
+	}
 	sent := c.opts.Now()
-	delta, err := c.opts.FetchDelta(ctx, address, &wirepb.ConfigRequest{Identity: c.opts.Identity, Since: c.Version()})
+	delta, err := c.opts.FetchDelta(transfer, address, &wirepb.ConfigRequest{Identity: c.opts.Identity, Since: since})
 	if err != nil {
 		c.opts.Log.Debug("configuration request to peer failed", "peer", address, "error", err)
-		results <- nil
+		finish(nil)
 		return
 	}
-	results <- &peerAnswer{sent: sent, delta: delta}
+	err = c.applyDelta(delta, since, sent)
+	if err != nil {
+		c.opts.Log.Warn("could not apply the configuration received from a peer", "peer", address, "error", err)
+	}
+	finish(&peerAnswer{storeAway: delta.GetStoreAway(), err: err})
 }
 
 func (c *Copy) recordAnswer(r *peerAnswer, a *roundResult) {
@@ -256,32 +287,29 @@
 		return
 	}
 	a.peersAnswered++
-	if r.delta.GetStoreAway() {
+	if r.storeAway {
 		a.peersReportingOutage++
 	}
-	if err := c.applyAnswer(*r); err != nil {
-		c.opts.Log.Warn("could not apply the configuration received from a peer", "error", err)
-	}
 }
 
-// applyAnswer applies a peer's delta. The copy counts as confirmed from the time the request was sent, less
-// the confirmation age that the peer reports, so that ages add up over several hops. An answer from a peer
-// with an older version is ignored and confirms nothing.
-func (c *Copy) applyAnswer(r peerAnswer) error {
+// applyDelta applies the changes after a version that a peer sent. The copy counts as confirmed from the time the request was
+// sent, less the confirmation age that the peer reports, so that ages add up over several hops. An answer from a peer with an
+// older version is ignored and confirms nothing, as is one without changes from a peer with a newer version.
+func (c *Copy) applyDelta(delta *wirepb.ConfigDelta, since int64, sent time.Time) error {
 	before := c.Version()
-	version := r.delta.GetVersion()
-	if version < before || version <= 0 {
+	version := delta.GetVersion()
+	if version < before || version <= 0 || (since == confirmOnly && version != before) {
 		return nil
 	}
-	entities, err := fromWire(r.delta.GetEntities(), version)
+	entities, err := fromWire(delta.GetEntities(), version)
 	if err != nil {
 		return err
 	}
 	if err := c.apply(version, entities); err != nil {
 		return err
 	}
-	if age := r.delta.GetConfirmedAgeMs(); age >= 0 && age <= maxClaimedAgeMS {
-		c.confirm(r.sent.Add(-time.Duration(age) * time.Millisecond))
+	if age := delta.GetConfirmedAgeMs(); age >= 0 && age <= maxClaimedAgeMS {
+		c.confirm(sent.Add(-time.Duration(age) * time.Millisecond))
 	}
 	return nil
 }
@@ -291,10 +319,14 @@
 	return FetchDelta(ctx, c.opts.Pool, address, r)
 }
 
-// FetchDelta requests the configuration changes after a version from the process at address (IP:port). If the
-// request cannot be sent or times out, it drops the session from the pool, so that the next request dials again.
+// FetchDelta requests the configuration changes after a version from the process at address (IP:port). The answer may take as
+// long as ctx allows, if each part of it arrives within a second. If the request cannot be sent or times out, it drops the
+// session from the pool, so that the next request dials again.
 func FetchDelta(ctx context.Context, pool *transport.Pool, address string, r *wirepb.ConfigRequest) (*wirepb.ConfigDelta, error) {
-	reply, err := Exchange(ctx, pool, address, &wirepb.Envelope{Message: &wirepb.Envelope_ConfigRequest{ConfigRequest: r}})
+	request := &wirepb.Envelope{Message: &wirepb.Envelope_ConfigRequest{ConfigRequest: r}}
+	reply, err := exchange(ctx, pool, address, request, func(s *transport.Stream) (*wirepb.Envelope, error) {
+		return s.RecvWithProgress(ctx, peerTimeout)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -309,6 +341,11 @@
 // If ctx ends, it stops waiting and returns an error. If the message cannot be sent or the deadline of ctx
 // passes, it drops the session from the pool.
 func Exchange(ctx context.Context, pool *transport.Pool, address string, e *wirepb.Envelope) (*wirepb.Envelope, error) {
+	return exchange(ctx, pool, address, e, (*transport.Stream).Recv)
+}
+
+func exchange(ctx context.Context, pool *transport.Pool, address string, e *wirepb.Envelope,
+	recv func(*transport.Stream) (*wirepb.Envelope, error)) (*wirepb.Envelope, error) {
 	stream, err := pool.Open(ctx, address)
 	if err != nil {
 		return nil, err
@@ -320,12 +357,17 @@
 		pool.Drop(address)
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
-	reply, err := stream.Recv()
+	reply, err := recv(stream)
 	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) || isTimeout(err) {
 			pool.Drop(address)
 		}
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
 	return reply, nil
 }
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -57,6 +57,34 @@
 // Recv reads one frame. It returns io.EOF if the peer closed the stream between frames.
 func (s *Stream) Recv() (*wirepb.Envelope, error) { return wire.Read(s.Conn) }
 
+// progressBytes is the part of a frame that has to arrive within the time limit of RecvWithProgress.
+const progressBytes = 16 << 10
+
+// RecvWithProgress reads one frame. It fails if the frame does not begin, or a further 16 KiB of it do not arrive, within
+// timeout, so that the time for a large frame is not bounded. When ctx ends it sets no further deadlines.
+func (s *Stream) RecvWithProgress(ctx context.Context, timeout time.Duration) (*wirepb.Envelope, error) {
+	if err := s.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	return wire.Read(&progressReader{ctx: ctx, stream: s, timeout: timeout})
+}
+
+type progressReader struct {
+	ctx     context.Context
+	stream  *Stream
+	timeout time.Duration
+	count   int // bytes since the deadline was set
+}
+
+func (r *progressReader) Read(b []byte) (int, error) {
+	n, err := r.stream.Read(b)
+	if r.count += n; r.count >= progressBytes && err == nil && r.ctx.Err() == nil {
+		r.count = 0
+		err = r.stream.SetReadDeadline(time.Now().Add(r.timeout))
+	}
+	return n, err
+}
+
 // Handler serves one stream. The server closes the stream when the handler returns.
 type Handler func(ctx context.Context, s *Stream)
 
