Count operator's rows as own only once they are in force

A gateway counted a configuration as its own when the row arrived, and its confirmation made the older one, which was still in force while the new one was decoded, seem confirmed. On a slow host a decode of a large configuration takes some hundred milliseconds, so answers by the older version could go on for so long beyond the bound.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,8 +78,9 @@
 type Follower struct {
 	opts Options
 
-	mu   sync.Mutex
-	rows map[rowKey]platform.Row // newest row of each key, including removals
+	mu      sync.Mutex
+	rows    map[rowKey]platform.Row // newest row of each key, including removals
+	applied map[string]platform.Row // operator's rows that are in force in the view, by key, without their values
 
 	lastAnswer atomic.Int64 // time of the store's last answer on Options.Clock, in nanoseconds
 	outage     atomic.Bool
@@ -87,7 +88,7 @@
 
 // New returns a follower. Call Run to start it.
 func New(opts Options) *Follower {
-	f := &Follower{opts: opts, rows: make(map[rowKey]platform.Row)}
+	f := &Follower{opts: opts, rows: make(map[rowKey]platform.Row), applied: make(map[string]platform.Row)}
 	f.lastAnswer.Store(int64(opts.Clock()))
 	return f
 }
@@ -269,6 +270,7 @@
 		case platform.TableOperator:
 			f.opts.Publish([]platform.Row{row}) // before it is decoded, which takes long on a slow host
 			f.applyOperator(row)
+			f.recordApplied(row)
 		case platform.TableServers:
 			changed, removed := f.applyServer(row)
 			if changed && (fromStore || f.opts.RelaysRows()) {
@@ -296,26 +298,26 @@
 		return false
 	}
 	f.rows[k] = row
-	if row.Table == platform.TableOperator {
-		f.opts.Freshness.SetOwn(f.operatorState())
-	}
 	return true
 }
 
-// operatorState identifies the operator's rows. A removed row is not part of the hash, because a gateway that listed the table
-// later does not know of it. The caller holds f.mu.
-func (f *Follower) operatorState() freshness.State {
+// recordApplied records that an operator's row is in force in the view. A removed row is not part of the hash, because a
+// gateway that listed the table later does not know of it.
+func (f *Follower) recordApplied(row platform.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.applied[row.Key].Version >= row.Version {
+		return
+	}
+	f.applied[row.Key] = platform.Row{Version: row.Version, Deleted: row.Deleted}
 	var state freshness.State
-	for k, r := range f.rows {
-		if k.table != platform.TableOperator {
-			continue
-		}
+	for key, r := range f.applied {
 		state.Newest = max(state.Newest, r.Version)
 		if !r.Deleted {
-			state.Hash ^= xxhash.Sum64String(fmt.Sprint(k.key, "/", r.Version))
+			state.Hash ^= xxhash.Sum64String(fmt.Sprint(key, "/", r.Version))
 		}
 	}
-	return state
+	f.opts.Freshness.SetOwn(state)
 }
 
 func (f *Follower) applyOperator(row platform.Row) {
