Send large rows in updates to gateways of an earlier release

They ignore offers, so that beside newer gateways, during an upgrade, they would have got no configuration. Gateways now say in their first update that they request rows.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -105,6 +105,7 @@
 	storeUnreachable bool   // cannot read the store, by its last update
 	leaving          bool   // is shutting down, by its last update
 	rowsHash         uint64 // of the peer's rows, by its last update
+	sendsNoRequests  bool   // runs an earlier release that ignores offers of rows
 	provided         bool   // this gateway is one of the peer's providers, as of providedAt
 	providedAt       time.Duration
 	rows             *background.Queue[*wirepb.StoreRow] // to be sent to the peer
@@ -276,6 +277,13 @@
 	return p.rowsHash
 }
 
+// peerRequestsRows reports whether large rows can be offered to a peer. A peer that has not been heard yet counts as one.
+func (m *Mesh) peerRequestsRows(p *peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !p.sendsNoRequests
+}
+
 func (m *Mesh) peerIsPlanner(p *peer) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -346,7 +354,7 @@
 	}
 	source := m.opts.Source
 	sent := newSentState()
-	u := &wirepb.PeerUpdate{Identity: m.opts.Identity}
+	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, RequestsRows: true}
 	var pending []*wirepb.StoreRow
 	lastSend := time.Now()
 	differsSince := time.Now()
@@ -365,7 +373,7 @@
 				"differs_for", time.Since(differsSince))
 			differsSince = time.Now().Add(resyncPause)
 		}
-		u.Rows, u.Offers, pending = nextRows(pending)
+		u.Rows, u.Offers, pending = nextRows(pending, m.peerRequestsRows(p))
 		m.mu.Lock()
 		u.Leaving = m.leaving
 		m.mu.Unlock()
--- a/internal/peers/transfer.go
+++ b/internal/peers/transfer.go
@@ -49,15 +49,16 @@
 	data    []byte
 }
 
-// nextRows takes as many rows as fit into one update from the front of pending. Large rows become offers.
-func nextRows(pending []*wirepb.StoreRow) (rows []*wirepb.StoreRow, offers []*wirepb.RowOffer, rest []*wirepb.StoreRow) {
+// nextRows takes as many rows as fit into one update from the front of pending. Large rows become offers, if the receiver
+// requests rows.
+func nextRows(pending []*wirepb.StoreRow, receiverRequests bool) (rows []*wirepb.StoreRow, offers []*wirepb.RowOffer, rest []*wirepb.StoreRow) {
 	size := 0
 	for i, r := range pending {
-		if len(r.GetValue()) > maxInlineRowBytes {
+		if receiverRequests && len(r.GetValue()) > maxInlineRowBytes {
 			offers = append(offers, &wirepb.RowOffer{Table: r.GetTable(), Key: r.GetKey(), Version: r.GetVersion()})
 			continue
 		}
-		if size += len(r.GetValue()); size > maxUpdateRowBytes {
+		if size += len(r.GetValue()); size > maxUpdateRowBytes && len(rows) > 0 {
 			return rows, offers, pending[i:]
 		}
 		rows = append(rows, r)
--- a/internal/peers/transfer_test.go
+++ b/internal/peers/transfer_test.go
@@ -66,6 +66,39 @@
 		Expect(m.newestValue()).To(Equal(large))
 	})
 
+	// Guards against gateways of an earlier release, beside newer ones during an upgrade, that get no configuration.
+	It("sends a large row in an update to a peer that requests none", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		received := make(chan *wirepb.PeerUpdate, 100)
+		server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
+			for {
+				frame, err := s.Recv()
+				if err != nil {
+					return
+				}
+				if u := frame.GetPeerUpdate(); len(u.GetRows())+len(u.GetOffers()) > 0 {
+					received <- u
+				}
+			}
+		}, slog.New(slog.DiscardHandler))
+		go func() { _ = server.Serve(ctx) }()
+		pool := transport.NewPool(nil)
+		DeferCleanup(func() { pool.Close(); _ = server.Close() })
+		m := startMember(ctx, "m")
+		stream, err := pool.Open(ctx, m.address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Send(wire.PeerUpdate(&wirepb.PeerUpdate{
+			Identity: &wirepb.Identity{Host: "earlier", Incarnation: "1", Address: listener.Addr().String()},
+		}))).To(Succeed())
+		Eventually(func() int { n, _ := m.mesh.Count(); return n }, eventuallyTimeout).Should(Equal(2))
+		m.publishValue(5, large)
+		var u *wirepb.PeerUpdate
+		Eventually(received, eventuallyTimeout).Should(Receive(&u))
+		Expect(u.GetOffers()).To(BeEmpty())
+		Expect(u.GetRows()).To(ConsistOf(HaveField("Value", large)))
+	})
+
 	// Guards against a damaged or endless row that takes effect or ends the process.
 	DescribeTable("refuses a row that is damaged or too long", func(ctx SpecContext, answer func(*transport.Stream)) {
 		m := startMember(ctx, "m")
