--- a/cmd/pomelo-fleet-gateway/staleness_test.go
+++ b/cmd/pomelo-fleet-gateway/staleness_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
+	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 )
@@ -147,11 +148,14 @@
 
 	m.cut.Store(false)
 	peer.cut.Store(false)
-	time.Sleep(configurationBound) // until the store has answered again
+	g.Eventually(func() time.Duration {
+		age, _ := m.gateway.freshness.Age(bootclock.Now())
+		return age
+	}, setupTimeout).Should(BeNumerically("<", configurationBound/2), "the store does not confirm the rows again")
 	peer.stop()
 	m.cutStore()
 	configure(store, 2, "/new/")
-	time.Sleep(configurationBound)
+	time.Sleep(configurationBound) // the bound itself; a later check is as strict
 	g.Expect(m.status("/old/1")).To(Equal(http.StatusServiceUnavailable), "ran by version 1")
 	g.Expect(m.status("/new/1")).To(Equal(http.StatusServiceUnavailable), "refused as version 1 says")
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -59,7 +59,7 @@
 	View         *fleet.View
 	Clock        bootclock.Clock
 	RemovalGrace time.Duration // time after the end of an outage for which missing servers are kept
-	// Freshness is told which operator's rows this gateway has and when they were confirmed by a read.
+	// Freshness records the version of the operator's rows in force here and when a read confirmed them.
 	Freshness *freshness.Tracker
 	// IsReader reports whether this gateway is among the first n gateways that are alive and can read the store.
 	IsReader func(n int) bool
--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -82,7 +82,8 @@
 
 var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen")
 
-// mayStillSend reports whether the request may be sent to the server that was chosen for it some time ago.
+// mayStillSend reports whether r may get the request now: the configuration by which it was chosen is in force, and r is listed,
+// in service and not draining.
 func (q *request) mayStillSend(r *fleet.Replica) bool {
 	s := q.server
 	snapshot := s.opts.View.Snapshot()
--- a/internal/fleetgateway/configuration_test.go
+++ b/internal/fleetgateway/configuration_test.go
@@ -54,9 +54,9 @@
 		added := make(chan *fake.Replica, 1)
 		go func() {
 			defer GinkgoRecover()
-			time.Sleep(300 * time.Millisecond)
+			// The demand is counted when the request begins to wait for the model.
+			Eventually(s.demand.Totals, "3s", "5ms").ShouldNot(BeEmpty())
 			change(s)
-			time.Sleep(100 * time.Millisecond)
 			added <- s.addHolding("s-1", "s", "m")
 		}()
 		id, a := s.send(http.MethodPost, "/a/", map[string]string{"X-Model": "m", "X-Token-Usage": "10,10"}, "")
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -45,6 +45,7 @@
 	clockOffset atomic.Int64 // added to the clock, in nanoseconds
 	stale       atomic.Bool  // the configuration is too old to be used
 	behind      atomic.Bool  // a newer configuration is in force
+	demand      *fleetgateway.Demand
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -98,7 +99,7 @@
 // newTestGateway starts a gateway with one route and one organisation, whose key is "key".
 func newTestGateway(r fleet.Route, change ...func(*fleet.Configuration)) *testGateway {
 	GinkgoHelper()
-	s := &testGateway{view: fleet.NewView()}
+	s := &testGateway{view: fleet.NewView(), demand: fleetgateway.NewDemand()}
 	log := slog.New(slog.NewJSONHandler(s, nil))
 	clock := bootclock.Clock(func() time.Duration { return bootclock.Now() + time.Duration(s.clockOffset.Load()) })
 	singleGateway := func() (int, int) { return 1, 1 }
@@ -113,7 +114,7 @@
 			return nil
 		},
 		Limits:  fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
-		Demand:  fleetgateway.NewDemand(),
+		Demand:  s.demand,
 		Metrics: fleetgateway.NewMetrics(), Log: log,
 		Retry: retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
 		Agents: agentclient.New(agentclient.Options{
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -230,8 +230,7 @@
 	return heard, known
 }
 
-// Alone reports whether this gateway has no reason to believe that another one exists: all that it heard announced their
-// shutdown.
+// Alone reports whether every gateway from which an update arrived has announced its shutdown.
 func (m *Mesh) Alone() bool {
 	_, known := m.Count()
 	m.mu.Lock()
@@ -274,7 +273,8 @@
 	return p.rowsHash
 }
 
-// peerRequestsRows reports whether large rows can be offered to a peer. A peer that has not been heard yet counts as one.
+// peerRequestsRows reports whether a peer requests the large rows that are offered to it. Until its first update it is
+// assumed to.
 func (m *Mesh) peerRequestsRows(p *peer) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
