End a stream between gateways whose receiver has ended it

Cause: yamux accepts writes on a stream that the peer has closed, and a gateway only wrote on the streams to its peers. A receiver that ended one (its first update came before the exchange ran, an unknown name number, a panic in the handler, a removed peer) got no update, row or confirmation again: the sender hears the receiver on the other stream, so the peer does not count as lost and the session stays. Two gateways of which one never hears the other both admit an organisation's whole rate, and a configuration reaches that gateway by others only.

Now a read on the stream returns when the peer ends it, and the stream is opened again after the usual pause. New spec: failed before (one stream in 5 s), passes now. Looked for elsewhere: streams to agents and sidecars are read by both ends or carry one reply under a time limit.

--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -244,6 +245,22 @@
 		Eventually(first.receivedUse("second"), eventuallyTimeout).Should(BeEquivalentTo(30))
 	})
 
+	// Guards against a gateway that sends its updates on a stream that the receiver has ended, and that never notices.
+	It("opens another stream when the receiver ends one", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		streams := new(atomic.Int64)
+		server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
+			if frame, err := s.Recv(); err == nil && frame.GetPeerUpdate() != nil {
+				streams.Add(1)
+			}
+		}, slog.New(slog.DiscardHandler))
+		go func() { _ = server.Serve(ctx) }()
+		DeferCleanup(func() { _ = server.Close() })
+		startMember(ctx, "m", listener.Addr().String())
+		Eventually(streams.Load, eventuallyTimeout).Should(BeNumerically(">=", 3))
+	})
+
 	// Guards against use from before a gateway joined that is counted as admitted at the time of joining.
 	It("counts only what peers admit after the first update", func(ctx SpecContext) {
 		old := startMember(ctx, "old")
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -32,10 +32,18 @@
 	}
 }
 
-// sendUpdates sends changes to a peer, and all rows if the peer lacks some. It returns when the stream fails or ctx ends.
+// sendUpdates sends changes to a peer, and all rows if the peer lacks some. It returns when the stream fails, the peer ends
+// it, or ctx ends.
 func (m *Mesh) sendUpdates(ctx context.Context, p *peer, stream *transport.Stream) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
+	// yamux accepts writes on a stream that the peer has closed. The peer sends nothing, so a read returns at the end.
+	m.wg.Go(func() {
+		_, err := stream.Recv()
+		cancel(fmt.Errorf("the peer ended the stream: %w", err))
+	})
 	for p.rows.Len() > 0 {
 		<-p.rows.C() // queued before the stream was opened; if the peer lacks them, it gets all rows
 	}
@@ -105,7 +113,7 @@
 		}
 	case <-time.After(m.updateInterval()):
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	}
 	return rows, nil
 }
