Keep the peers that a gateway learns of before its exchange runs

Cause: the listener for peers, the registration and the exchange are tasks of their own. An address that a gateway learnt before the exchange ran was dropped, and the update that brought it ended its stream. AddAddresses starts no stream after the exchange has ended, when nothing waits for it any more.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -108,7 +108,7 @@
 	rows             *background.Queue[*wirepb.StoreRow] // to be sent to the peer
 	use              map[string]float64
 	demand           map[string]float64
-	stop             context.CancelFunc
+	stop             context.CancelFunc // of the stream; nil if none was started
 }
 
 // Mesh maintains the streams to the other gateways. It is safe for concurrent use.
@@ -141,6 +141,9 @@
 func (m *Mesh) Run(ctx context.Context) error {
 	m.mu.Lock()
 	m.ctx = ctx
+	for _, p := range m.peers {
+		m.startStream(p)
+	}
 	m.mu.Unlock()
 	defer m.wg.Wait()
 	for {
@@ -152,29 +155,31 @@
 	}
 }
 
-// AddAddresses starts a stream to each gateway in addresses, HOST:PORT, that is not known yet. It does nothing before Run is
-// called.
+// AddAddresses starts a stream to each gateway in addresses, HOST:PORT, that is not known yet. Before Run is called, it only
+// records the addresses.
 func (m *Mesh) AddAddresses(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ctx == nil {
-		return
-	}
 	for _, a := range addresses {
 		if a == "" || a == m.opts.Identity.GetAddress() || m.peers[a] != nil {
 			continue
 		}
-		ctx, cancel := context.WithCancel(m.ctx)
-		p := &peer{
-			address: a, addedAt: m.opts.Clock(), rows: background.NewQueue[*wirepb.StoreRow](maxPendingRows), stop: cancel,
-		}
+		p := &peer{address: a, addedAt: m.opts.Clock(), rows: background.NewQueue[*wirepb.StoreRow](maxPendingRows)}
 		m.peers[a] = p
-		m.wg.Add(1)
-		go func() {
-			defer m.wg.Done()
-			m.maintainStream(ctx, p)
-		}()
+		if m.ctx != nil {
+			m.startStream(p)
+		}
+	}
+}
+
+// startStream starts the stream to p, unless Run is about to return. The caller holds m.mu.
+func (m *Mesh) startStream(p *peer) {
+	if m.ctx.Err() != nil {
+		return
 	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	p.stop = cancel
+	m.wg.Go(func() { m.maintainStream(ctx, p) })
 }
 
 // expirePeers marks peers without a recent update as lost and removes those, seeds excepted, that have sent none for
@@ -195,7 +200,9 @@
 			lost = append(lost, lostPeer{p.name, p.address, now - p.lastUpdateAt})
 		}
 		if now-max(p.lastUpdateAt, p.addedAt) > forgetAfter && !slices.Contains(seeds, a) {
-			p.stop()
+			if p.stop != nil {
+				p.stop()
+			}
 			delete(m.peers, a)
 			m.forgotten = m.forgotten || (p.name != "" && !p.leaving)
 		}
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -261,6 +261,23 @@
 		Eventually(streams.Load, eventuallyTimeout).Should(BeNumerically(">=", 3))
 	})
 
+	// Guards against a gateway that ignores the peers that it learns of while it starts.
+	It("connects to the addresses that it got before it ran", func(ctx SpecContext) {
+		known := startMember(ctx, "known")
+		m := &member{usePerPeer: make(map[string]float64), newest: 1}
+		pool := transport.NewPool(nil)
+		m.mesh = peers.New(peers.Options{
+			Identity: &wirepb.Identity{Host: "m", Incarnation: "m", Address: "127.0.0.1:1"}, Seeds: func() []string { return nil },
+			Pool: pool, Clock: bootclock.Now, Source: m, Sink: m, Log: slog.New(slog.DiscardHandler),
+		})
+		m.mesh.AddAddresses([]string{known.address})
+		ctx2, cancel := context.WithCancel(ctx)
+		var done sync.WaitGroup
+		done.Go(func() { _ = m.mesh.Run(ctx2) })
+		DeferCleanup(func() { cancel(); pool.Close(); done.Wait() })
+		Eventually(func() int { n, _ := known.mesh.Count(); return n }, eventuallyTimeout).Should(Equal(2))
+	})
+
 	// Guards against use from before a gateway joined that is counted as admitted at the time of joining.
 	It("counts only what peers admit after the first update", func(ctx SpecContext) {
 		old := startMember(ctx, "old")
