Check a request again after its connection was opened, also against its deadline on the boot clock

What could happen: a request was checked before the connection to its server was opened (up to 400 ms, or as long as the host stood still meanwhile) and written without another look: by a configuration that was replaced, to a server that had left, or after its caller's deadline. The deadline was kept on the steady clock, which sleeps while a host is suspended: a gateway that woke up sent what had waited as if no time had passed.

Now upstream asks right before it writes, on the open connection, which is kept if the answer is no; an attempt that was not written costs no retry budget. The time left is the smaller one of the two clocks, also for X-Deadline-Ms, turns and the choice. A request whose context has ended is not written either.

--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -95,7 +95,7 @@
 		if at := fleetroute.Choose(list, s.opts.DataCentre); at >= 0 {
 			c := &list[at]
 			q.logChoice(c, len(list))
-			if left := time.Until(q.deadline); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
+			if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
 				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
 					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
 			}
@@ -140,7 +140,7 @@
 		return false
 	}
 	until := q.arrived.Add(load + loadMargin)
-	return time.Now().Before(until) && until.Before(q.deadline.Add(-load/4))
+	return time.Now().Before(until) && until.Before(q.deadline.Add(-load/4)) && q.timeLeft() > 0
 }
 
 // shouldRetry reports whether the request is sent to another server after an attempt with result r. If so, the retry
--- a/internal/fleetgateway/cold.go
+++ b/internal/fleetgateway/cold.go
@@ -52,7 +52,7 @@
 }
 
 // turnWaitLimit returns the longest time that the request may wait for a turn at a cold server.
-func (q *request) turnWaitLimit() time.Duration { return min(maxTurnWait, time.Until(q.deadline)/2) }
+func (q *request) turnWaitLimit() time.Duration { return min(maxTurnWait, q.timeLeft()/2) }
 
 // waitForTurn waits for the request's turn at the chosen server, if that is cold and its agent grants turns. It
 // returns false if another server should be chosen.
--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -80,14 +80,14 @@
 	return q.charge()
 }
 
-var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen")
+var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen, or the deadline has passed")
 
-// mayStillSend reports whether r may get the request now: the configuration by which it was chosen is in force, and r is listed,
-// in service and not draining.
+// mayStillSend reports whether r may get the request now: the configuration by which it was chosen is in force, r is listed,
+// in service and not draining, and the deadline has not passed.
 func (q *request) mayStillSend(r *fleet.Replica) bool {
 	s := q.server
 	snapshot := s.opts.View.Snapshot()
 	current := snapshot.Replicas[r.ID]
 	return snapshot.Config == q.config && s.opts.CheckConfiguration() == nil && current != nil && snapshot.Usable(current) &&
-		!s.reportsDraining(current, s.opts.Clock())
+		!s.reportsDraining(current, s.opts.Clock()) && q.timeLeft() > 0
 }
--- a/internal/fleetgateway/configuration_test.go
+++ b/internal/fleetgateway/configuration_test.go
@@ -38,6 +38,9 @@
 	s.server.FleetChanged()
 }
 
+// suspend lets the clock that runs during a suspension of the host pass the deadlines of all requests.
+func suspend(s *testGateway) { s.clockOffset.Add(int64(time.Minute)) }
+
 var _ = Describe("a request that waits while the configuration changes", func() {
 	toT := func() fleet.Route {
 		r := route(once, 4*time.Second)
@@ -77,6 +80,26 @@
 			s.configure(route(once, 4*time.Second), engine, func(c *fleet.Configuration) { c.Keys = nil })
 		}, http.StatusUnauthorized, 0),
 		Entry("and becomes too old", func(s *testGateway) { s.stale.Store(true) }, http.StatusServiceUnavailable, 0),
+		Entry("unless its deadline passes while the host is suspended", suspend, http.StatusServiceUnavailable, 0),
+	)
+
+	// Guards against a request that reaches a server although its reason to go there ended while the connection was opened.
+	DescribeTable("is checked again after its connection was opened", func(change func(*testGateway), status, runsAtT int) {
+		s := newTestGateway(route(once, 4*time.Second), withT)
+		other, holder := s.addHolding("t-1", "t"), s.addHolding("s-1", "s")
+		onDial := func() { change(s) }
+		s.onDial.Store(&onDial)
+		id, a := s.send(http.MethodPost, "/a/", nil, "")
+		Expect(a.status).To(Equal(status))
+		Expect(runsOf(id, holder)).To(Equal(0))
+		Expect(runsOf(id, other)).To(Equal(runsAtT))
+	},
+		Entry("when the route moves to another service", func(s *testGateway) { s.configure(toT(), withT) }, http.StatusOK, 1),
+		Entry("when the server leaves", func(s *testGateway) { s.list("s-1", unusedAddress(), true) },
+			http.StatusServiceUnavailable, 0),
+		Entry("when the configuration becomes too old", func(s *testGateway) { s.stale.Store(true) },
+			http.StatusServiceUnavailable, 0),
+		Entry("when its deadline passes while the host is suspended", suspend, http.StatusServiceUnavailable, 0),
 	)
 })
 
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -51,8 +51,7 @@
 		}
 	}
 	if c.AdapterMissing && !q.mayStillSend(replica) {
-		delete(q.tried, c.ID)
-		return result{kind: errkind.NoCandidate, notRun: true, unsent: true, err: errChanged}
+		return q.withdrawn(c)
 	}
 	s.countColdRequest(c.ID)
 	attempt := s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt)
@@ -66,7 +65,10 @@
 	resp, err := s.opts.Pool.Do(attemptCtx, q.upstream(c, replica))
 	if err != nil {
 		notSent := errors.Is(err, upstream.ErrNotSent)
-		attempt.Done(s.opts.Clock(), q.http.Context().Err() == nil)
+		attempt.Done(s.opts.Clock(), q.http.Context().Err() == nil && !errors.Is(err, upstream.ErrWithdrawn))
+		if errors.Is(err, upstream.ErrWithdrawn) {
+			return q.withdrawn(c)
+		}
 		if notSent {
 			return q.attemptFailed(c, errkind.BackendUnreachable, true, err)
 		}
@@ -89,6 +91,15 @@
 	return r
 }
 
+// withdrawn returns the result of an attempt that ended before anything was sent, because mayStillSend returned false.
+func (q *request) withdrawn(c *fleetroute.Candidate) result {
+	q.server.opts.Log.Info("request not sent to the chosen server", "request_id", q.caller.ID, "server", c.ID,
+		"time_left", q.timeLeft(), "error", errChanged)
+	delete(q.tried, c.ID)
+	return result{kind: errkind.NoCandidate, notRun: true, unsent: true,
+		err: errkind.Wrap(errkind.NoCandidate, errChanged, "server %s", c.ID)}
+}
+
 // stalled reports whether a server sends nothing for any request and its host does not report either.
 func (s *Server) stalled(r *fleet.Replica) bool {
 	now := s.opts.Clock()
@@ -105,7 +116,7 @@
 	}
 	list, _, _ := q.candidates(q.server.opts.Clock())
 	at := fleetroute.Choose(list, q.server.opts.DataCentre)
-	if at < 0 || list[at].Predicted() > time.Duration(maxDeadlineShare*float64(time.Until(q.deadline))) {
+	if at < 0 || list[at].Predicted() > time.Duration(maxDeadlineShare*float64(q.timeLeft())) {
 		return false
 	}
 	return q.reserveRetry()
@@ -124,7 +135,7 @@
 	return upstream.Request{
 		Server: c.ID, Address: replica.Address, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host,
 		Header: platform.ForwardHeader(q.http.Header, platform.Forwarded{
-			Replica: c.ID, Organisation: organisation, Remaining: time.Until(q.deadline),
+			Replica: c.ID, Organisation: organisation, Remaining: q.timeLeft(),
 			Priority: fleet.PriorityOf(q.route, q.org), LastEvent: q.lastEvent,
 		}),
 		Body: q.body,
@@ -132,6 +143,7 @@
 			id := platform.ParseResponse(status, h).RequestID
 			return id == "" || id == q.caller.ID
 		},
+		MayStillSend: func() bool { return q.mayStillSend(replica) },
 	}
 }
 
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,9 +43,10 @@
 	server      *fleetgateway.Server
 	url         string
 	version     int64
-	clockOffset atomic.Int64 // added to the clock, in nanoseconds
-	stale       atomic.Bool  // the configuration is too old to be used
-	behind      atomic.Bool  // a newer configuration is in force
+	clockOffset atomic.Int64           // added to the clock, in nanoseconds
+	stale       atomic.Bool            // the configuration is too old to be used
+	behind      atomic.Bool            // a newer configuration is in force
+	onDial      atomic.Pointer[func()] // called once, before the next connection to a server is opened
 	demand      *fleetgateway.Demand
 
 	mu  sync.Mutex
@@ -103,7 +105,14 @@
 	log := slog.New(slog.NewJSONHandler(s, nil))
 	clock := bootclock.Clock(func() time.Duration { return bootclock.Now() + time.Duration(s.clockOffset.Load()) })
 	singleGateway := func() (int, int) { return 1, 1 }
-	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, MaxIdle: 4})
+	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, MaxIdle: 4,
+		Control: func(string, string, syscall.RawConn) error {
+			if f := s.onDial.Swap(nil); f != nil {
+				(*f)()
+			}
+			return nil
+		},
+	})
 	s.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: "a", View: s.view, Table: fleetroute.NewTable(), Pool: pool, Clock: clock, Gateways: singleGateway,
 		Rank: func(string) int { return 0 }, ConfigurationBehind: s.behind.Load,
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -134,11 +134,12 @@
 	service      string
 	body         []byte
 	arrived      time.Time
-	deadline     time.Time // when the final response is due
-	charged      float64   // units charged to the organisation's limit
-	limitLeft    float64   // units left in the limit before this request
-	model        string    // base model; empty for plain services
-	modelKey     string    // model and adapter; empty for plain services
+	arrivedAt    time.Duration // on Options.Clock, which runs while the host is suspended
+	deadline     time.Time     // when the final response is due
+	charged      float64       // units charged to the organisation's limit
+	limitLeft    float64       // units left in the limit before this request
+	model        string        // base model; empty for plain services
+	modelKey     string        // model and adapter; empty for plain services
 	prompt       fleetroute.Prompt
 	outputTokens float64 // expected output tokens
 
@@ -160,7 +161,7 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	q := &request{
-		server: s, writer: w, http: r, caller: platform.ParseCallerRequest(r.Header), arrived: time.Now(),
+		server: s, writer: w, http: r, caller: platform.ParseCallerRequest(r.Header), arrived: time.Now(), arrivedAt: s.opts.Clock(),
 		tried: make(map[string]bool),
 	}
 	if s.draining.Load() != nil {
@@ -217,6 +218,11 @@
 	return q.charge()
 }
 
+// timeLeft returns the time until the deadline. Time for which the host was suspended counts, unlike in q.deadline.
+func (q *request) timeLeft() time.Duration {
+	return min(time.Until(q.deadline), q.deadline.Sub(q.arrived)-(q.server.opts.Clock()-q.arrivedAt))
+}
+
 func (q *request) readBody() error {
 	limit := q.config.Limits.BodyBytes
 	if limit <= 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,6 +32,9 @@
 	Body    []byte
 	// Matches reports whether a response with this status and header is for this request.
 	Matches func(status int, h http.Header) bool
+	// MayStillSend is called once a connection is open, immediately before the request is written. If it returns false, nothing
+	// is sent. Nil means that the request is sent in any case.
+	MayStillSend func() bool
 }
 
 // Response is the response of a server. It must be closed.
@@ -49,13 +52,21 @@
 }
 
 // Do sends r and reads the status line and the header of the response. The connection is reset when ctx ends. The
-// error wraps ErrNotSent if the server cannot have got any byte of the request, and ctx.Err() if ctx ended while the
-// response was awaited.
+// error wraps ErrNotSent if the server cannot have got any byte of the request, also ErrWithdrawn if r.MayStillSend returned
+// false, and ctx.Err() if ctx ended before the response.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
 	c, err := p.get(ctx, r.Server, r.Address)
 	if err != nil {
 		return nil, err
 	}
+	switch {
+	case ctx.Err() != nil:
+		p.putIdle(c, time.Until(c.expires))
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	case r.MayStillSend != nil && !r.MayStillSend():
+		p.putIdle(c, time.Until(c.expires))
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrWithdrawn)
+	}
 	stopCancel := context.AfterFunc(ctx, c.abort)
 	written := make(chan error, 1)
 	go func() { written <- write(c, r) }()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,6 +33,9 @@
 // ErrNotSent means that no byte of the request was sent.
 var ErrNotSent = errors.New("request not sent")
 
+// ErrWithdrawn means that Request.MayStillSend returned false.
+var ErrWithdrawn = errors.New("the request may not be sent any longer")
+
 // Options configure a Pool.
 type Options struct {
 	DialTimeout time.Duration
@@ -142,7 +145,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{Conn: netConn, server: server}
+	c := &conn{Conn: netConn, server: server, expires: time.Now().Add(defaultIdleTimeout)}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
