Do not count a gateway as the only one while it knows others that it has not heard

A gateway that read the configuration at its start and was cut off before it heard any peer counted as the only one of the fleet, and those act on rows of any age while the store is away. New spec: failed before, passes now. The price: a single gateway with seeds that are gone refuses requests in an outage of the store that outlasts the bound.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -237,11 +237,16 @@
 	return heard, known
 }
 
-// Alone reports whether every gateway from which an update arrived has announced its shutdown.
+// Alone reports whether every known gateway has announced its shutdown. One that was never heard may be alive.
 func (m *Mesh) Alone() bool {
 	_, known := m.Count()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.name == "" {
+			return false
+		}
+	}
 	return known == 1 && !m.forgotten
 }
 
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -305,6 +305,14 @@
 		Expect(a.mesh.Alone()).To(BeFalse(), "c may still serve")
 	})
 
+	// Guards against a gateway that was cut off before it heard any other one and then acts as the only one.
+	It("is not alone while it knows gateways that it has not heard", func(ctx SpecContext) {
+		Expect(startMember(ctx, "single").mesh.Alone()).To(BeTrue())
+		cutOff := startMember(ctx, "cut off", "127.0.0.1:1")
+		Eventually(cutOff.mesh.KnownCount, eventuallyTimeout).Should(Equal(2))
+		Expect(cutOff.mesh.Alone()).To(BeFalse())
+	})
+
 	// Guards against gateways that all send every row to every other one when they start together, and against a gateway
 	// that cannot read the store and gets no rows.
 	It("sends all rows to a peer that lacks some, and to no other", func(ctx SpecContext) {
