Refuse requests by rows of unknown age while no peer is heard

Now such rows may be used while a peer is heard or no other gateway exists. New test of internal/freshness: it does not compile before the change, since the check knew only whether the gateway is alone; with its cases put as before (not alone, unknown age) the check returned nil.

Peers of an earlier release send no reports; beside them rows of unknown age are used as long as one of them is heard.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -120,7 +120,7 @@
 // checkConfiguration returns an error if the configuration must not be used any longer.
 func (g *gateway) checkConfiguration() error {
 	now := bootclock.Now()
-	err := g.freshness.Check(now, g.mesh.Alone())
+	err := g.freshness.Check(now, g.others())
 	if g.stale.Swap(err != nil) != (err != nil) {
 		age, _ := g.freshness.Age(now)
 		if err != nil {
@@ -132,6 +132,16 @@
 	return err
 }
 
+func (g *gateway) others() freshness.Others {
+	switch heard, _ := g.mesh.Count(); {
+	case heard > 1:
+		return freshness.PeerHeard
+	case g.mesh.Alone():
+		return freshness.NoOther
+	}
+	return freshness.Silence
+}
+
 func (g *gateway) publish(rows []platform.Row) { g.mesh.Publish(toWire(rows)) }
 
 func toWire(rows []platform.Row) []*wirepb.StoreRow {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -3,6 +3,7 @@
 package freshness
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -159,20 +160,39 @@
 	return t.latest.At > t.confirmed.At && t.latest.Hash != t.own.Hash && t.latest.Version >= t.own.Newest
 }
 
+// Others says what a gateway knows of the other gateways of the fleet.
+type Others int
+
+const (
+	// Silence means that others may be alive, and none sent a recent update.
+	Silence Others = iota
+	// PeerHeard means that another one sent a recent update.
+	PeerHeard
+	// NoOther means that no other one is known that may be alive.
+	NoOther
+)
+
 // Check returns an error if the gateway must not act on its rows. Rows that were confirmed within the bound may be used. Older
 // ones may be used only if reports of peers within the bound know of no newer rows, because then the store is away for the whole
-// fleet, or if alone says that the gateway knows of no other one, because then nobody else can serve.
-func (t *Tracker) Check(now time.Duration, alone bool) error {
+// fleet, or if there is no other gateway, because then nobody else can serve. Rows of unknown age came from a peer that has sent
+// no report yet, or runs a release that sends none; they may be used while a peer is heard.
+func (t *Tracker) Check(now time.Duration, others Others) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.offsetKnown {
+		if others == Silence {
+			return errors.New("the age of the own rows is not known, and no peer is heard")
+		}
+		return nil
+	}
 	age := t.age(now)
-	if !t.offsetKnown || age <= t.bound {
+	if age <= t.bound {
 		return nil
 	}
 	if t.behind() {
 		return fmt.Errorf("newer rows are in force: own rows not confirmed for %v, version %d is newer", age, t.latest.Version)
 	}
-	if alone {
+	if others == NoOther {
 		return nil
 	}
 	for _, r := range t.peers {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -31,12 +31,12 @@
 	cases := map[string]struct {
 		prepare func(*freshness.Tracker)
 		at      time.Duration
-		alone   bool
+		others  freshness.Others // Silence by default
 		refused bool
 	}{
 		"confirmed within the bound":                {at: 1 * second},
 		"nothing heard since":                       {at: 3 * second, refused: true},
-		"nothing heard since, and no other gateway": {at: 3 * second, alone: true},
+		"nothing heard since, and no other gateway": {at: 3 * second, others: freshness.NoOther},
 		"a peer confirms the same rows": {at: 3 * second, prepare: func(t *freshness.Tracker) {
 			t.Receive(2*second, "p", report(2*second, 2*second, 12, 70))
 		}},
@@ -52,7 +52,7 @@
 		"a peer knows newer rows": {at: 3 * second, refused: true, prepare: func(t *freshness.Tracker) {
 			t.Receive(3*second, "p", report(3*second, 2*second, 11, 110))
 		}},
-		"a peer knows newer rows, and no other gateway counts": {at: 3 * second, alone: true, refused: true,
+		"a peer knows newer rows, and no other gateway counts": {at: 3 * second, others: freshness.NoOther, refused: true,
 			prepare: func(t *freshness.Tracker) { t.Receive(3*second, "p", report(3*second, 2*second, 11, 110)) }},
 		"the newer rows arrived": {at: 3 * second, prepare: func(t *freshness.Tracker) {
 			t.Receive(3*second, "p", report(3*second, 2*second, 11, 110))
@@ -81,19 +81,31 @@
 			if c.prepare != nil {
 				c.prepare(tracker)
 			}
-			if err := tracker.Check(c.at, c.alone); (err != nil) != c.refused {
+			if err := tracker.Check(c.at, c.others); (err != nil) != c.refused {
 				t.Fatalf("check returned %v", err)
 			}
 		})
 	}
 }
 
+// Guards against rows that are used without end because the gateway was cut off before a report told it the store's clock.
+func TestRowsOfUnknownAgeAreUsedWhileAPeerIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	tracker := freshness.New(bound)
+	tracker.SetOwn(freshness.State{Newest: 7, Hash: 70})
+	g.Expect(tracker.Check(50*second, freshness.PeerHeard)).To(Succeed())
+	g.Expect(tracker.Check(50*second, freshness.NoOther)).To(Succeed())
+	g.Expect(tracker.Check(50*second, freshness.Silence)).NotTo(Succeed())
+	tracker.Receive(53*second, "p", report(3*second, 3*second, 9, 70))
+	g.Expect(tracker.Check(53*second, freshness.Silence)).To(Succeed())
+}
+
 func TestAGatewayReadsBeforeItRefuses(t *testing.T) {
 	g := NewWithT(t)
 	tracker := confirmed()
 	g.Expect(tracker.NeedsRead(second)).To(BeFalse())
 	g.Expect(tracker.NeedsRead(1700 * time.Millisecond)).To(BeTrue())
-	g.Expect(tracker.Check(1700*time.Millisecond, false)).To(Succeed())
+	g.Expect(tracker.Check(1700*time.Millisecond, freshness.Silence)).To(Succeed())
 	tracker.ConfirmRead(1700*time.Millisecond, 9, 51700*time.Millisecond)
 	g.Expect(tracker.NeedsRead(2 * second)).To(BeFalse())
 }
@@ -135,7 +147,7 @@
 			version, hash := state(at)
 			newestHeard = newestHeard || hash == 110
 			tracker.Receive(now, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "peer"), report(sentAt, at, version, hash))
-			if newestHeard && now > replacedAt+bound && tracker.Check(now, false) == nil {
+			if newestHeard && now > replacedAt+bound && tracker.Check(now, freshness.Silence) == nil {
 				t.Fatalf("rows replaced at %v used at %v", replacedAt, now)
 			}
 		}
