Keep an engine's memory sizes of the newest configuration at its agent

Cause: a gateway that opens a stream to an agent sends it the sizes of models and of the engine's memory by its own configuration, and the agent took the last ones that arrived. A gateway whose configuration had been replaced could so lower a model's size at the agent, which then allowed a load that exceeds the memory.

Targets carry a version of the configuration that has their sizes, and an agent keeps the sizes of the newest one, while the incarnation and the busiest model still come from any gateway. Gateways of an earlier release send version 0. New spec: the older sizes allowed the load before. Two more entries of "is checked again after its connection was opened" (data centre out of service, key withdrawn) have no run on the code before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -178,13 +178,21 @@
 }
 
 // SetTarget sets the backend server that the agent controls and the server's memory limits, as sent by a gateway. A target
-// with an older incarnation (Born, Unix milliseconds) than the current one is ignored.
+// with an older incarnation (Born, Unix milliseconds) than the current one is ignored, and so are limits and sizes of an older
+// configuration.
 func (a *Agent) SetTarget(t *wirepb.AgentTarget) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.target != nil && a.target.GetBorn() > t.GetBorn() {
+	if a.target.GetBorn() > t.GetBorn() {
 		return // the gateway's server list is older
 	}
+	if a.target.GetReplica() == t.GetReplica() && a.target.GetConfigVersion() > t.GetConfigVersion() {
+		t = &wirepb.AgentTarget{
+			Identity: t.GetIdentity(), Replica: t.GetReplica(), Born: t.GetBorn(), Busiest: t.GetBusiest(),
+			WeightsMb: a.target.GetWeightsMb(), AdapterSlots: a.target.GetAdapterSlots(), Models: a.target.GetModels(),
+			ConfigVersion: a.target.GetConfigVersion(),
+		}
+	}
 	a.target = t
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -65,12 +65,15 @@
 	h.stop = func() { cancel(); done.Wait() }
 }
 
-func (h *host) setTarget() {
-	h.agent.SetTarget(&wirepb.AgentTarget{
-		Replica: "i-1", WeightsMb: 300, AdapterSlots: 2,
+func (h *host) setTarget() { h.agent.SetTarget(target(0)) }
+
+// target returns the engine's sizes in a version of the configuration.
+func target(version int64) *wirepb.AgentTarget {
+	return &wirepb.AgentTarget{
+		Replica: "i-1", WeightsMb: 300, AdapterSlots: 2, ConfigVersion: version,
 		Models: []*wirepb.ModelSize{{Model: "a", WeightsMb: 90, AdapterMb: 1}, {Model: "b", WeightsMb: 90, AdapterMb: 1},
 			{Model: "c", WeightsMb: 90, AdapterMb: 1}, {Model: "d", WeightsMb: 90, AdapterMb: 1}},
-	})
+	}
 }
 
 func (h *host) models() []string {
@@ -143,6 +146,28 @@
 		h.expectNoCrash()
 	})
 
+	// Guards against sizes of a replaced configuration that a gateway sends which has not got the new one.
+	It("keeps the sizes of the newest configuration", func() {
+		h := newHost("a")
+		Eventually(func() error { return h.ensureAdapter("a1") }, eventuallyTimeout).Should(Succeed())
+		larger := target(8)
+		larger.Models[1].WeightsMb = 250
+		h.agent.SetTarget(larger)
+		h.agent.SetTarget(target(6))
+		Expect(errkind.Of(h.propose(1, "load", "b"))).To(Equal(errkind.MemoryFull))
+		report, err := platform.NewEngineClient(h.server.Listener.Addr().String()).Report(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		listed := target(6)
+		listed.Born = report.Born
+		h.agent.SetTarget(listed)
+		h.agent.SetTarget(target(9))
+		Expect(errkind.Of(h.propose(1, "load", "b"))).To(Equal(errkind.MemoryFull), "from an older list of servers")
+		newest := target(9)
+		newest.Born = report.Born
+		h.agent.SetTarget(newest)
+		Expect(h.propose(1, "load", "b")).To(Succeed())
+	})
+
 	It("restores the models that its engine lost in a restart", func() {
 		h := newHost("a", "b")
 		Eventually(func() error { return h.ensureAdapter("a1") }, eventuallyTimeout).Should(Succeed())
--- a/internal/agentclient/agentclient.go
+++ b/internal/agentclient/agentclient.go
@@ -129,7 +129,10 @@
 			}
 			a.watched[id] = w
 		}
+		// The version in which the sizes were first seen here: a new version alone is not sent to every agent.
+		target.ConfigVersion = w.target.GetConfigVersion()
 		if !proto.Equal(w.target, target) {
+			target.ConfigVersion = s.Config.Version
 			w.target = target
 			select {
 			case w.wake <- struct{}{}:
--- a/internal/fleetgateway/configuration_test.go
+++ b/internal/fleetgateway/configuration_test.go
@@ -97,6 +97,13 @@
 		Entry("when the route moves to another service", func(s *testGateway) { s.configure(toT(), withT) }, http.StatusOK, 1),
 		Entry("when the server leaves", func(s *testGateway) { s.list("s-1", unusedAddress(), true) },
 			http.StatusServiceUnavailable, 0),
+		Entry("when the data centre goes out of service", func(s *testGateway) {
+			s.version++
+			s.view.SetOutOfService("a", true, s.version)
+		}, http.StatusServiceUnavailable, 0),
+		Entry("when the key is withdrawn", func(s *testGateway) {
+			s.configure(route(once, 4*time.Second), withT, func(c *fleet.Configuration) { c.Keys = nil })
+		}, http.StatusUnauthorized, 0),
 		Entry("when the configuration becomes too old", func(s *testGateway) { s.stale.Store(true) },
 			http.StatusServiceUnavailable, 0),
 		Entry("when its deadline passes while the host is suspended", suspend, http.StatusServiceUnavailable, 0),
