Ask the likely holders of a limit while the lease rows name none

Ruled out: a lease that was given back, and a holder that missed a call (the error names neither).

Now the gateways that rank first for the partition are asked, as they were before the first read of the rows. No call to the store is added; a gateway that holds the partition itself asks nobody.

--- a/internal/limitholder/borrow.go
+++ b/internal/limitholder/borrow.go
@@ -151,17 +151,22 @@
 
 type holderRow struct{ dataCentre, address string }
 
-// holderRows returns the other holders of a partition that the lease rows name. Until the rows have been read,
-// it returns the gateways that are the likely holders in each data centre.
+// holderRows returns the other holders of a partition that the lease rows name. If they name no holder, it returns the gateways
+// that are the likely ones in each data centre: one of them may have acquired the lease since the rows were read.
 func (h *Holder) holderRows(partition int) []holderRow {
-	if h.rows == nil {
-		return h.likelyHolders(partition)
-	}
 	var found []holderRow
+	held := false
 	for p, row := range h.rows {
-		if p.partition == partition && !row.Released && row.Address != h.opts.Address {
+		if p.partition != partition || row.Released {
+			continue
+		}
+		held = true
+		if row.Address != h.opts.Address {
 			found = append(found, holderRow{p.dataCentre, row.Address})
 		}
 	}
+	if !held {
+		return h.likelyHolders(partition)
+	}
 	return found
 }
--- a/internal/limitholder/busy_test.go
+++ b/internal/limitholder/busy_test.go
@@ -52,3 +52,19 @@
 	}
 	return c.Caller.Call(ctx, address, m)
 }
+
+// TestANewHolderIsAskedBeforeTheNextRead guards against refusing requests with limits_unavailable because the partition's holder
+// acquired its lease after this gateway had last read the lease rows.
+func TestANewHolderIsAskedBeforeTheNextRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet("a")
+		other := f.start("a", "a2", "i1", 0)
+		other.opts.Gateways = func() []string { return []string{"a1"} } // acquires no lease
+		g.Expect(other.Round(t.Context())).To(Succeed())
+		g.Expect(f.start("a", "a1", "i1", 0).Round(t.Context())).To(Succeed())
+		other.setRunning(true)
+		_, err := f.reserve(other, 10)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
