Do not delay a requested read of the lease rows after a regular one

Only requested reads count now: at most one a second for each gateway as before, which is what keeps 400 gateways within the 2,000 reads a second of the table service, and one more after each regular read. New test, without a host list, so that no likely holder can be asked: failed before, passes now.

--- a/internal/limitholder/busy_test.go
+++ b/internal/limitholder/busy_test.go
@@ -68,3 +68,24 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	})
 }
+
+// TestARequestedReadIsInTimeForTheRequest guards against a request that waits for a holder, and is refused before the read that it
+// requested, because a regular read ended shortly before.
+func TestARequestedReadIsInTimeForTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet("a")
+		other := f.start("a", "a2", "i1", 0)
+		other.opts.Gateways = func() []string { return []string{"a1"} } // acquires no lease
+		other.opts.Peers = nil
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = other.Run(ctx) }()
+		synctest.Wait()
+		g.Expect(f.start("a", "a1", "i1", 0).Round(t.Context())).To(Succeed())
+		_, err := f.reserve(other, 10)
+		g.Expect(err).NotTo(HaveOccurred())
+		cancel()
+		<-done
+	})
+}
--- a/internal/limitholder/holder.go
+++ b/internal/limitholder/holder.go
@@ -40,7 +40,8 @@
 	snapshotCheckedAt   time.Duration // when the snapshot was last checked
 	running             bool          // Run is running
 	roundDone           chan struct{} // closed at the end of the next round
-	lastRoundAt         time.Duration // end of the last round
+	roundWasRequested   bool          // a caller has requested a round
+	requestedRoundAt    time.Duration // when the last requested round was due
 	storeUnavailable    bool          // the last read of the table service failed
 	roundCompleted      bool          // a round has ended, which requires a configuration
 	ready               bool
--- a/internal/limitholder/ready.go
+++ b/internal/limitholder/ready.go
@@ -69,14 +69,17 @@
 }
 
 // requestedRoundDelay returns the time until a requested round: short enough for the caller to wait, but
-// longer if the last round was recent.
+// longer if another requested round was recent.
 func (h *Holder) requestedRoundDelay() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.opts.Now() < h.lastRoundAt+requestedRoundInterval {
-		return jitter(requestedRoundInterval)
+	now := h.opts.Now()
+	delay := jitter(h.opts.HolderWait / 2)
+	if h.roundWasRequested && now < h.requestedRoundAt+requestedRoundInterval {
+		delay = jitter(requestedRoundInterval)
 	}
-	return jitter(h.opts.HolderWait / 2)
+	h.roundWasRequested, h.requestedRoundAt = true, now+delay
+	return delay
 }
 
 // completeRound wakes the callers that wait for a round.
@@ -84,7 +87,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.roundCompleted = true
-	h.lastRoundAt = h.opts.Now()
 	close(h.roundDone)
 	h.roundDone = make(chan struct{})
 }
