--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -42,6 +43,9 @@
 	// yamux accepts writes on a stream that the peer has closed. The peer sends nothing, so a read returns at the end.
 	m.wg.Go(func() {
 		_, err := stream.Recv()
+		if err == nil {
+			err = errors.New("unexpected message")
+		}
 		cancel(fmt.Errorf("the peer ended the stream: %w", err))
 	})
 	for p.rows.Len() > 0 {
