Test that rows reach a gateway that its first providers do not reach

Nine gateways; seven cannot connect to the last one and do not notice it, since they receive its updates. The row comes from the provider that is last in the order.

--- /dev/null
+++ b/internal/peers/export_test.go
@@ -0,0 +1,4 @@
+package peers
+
+// ProviderScore is exported for the tests.
+var ProviderScore = providerScore
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -27,6 +27,8 @@
 // member is one gateway of a test fleet. It records what it admitted and what the other gateways sent it.
 type member struct {
 	mesh    *peers.Mesh
+	name    string
+	pool    *transport.Pool
 	address string
 
 	mu         sync.Mutex
@@ -202,11 +204,17 @@
 func startMemberBehind(ctx context.Context, cleanup func(func()), behind func(net.Listener) net.Listener, name string,
 	seeds ...string) *member {
 	GinkgoHelper()
+	return startMemberVia(ctx, cleanup, behind, transport.NewPool(nil), name, seeds...)
+}
+
+// startMemberVia is like startMemberBehind, for a gateway that connects to others by pool.
+func startMemberVia(ctx context.Context, cleanup func(func()), behind func(net.Listener) net.Listener, pool *transport.Pool,
+	name string, seeds ...string) *member {
+	GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	log := slog.New(slog.DiscardHandler)
-	m := &member{address: listener.Addr().String(), usePerPeer: make(map[string]float64), newest: 1}
-	pool := transport.NewPool(nil)
+	m := &member{name: name, pool: pool, address: listener.Addr().String(), usePerPeer: make(map[string]float64), newest: 1}
 	m.mesh = peers.New(peers.Options{
 		Identity: &wirepb.Identity{Host: name, Incarnation: fmt.Sprint(name, time.Now()), Address: m.address},
 		Seeds:    func() []string { return seeds }, Pool: pool, Clock: bootclock.Now, Source: m, Sink: m, Log: log,
--- a/internal/peers/slowlink_test.go
+++ b/internal/peers/slowlink_test.go
@@ -1,15 +1,23 @@
 package peers_test
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"net"
+	"slices"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"golang.org/x/time/rate"
+
+	"github.com/pomelowheel/pomelowheel/internal/peers"
+	"github.com/pomelowheel/pomelowheel/internal/transport"
 )
 
 // slowListener accepts connections whose reads share one link of limited rate.
@@ -94,3 +102,52 @@
 		Expect(m.largestUpdate()).To(BeNumerically("<=", maxUpdateRowBytes), "updates wait behind a large row")
 	}
 }
+
+// Guards against a gateway that gets no rows because its first providers are cut off from it in one direction, in which they do not
+// notice it: they receive its updates.
+func TestARowReachesAGatewayThatItsFirstProvidersDoNotReach(t *testing.T) {
+	RegisterTestingT(t)
+	const gateways, large = 9, 64 << 10
+	var target *member
+	var reaches atomic.Pointer[string] // the only gateway that reaches target; nil for all
+	sameListener := func(l net.Listener) net.Listener { return l }
+	var all []*member
+	for i := range gateways {
+		name := fmt.Sprint("g-", i)
+		pool := transport.NewPoolWithControl(func(_, address string, _ syscall.RawConn) error {
+			if only := reaches.Load(); only != nil && address == target.address && name != *only {
+				return errors.New("cut off")
+			}
+			return nil
+		})
+		var seeds []string
+		if i > 0 {
+			seeds = []string{all[0].address}
+		}
+		all = append(all, startMemberVia(t.Context(), t.Cleanup, sameListener, pool, name, seeds...))
+	}
+	target = all[gateways-1]
+	for _, m := range all {
+		Eventually(func() int { n, _ := m.mesh.Count(); return n }, 3*eventuallyTimeout).Should(Equal(gateways))
+		m.mu.Lock()
+		m.hashesRows = true
+		m.mu.Unlock()
+	}
+	last := slices.MinFunc(all[:gateways-1], func(a, b *member) int {
+		return cmp.Compare(peers.ProviderScore(a.address, target.address), peers.ProviderScore(b.address, target.address))
+	})
+	reaches.Store(&last.name)
+	for _, m := range all[:gateways-1] {
+		if m != last {
+			m.pool.Drop(target.address)
+		}
+	}
+	start := time.Now()
+	all[0].publishValue(2, make([]byte, large))
+	for _, m := range all {
+		Eventually(m.newestVersion, eventuallyTimeout, 10*time.Millisecond).Should(BeEquivalentTo(2))
+	}
+	heard, _ := last.mesh.Count()
+	Expect(heard).To(Equal(gateways), "the others hear the gateway that they do not reach")
+	t.Logf("last gateway after %v", time.Since(start))
+}
