Close a new connection whose request was withdrawn

A connection that had not answered yet was kept for the default idle time, which may be longer than its server's, so that a later request could cross the server's close. Found by reading, seen nowhere. A connection that has answered is kept as before.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -132,6 +132,7 @@
 	return err
 }
 
+// others says what this gateway knows of the other ones.
 func (g *gateway) others() freshness.Others {
 	switch heard, _ := g.mesh.Count(); {
 	case heard > 1:
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -61,10 +61,10 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		p.putIdle(c, time.Until(c.expires))
+		p.putBack(c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	case r.MayStillSend != nil && !r.MayStillSend():
-		p.putIdle(c, time.Until(c.expires))
+		p.putBack(c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrWithdrawn)
 	}
 	stopCancel := context.AfterFunc(ctx, c.abort)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -67,7 +67,7 @@
 	net.Conn
 	reader   *bufio.Reader
 	server   string
-	expires  time.Time // when it is too old to be reused
+	expires  time.Time // when it is too old to be reused; zero before the first response
 	headLeft int       // bytes that may still be read while the header of a response is read
 	inHead   bool
 }
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{Conn: netConn, server: server, expires: time.Now().Add(defaultIdleTimeout)}
+	c := &conn{Conn: netConn, server: server}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -162,6 +162,16 @@
 	p.idle[c.server] = append(list, c)
 }
 
+// putBack returns a connection on which nothing was sent since get. A new one is closed: its server has not said how long it
+// keeps idle connections.
+func (p *Pool) putBack(c *conn) {
+	if idle := time.Until(c.expires); idle > 0 {
+		p.putIdle(c, idle)
+		return
+	}
+	_ = c.Close()
+}
+
 // Forget closes the idle connections to a server that is no longer listed.
 func (p *Pool) Forget(server string) {
 	p.mu.Lock()
