Go on beside peers of an earlier release while the store is away

Found by reading; the users ask that service goes on then. New case of TestCheck: refused before ("no peer reported within 1.9s"); whether only such peers are heard is tested in "sends a large row in an update to a peer that requests none". Newer rows that a lost peer reported still refuse.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -135,6 +135,8 @@
 // others says what this gateway knows of the other ones.
 func (g *gateway) others() freshness.Others {
 	switch heard, _ := g.mesh.Count(); {
+	case heard > 1 && g.mesh.HearsOnlyEarlierReleases():
+		return freshness.EarlierPeersHeard
 	case heard > 1:
 		return freshness.PeerHeard
 	case g.mesh.Alone():
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -168,14 +168,16 @@
 	Silence Others = iota
 	// PeerHeard means that another one sent a recent update.
 	PeerHeard
+	// EarlierPeersHeard means that others sent recent updates, and that all of these run a release that sends no reports.
+	EarlierPeersHeard
 	// NoOther means that no other one is known that may be alive.
 	NoOther
 )
 
 // Check returns an error if the gateway must not act on its rows. Rows that were confirmed within the bound may be used. Older
 // ones may be used only if reports of peers within the bound know of no newer rows, because then the store is away for the whole
-// fleet, or if there is no other gateway, because then nobody else can serve. Rows of unknown age came from a peer that has sent
-// no report yet, or runs a release that sends none; they may be used while a peer is heard.
+// fleet, or if there is no other gateway, because then nobody else can serve, or if the only peers heard cannot report. Rows of
+// unknown age came from a peer that has sent no report yet or cannot; they may be used while a peer is heard.
 func (t *Tracker) Check(now time.Duration, others Others) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -192,7 +194,7 @@
 	if t.behind() {
 		return fmt.Errorf("newer rows are in force: own rows not confirmed for %v, version %d is newer", age, t.latest.Version)
 	}
-	if others == NoOther {
+	if others == NoOther || others == EarlierPeersHeard {
 		return nil
 	}
 	for _, r := range t.peers {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -37,6 +37,9 @@
 		"confirmed within the bound":                {at: 1 * second},
 		"nothing heard since":                       {at: 3 * second, refused: true},
 		"nothing heard since, and no other gateway": {at: 3 * second, others: freshness.NoOther},
+		"peers of an earlier release are heard":     {at: 3 * second, others: freshness.EarlierPeersHeard},
+		"peers of an earlier release are heard, a lost one knew newer rows": {at: 3 * second, others: freshness.EarlierPeersHeard,
+			refused: true, prepare: func(t *freshness.Tracker) { t.Receive(3*second, "p", report(3*second, 2*second, 11, 110)) }},
 		"a peer confirms the same rows": {at: 3 * second, prepare: func(t *freshness.Tracker) {
 			t.Receive(2*second, "p", report(2*second, 2*second, 12, 70))
 		}},
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -237,6 +237,25 @@
 	return heard, known
 }
 
+// HearsOnlyEarlierReleases reports whether some gateway sent a recent update, and all that did run an earlier release, which
+// neither requests rows nor reports their age.
+func (m *Mesh) HearsOnlyEarlierReleases() bool {
+	now := m.opts.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := false
+	for _, p := range m.peers {
+		if p.name == "" || now-p.lastUpdateAt > peerTimeout {
+			continue
+		}
+		if !p.ignoresOffers {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
 // Alone reports whether every known gateway has announced its shutdown. One that was never heard may be alive.
 func (m *Mesh) Alone() bool {
 	_, known := m.Count()
--- a/internal/peers/transfer_test.go
+++ b/internal/peers/transfer_test.go
@@ -92,11 +92,14 @@
 			Identity: &wirepb.Identity{Host: "earlier", Incarnation: "1", Address: listener.Addr().String()},
 		}))).To(Succeed())
 		Eventually(func() int { n, _ := m.mesh.Count(); return n }, eventuallyTimeout).Should(Equal(2))
+		Expect(m.mesh.HearsOnlyEarlierReleases()).To(BeTrue())
 		m.publishValue(5, large)
 		var u *wirepb.PeerUpdate
 		Eventually(received, eventuallyTimeout).Should(Receive(&u))
 		Expect(u.GetOffers()).To(BeEmpty())
 		Expect(u.GetRows()).To(ConsistOf(HaveField("Value", large)))
+		startMember(ctx, "same release", m.address)
+		Eventually(m.mesh.HearsOnlyEarlierReleases, eventuallyTimeout).Should(BeFalse())
 	})
 
 	// Guards against a damaged or endless row that takes effect or ends the process.
