--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -82,8 +82,8 @@
 
 var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen, or the deadline has passed")
 
-// mayStillSend reports whether r may get the request now: the configuration by which it was chosen is in force, r is listed,
-// in service and not draining, and the deadline has not passed.
+// mayStillSend reports whether the request may be sent to server r now: the configuration has not changed since r was chosen and is
+// not too old, r is listed, in service and not draining, and the deadline has not passed.
 func (q *request) mayStillSend(r *fleet.Replica) bool {
 	s := q.server
 	snapshot := s.opts.View.Snapshot()
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -174,10 +174,13 @@
 	NoOther
 )
 
-// Check returns an error if the gateway must not act on its rows. Rows that were confirmed within the bound may be used. Older
-// ones may be used only if reports of peers within the bound know of no newer rows, because then the store is away for the whole
-// fleet, or if there is no other gateway, because then nobody else can serve, or if the only peers heard cannot report. Rows of
-// unknown age came from a peer that has sent no report yet or cannot; they may be used while a peer is heard.
+// Check returns an error if the gateway must not act on its rows. It may use rows that were confirmed within the bound. It may use
+// older ones only if no newer rows are known and one of these holds:
+//   - a peer reported within the bound, so the store is away for the whole fleet;
+//   - there is no other gateway that could serve;
+//   - all peers that are heard run a release that sends no reports.
+//
+// Without any report the age is not known; then a peer must be heard, or there must be no other gateway.
 func (t *Tracker) Check(now time.Duration, others Others) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// Guards against rows that are used without end because the gateway was cut off before a report told it the store's clock.
+// Guards against rows that are used for ever because the gateway was cut off before the first report, which gives their age.
 func TestRowsOfUnknownAgeAreUsedWhileAPeerIsHeard(t *testing.T) {
 	g := NewWithT(t)
 	tracker := freshness.New(bound)
--- a/internal/limitholder/busy_test.go
+++ b/internal/limitholder/busy_test.go
@@ -53,14 +53,20 @@
 	return c.Caller.Call(ctx, address, m)
 }
 
+// fleetWithoutHolder returns a fleet with one gateway, which acquires no lease because a1 ranks before it.
+func fleetWithoutHolder() (*fleet, *Holder) {
+	f := newFleet("a")
+	other := f.start("a", "a2", "i1", 0)
+	other.opts.Gateways = func() []string { return []string{"a1"} }
+	return f, other
+}
+
 // TestANewHolderIsAskedBeforeTheNextRead guards against refusing requests with limits_unavailable because the partition's holder
 // acquired its lease after this gateway had last read the lease rows.
 func TestANewHolderIsAskedBeforeTheNextRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet("a")
-		other := f.start("a", "a2", "i1", 0)
-		other.opts.Gateways = func() []string { return []string{"a1"} } // acquires no lease
+		f, other := fleetWithoutHolder()
 		g.Expect(other.Round(t.Context())).To(Succeed())
 		g.Expect(f.start("a", "a1", "i1", 0).Round(t.Context())).To(Succeed())
 		other.setRunning(true)
@@ -74,9 +80,7 @@
 func TestARequestedReadIsInTimeForTheRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet("a")
-		other := f.start("a", "a2", "i1", 0)
-		other.opts.Gateways = func() []string { return []string{"a1"} } // acquires no lease
+		f, other := fleetWithoutHolder()
 		other.opts.Peers = nil
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -256,7 +256,7 @@
 	return heard
 }
 
-// Alone reports whether every known gateway has announced its shutdown. One that was never heard may be alive.
+// Alone reports whether no other gateway may be alive: every known one was heard and has announced its shutdown.
 func (m *Mesh) Alone() bool {
 	_, known := m.Count()
 	m.mu.Lock()
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -313,7 +313,7 @@
 		Expect(a.mesh.Alone()).To(BeFalse(), "c may still serve")
 	})
 
-	// Guards against a gateway that was cut off before it heard any other one and then acts as the only one.
+	// Guards against a gateway that counts as the only one although it knows others and was cut off before it heard them.
 	It("is not alone while it knows gateways that it has not heard", func(ctx SpecContext) {
 		Expect(startMember(ctx, "single").mesh.Alone()).To(BeTrue())
 		cutOff := startMember(ctx, "cut off", "127.0.0.1:1")
