Log and count what the caller of each request got

`request ended` has `answer` now, and the metric answers_cut counts cut answers by outcome, so that an operator can compare them beside a change and at other times.

--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -39,6 +39,19 @@
 	return kind
 }
 
+// answer says what the caller of a request with this outcome got.
+func (q *request) answer(kind errkind.Kind) string {
+	switch {
+	case kind == errkind.None:
+		return "whole"
+	case q.headSent:
+		return "cut"
+	case kind == errkind.CallerCancelled:
+		return "none"
+	}
+	return "error"
+}
+
 // log writes the log line at the end of a request.
 func (q *request) log(kind errkind.Kind, attrs ...slog.Attr) {
 	level := slog.LevelInfo
@@ -46,7 +59,7 @@
 		level = slog.LevelWarn
 	}
 	attrs = append(attrs,
-		slog.String("request_id", q.caller.ID), slog.String("outcome", kind.String()),
+		slog.String("request_id", q.caller.ID), slog.String("outcome", kind.String()), slog.String("answer", q.answer(kind)),
 		slog.Duration("took", time.Since(q.arrived)), slog.Int("runs", q.runs), slog.Int("sends", len(q.tried)))
 	if q.config != nil {
 		attrs = append(attrs, slog.Int64("config_version", q.config.Version))
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -20,6 +20,7 @@
 // Metrics counts the requests of a gateway. It is safe for concurrent use.
 type Metrics struct {
 	outcomes *expvar.Map
+	cut      *expvar.Map // requests whose caller got an incomplete answer or none, by outcome
 	sends    *expvar.Int
 
 	mu            sync.Mutex
@@ -30,7 +31,7 @@
 // NewMetrics returns metrics without any request.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		outcomes: new(expvar.Map), sends: new(expvar.Int),
+		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -39,6 +40,7 @@
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
 		"requests_by_outcome": m.outcomes,
+		"answers_cut":         m.cut,
 		"sends":               m.sends,
 		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
 		"whole_answer_ms":     expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
@@ -48,6 +50,9 @@
 func (m *Metrics) record(q *request, kind errkind.Kind) {
 	m.outcomes.Add(kind.String(), 1)
 	m.sends.Add(int64(len(q.tried)))
+	if answer := q.answer(kind); answer == "cut" || answer == "none" {
+		m.cut.Add(kind.String(), 1)
+	}
 	if kind != errkind.None {
 		return
 	}
