Test that a sound server's silence does not cost its caller the answer

In each case another server exists when the first one is silent, and then rejects, fails, hangs, refuses the connection or breaks off, or the gateway's configuration changes or is not confirmed. The emulated server can be silent before the head and within the body now.

--- a/internal/fake/fleet/replica.go
+++ b/internal/fake/fleet/replica.go
@@ -31,6 +31,11 @@
 	Unsigned float64       `json:"unsigned"` // fraction whose response has no signature
 	Hang     float64       `json:"hang"`     // fraction that run and never get a response
 	Slow     time.Duration `json:"slow"`     // delay before each response
+	// SilentHead and SilentBody are the fractions of the requests for which the server sends nothing for Silence and then goes
+	// on: before the head of the response, or in the middle of its body, for a stream between two events.
+	SilentHead float64       `json:"silent_head"`
+	SilentBody float64       `json:"silent_body"`
+	Silence    time.Duration `json:"silence"`
 	// LateOrders is the fraction of the orders that get no response and are executed one second later.
 	LateOrders float64 `json:"late_orders"`
 	// OrderTime is the duration of a load or unload. With zero, orders take effect immediately.
@@ -297,6 +302,9 @@
 	if rand.Float64() < f.Drop {
 		panic(http.ErrAbortHandler)
 	}
+	if rand.Float64() < f.SilentHead {
+		pause(q.Context(), f.Silence)
+	}
 	w.Header().Set("X-Request-Id", id)
 	if rand.Float64() >= f.Unsigned {
 		w.Header().Set("X-Response-Signature", Signature(Body(id, 0, r.opts.Events)))
@@ -305,14 +313,29 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	r.writeResponse(q.Context(), w, q, rand.Float64() < f.Truncate)
+	silence := time.Duration(0)
+	if rand.Float64() < f.SilentBody {
+		silence = f.Silence
+	}
+	r.writeResponse(q.Context(), w, q, rand.Float64() < f.Truncate, silence)
 	r.mu.Lock()
 	r.runs[runIndex].Whole = true
 	r.mu.Unlock()
 }
 
-// writeResponse sends the response. If truncate is set, it closes the connection in the middle of it.
-func (r *Replica) writeResponse(ctx context.Context, w http.ResponseWriter, q *http.Request, truncate bool) {
+// pause waits for d. It aborts the response if ctx ends first.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeResponse sends the response, with a pause of the given silence in the middle of it. If truncate is set, it closes the
+// connection there.
+func (r *Replica) writeResponse(ctx context.Context, w http.ResponseWriter, q *http.Request, truncate bool, silence time.Duration) {
+	flush := http.NewResponseController(w)
 	id := q.Header.Get("X-Request-Id")
 	if r.opts.Events == 0 {
 		body := Body(id, 0, 0)
@@ -321,7 +344,12 @@
 			_, _ = io.WriteString(w, body[:len(body)/2]) // the client may have disconnected
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, body)
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		if silence > 0 {
+			_ = flush.Flush()
+			pause(ctx, silence)
+		}
+		_, _ = io.WriteString(w, body[len(body)/2:])
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -329,15 +357,14 @@
 	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
 		from = last + 1
 	}
-	flush := http.NewResponseController(w)
 	for i := from; i < r.opts.Events; i++ {
-		select {
-		case <-time.After(r.opts.Pause):
-		case <-ctx.Done():
-			panic(http.ErrAbortHandler)
-		}
+		pause(ctx, r.opts.Pause)
 		event := Event(id, i)
-		if truncate && i == from+(r.opts.Events-from)/2 {
+		middle := i == from+(r.opts.Events-from)/2
+		if middle && silence > 0 {
+			pause(ctx, silence)
+		}
+		if truncate && middle {
 			_, _ = io.WriteString(w, event[:len(event)/2]) // the client may have disconnected
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/fleetgateway/silence_test.go
@@ -0,0 +1,82 @@
+package fleetgateway_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
+)
+
+// sendBeside sends a request, and calls beside once server has begun to run it.
+func (s *testGateway) sendBeside(server *fake.Replica, method string, beside func()) (id string, a response) {
+	GinkgoHelper()
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Eventually(func() int { runs, _ := server.Runs(); return len(runs) }, "3s", "5ms").Should(Equal(1))
+		beside()
+	}()
+	id, a = s.send(method, "/a/", map[string]string{"X-Deadline-Ms": "8500"}, "")
+	<-done
+	return id, a
+}
+
+// Guards against an answer that is cut, or replaced by an error, because its sound server was silent for a while.
+var _ = Describe("the answer of a sound server that is silent for a while", Label(knownRed), func() {
+	const streamSilence, silence = 1800 * time.Millisecond, 1300 * time.Millisecond
+	events := fake.ReplicaOptions{Events: 6, Pause: 5 * time.Millisecond}
+	reject := func(s *testGateway) { s.add("i-2", events, fake.ReplicaFaults{Shed: 1}) }
+	fail := func(s *testGateway) { s.add("i-2", events, fake.ReplicaFaults{Fail: 1}) }
+	hang := func(s *testGateway) { s.add("i-2", events, fake.ReplicaFaults{Hang: 1}) }
+	refuse := func(s *testGateway) { s.list("i-2", unusedAddress(), false) }
+	breakOff := func(s *testGateway) { s.add("i-2", events, fake.ReplicaFaults{Drop: 1}) }
+	stale := func(s *testGateway) {
+		s.add("i-2", events, fake.ReplicaFaults{})
+		s.stale.Store(true)
+	}
+	move := func(s *testGateway) {
+		s.add("i-2", events, fake.ReplicaFaults{})
+		moved := route(resumable, 9*time.Second)
+		moved.Targets = []fleet.Target{{Service: "t", Weight: 1}}
+		s.configure(moved, func(c *fleet.Configuration) { c.Services["t"] = &fleet.Service{Name: "t"} })
+	}
+
+	DescribeTable("arrives whole when it is a stream, and meanwhile", func(beside func(*testGateway)) {
+		s := newTestGateway(route(resumable, 9*time.Second))
+		first := s.add("i-1", events, fake.ReplicaFaults{SilentBody: 1, Silence: streamSilence})
+		id, a := s.sendBeside(first, http.MethodPost, func() { beside(s) })
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(http.StatusOK))
+		Expect(a.body).To(Equal(fake.Body(id, 0, 6)))
+	},
+		Entry("another server rejects it", reject),
+		Entry("another server fails", fail),
+		Entry("another server does not answer", hang),
+		Entry("another server refuses connections", refuse),
+		Entry("another server breaks off", breakOff),
+		Entry("the configuration cannot be confirmed", stale),
+		Entry("its route moves to another service", move),
+	)
+
+	DescribeTable("arrives when the request may be repeated, and meanwhile",
+		func(faults fake.ReplicaFaults, beside func(*testGateway)) {
+			s := newTestGateway(route(idempotent, 9*time.Second))
+			first := s.add("i-1", fake.ReplicaOptions{}, faults)
+			_, a := s.sendBeside(first, http.MethodGet, func() { beside(s) })
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(a.status).To(Equal(http.StatusOK))
+			Expect(a.header.Get("X-Response-Signature")).To(Equal(fake.Signature(a.body)))
+		},
+		Entry("another server rejects it", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, reject),
+		Entry("another server fails", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, fail),
+		Entry("another server does not answer", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, hang),
+		Entry("the configuration cannot be confirmed", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, stale),
+		Entry("another server rejects it, within the body", fake.ReplicaFaults{SilentBody: 1, Silence: silence}, reject),
+		Entry("another server fails, within the body", fake.ReplicaFaults{SilentBody: 1, Silence: silence}, fail),
+	)
+})
