Do not continue a long answer with another server's from its first byte

Callers of a repeatable route could get an answer that begins with one server's bytes and goes on with another's. An answer longer than 256 KiB is relayed while it arrives; when it broke off after that, the request was sent to another server, and the head and body of that answer were written behind the first part. The same after a silence of the first server, as the attempt was cancelled.

Now only a stream, whose events carry IDs, goes on at another server once a response has begun.

--- /dev/null
+++ b/internal/failover/failover.go
@@ -0,0 +1,127 @@
+// Package failover decides when a request is sent to one more backend server, and which of its attempts answers the caller. Use it
+// for each request of a gateway: it has no side effects, and all times are passed in.
+//
+// A server that sends nothing may be sound and go on. An attempt is therefore never given up because of silence alone: another
+// one begins beside it, and the first that advances the answer replaces all others.
+package failover
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// earlyCheck is the longest time after which a silent attempt is first checked for a reason not to wait for its timeout.
+	earlyCheck = 500 * time.Millisecond
+	// checkInterval is the time between two checks while a replacement is not possible.
+	checkInterval = 100 * time.Millisecond
+	// replacementPause is the time after which another replacement is considered if one could not begin.
+	replacementPause = 400 * time.Millisecond
+)
+
+// Options configure a Race.
+type Options struct {
+	Repeatable bool // the request may run more than once
+	MaxRuns    int  // attempts that may run
+	MaxNotRun  int  // attempts that may end as not run, and attempts that may end with nothing sent
+}
+
+// Outcome is how an attempt ended without answering the caller.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	Failed Outcome = iota // it may have run
+	NotRun                // the server did not and will not run it
+	Unsent                // nothing was sent to the server
+)
+
+// Race holds the attempts of one request, by numbers that the caller chooses. Times are durations since any fixed moment.
+type Race struct {
+	opts    Options
+	live    []int
+	runs    int // attempts that ended and may have run
+	notRun  int
+	unsent  int
+	due     time.Duration // when the silence of all attempts is too long
+	checkAt time.Duration // when Replace should be called next
+}
+
+// New returns a race without attempts.
+func New(opts Options) *Race { return &Race{opts: opts} }
+
+// Live returns the attempts that have not ended. The caller must not change it.
+func (r *Race) Live() []int { return r.live }
+
+// Runs returns the number of attempts that ended and may have run.
+func (r *Race) Runs() int { return r.runs }
+
+// MayBegin reports whether another attempt may begin now. Attempts that have not ended count as runs.
+func (r *Race) MayBegin() bool {
+	if r.notRun >= r.opts.MaxNotRun || r.unsent >= r.opts.MaxNotRun {
+		return false
+	}
+	runs := r.runs + len(r.live)
+	return runs == 0 || r.opts.Repeatable && runs < r.opts.MaxRuns
+}
+
+// LastRun reports whether a further attempt could not begin although all live ones failed.
+func (r *Race) LastRun() bool {
+	return !r.opts.Repeatable || r.runs+len(r.live) >= r.opts.MaxRuns
+}
+
+// Begin adds an attempt whose server should send something within patience.
+func (r *Race) Begin(attempt int, now, patience time.Duration) {
+	r.live = append(r.live, attempt)
+	r.wait(now, patience)
+}
+
+func (r *Race) wait(now, patience time.Duration) {
+	r.due, r.checkAt = now+patience, now+min(patience, earlyCheck)
+}
+
+// Received records that an attempt's server has sent something; the next is expected within patience. If that advances the answer
+// to the caller, the result is the attempts that it replaces, which the caller has to cancel.
+func (r *Race) Received(attempt int, now, patience time.Duration, advances bool) (replaced []int) {
+	r.wait(now, patience)
+	if !advances {
+		return nil
+	}
+	for _, other := range r.live {
+		if other != attempt {
+			replaced = append(replaced, other)
+		}
+	}
+	return replaced
+}
+
+// End removes an attempt.
+func (r *Race) End(attempt int, outcome Outcome) {
+	if i := slices.Index(r.live, attempt); i >= 0 {
+		r.live = slices.Delete(r.live, i, i+1)
+	}
+	switch outcome {
+	case Failed:
+		r.runs++
+	case NotRun:
+		r.notRun++
+	case Unsent:
+		r.unsent++
+	}
+}
+
+// Replace reports whether an attempt should begin beside the live ones, because these have been silent for too long or, with
+// stalled set, because their servers answer nobody. NextCheck says when to call it again.
+func (r *Race) Replace(now time.Duration, stalled bool) bool {
+	if len(r.live) == 0 || now < r.checkAt {
+		return false
+	}
+	r.checkAt = now + checkInterval
+	return (now >= r.due || stalled) && r.MayBegin()
+}
+
+// ReplacementFailed records that Replace returned true and no attempt could begin.
+func (r *Race) ReplacementFailed(now time.Duration) { r.checkAt = now + replacementPause }
+
+// NextCheck returns the time until the next call of Replace.
+func (r *Race) NextCheck(now time.Duration) time.Duration { return max(0, r.checkAt-now) }
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -160,6 +160,9 @@
 	} else if !q.route.Repeatable() || q.runs >= q.route.MaxAttempts {
 		return false
 	}
+	if q.headSent && q.route.Repeat != fleet.Stream {
+		return false // only a stream can go on at another server
+	}
 	return q.reserveRetry()
 }
 
