Keep a silent server's attempt until another server has begun to answer

Cause: when a server had been silent for a while and some other one existed, the attempt was cancelled first, and the choice of the other server came after that. Whatever then said no ended the request: a configuration that was not confirmed for a moment or that moved the route, a server that rejected, failed, hung, refused the connection or broke off, a spent budget, a turn at a cold server, too little time left. Class: a sound attempt is given up before its replacement has begun.

Now the attempt goes on. Another one begins beside it, and the first whose response advances the answer replaces the other; what says no to the second attempt only means that the request goes on waiting. A message of the silent server ends the choice of another one. The decision when an attempt may begin and which one answers is in the pure package failover; each attempt has a goroutine that reads its response, and the request's goroutine alone writes to the caller. The bounds are the same: attempts that have not ended count as runs for max_attempts, the retry budget is charged before, the organisation's limit for each run.

A request with an attempt in progress no longer changes its service or organisation when the configuration does.

New ones for the other direction: the other server answers first and the silent one stops within 400 ms, the silent one goes on first, the caller leaves.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -17,6 +17,8 @@
 	checkInterval = 100 * time.Millisecond
 	// replacementPause is the time after which another replacement is considered if one could not begin.
 	replacementPause = 400 * time.Millisecond
+	// noCheck is the time until the next check if no replacement may begin before another attempt ends.
+	noCheck = time.Hour
 )
 
 // Options configure a Race.
@@ -26,14 +28,14 @@
 	MaxNotRun  int  // attempts that may end as not run, and attempts that may end with nothing sent
 }
 
-// Outcome is how an attempt ended without answering the caller.
+// Outcome says whether an attempt that has ended ran.
 type Outcome int
 
 // The outcomes of an attempt.
 const (
-	Failed Outcome = iota // it may have run
-	NotRun                // the server did not and will not run it
-	Unsent                // nothing was sent to the server
+	MayHaveRun Outcome = iota
+	NotRun             // the server did not and will not run it
+	Unsent             // nothing was sent to the server
 )
 
 // Race holds the attempts of one request, by numbers that the caller chooses. Times are durations since any fixed moment.
@@ -65,7 +67,7 @@
 	return runs == 0 || r.opts.Repeatable && runs < r.opts.MaxRuns
 }
 
-// LastRun reports whether a further attempt could not begin although all live ones failed.
+// LastRun reports whether no further attempt may begin, even if all live ones fail after they may have run.
 func (r *Race) LastRun() bool {
 	return !r.opts.Repeatable || r.runs+len(r.live) >= r.opts.MaxRuns
 }
@@ -80,13 +82,11 @@
 	r.due, r.checkAt = now+patience, now+min(patience, earlyCheck)
 }
 
-// Received records that an attempt's server has sent something; the next is expected within patience. If that advances the answer
-// to the caller, the result is the attempts that it replaces, which the caller has to cancel.
-func (r *Race) Received(attempt int, now, patience time.Duration, advances bool) (replaced []int) {
-	r.wait(now, patience)
-	if !advances {
-		return nil
-	}
+// Progress records that a server has sent something; the next is expected within patience.
+func (r *Race) Progress(now, patience time.Duration) { r.wait(now, patience) }
+
+// Advance records that the caller gets the response of an attempt. It returns the attempts that it replaces, which must be cancelled.
+func (r *Race) Advance(attempt int) (replaced []int) {
 	for _, other := range r.live {
 		if other != attempt {
 			replaced = append(replaced, other)
@@ -101,7 +101,7 @@
 		r.live = slices.Delete(r.live, i, i+1)
 	}
 	switch outcome {
-	case Failed:
+	case MayHaveRun:
 		r.runs++
 	case NotRun:
 		r.notRun++
@@ -124,4 +124,9 @@
 func (r *Race) ReplacementFailed(now time.Duration) { r.checkAt = now + replacementPause }
 
 // NextCheck returns the time until the next call of Replace.
-func (r *Race) NextCheck(now time.Duration) time.Duration { return max(0, r.checkAt-now) }
+func (r *Race) NextCheck(now time.Duration) time.Duration {
+	if !r.MayBegin() {
+		return noCheck
+	}
+	return max(0, r.checkAt-now)
+}
--- a/internal/fake/fleet/replica.go
+++ b/internal/fake/fleet/replica.go
@@ -166,6 +166,13 @@
 	return slices.Clone(r.runs), r.crashed
 }
 
+// Active returns the number of requests that the backend server is working on.
+func (r *Replica) Active() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.active
+}
+
 // Handler returns the HTTP interface of the backend server, and the paths below /control/ by which tests control it.
 func (r *Replica) Handler() http.Handler {
 	router := mux.NewRouter().SkipClean(true)
--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -60,7 +60,7 @@
 	}
 	attrs = append(attrs,
 		slog.String("request_id", q.caller.ID), slog.String("outcome", kind.String()), slog.String("answer", q.answer(kind)),
-		slog.Duration("took", time.Since(q.arrived)), slog.Int("runs", q.runs), slog.Int("sends", len(q.tried)))
+		slog.Duration("took", time.Since(q.arrived)), slog.Int("runs", q.runs()), slog.Int("sends", len(q.tried)))
 	if q.config != nil {
 		attrs = append(attrs, slog.Int64("config_version", q.config.Version))
 	}
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/failover"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
@@ -31,6 +32,7 @@
 
 // result is the outcome of one attempt.
 type result struct {
+	server string
 	kind   errkind.Kind // None if the response was delivered
 	notRun bool         // the server did not and will not run the request
 	unsent bool         // nothing was sent to the server
@@ -41,18 +43,22 @@
 func (q *request) run(ctx context.Context) errkind.Kind {
 	s := q.server
 	s.budget(q.service).CountRequest(s.opts.Clock())
+	q.race = failover.New(failover.Options{
+		Repeatable: q.route.Repeatable(), MaxRuns: q.route.MaxAttempts, MaxNotRun: maxNotRunAttempts,
+	})
+	defer q.endAttempts()
 	for {
 		choice, replica, err := q.choose(ctx)
 		q.countDemand(choice)
 		if err != nil {
 			return q.refuse(q.finalError(ctx, err))
 		}
-		q.mu.Lock()
-		q.retryReserved = false
-		q.mu.Unlock()
-		r := q.sendTo(ctx, choice, replica)
+		r, ok := q.begin(ctx, ctx, choice, replica)
+		if ok {
+			r = q.await(ctx)
+		}
 		if r.kind == errkind.None {
-			q.log(errkind.None, slog.String("server", choice.ID))
+			q.log(errkind.None, slog.String("server", r.server))
 			return errkind.None
 		}
 		if !q.shouldRetry(ctx, r) {
@@ -99,7 +105,7 @@
 				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
 					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
 			}
-			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(byID[c.ID]) {
+			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(q.config, byID[c.ID]) {
 				return c, byID[c.ID], nil
 			}
 			if ctx.Err() == nil {
@@ -143,52 +149,32 @@
 	return time.Now().Before(until) && until.Before(q.deadline.Add(-load/4)) && q.timeLeft() > 0
 }
 
-// shouldRetry reports whether the request is sent to another server after an attempt with result r. If so, the retry
+// shouldRetry reports whether the request is sent to another server after its last attempt ended with result r. If so, the retry
 // budget has been charged, unless the attempt sent nothing.
 func (q *request) shouldRetry(ctx context.Context, r result) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if r.unsent {
-		q.unsent++
-		return q.unsent < maxNotRunAttempts
-	}
-	if r.notRun {
-		if len(q.tried)-q.runs >= maxNotRunAttempts {
-			return false
-		}
-	} else if !q.route.Repeatable() || q.runs >= q.route.MaxAttempts {
-		return false
-	}
-	if q.headSent && q.route.Repeat != fleet.Stream {
-		return false // only a stream can go on at another server
-	}
-	return q.reserveRetry()
+	return ctx.Err() == nil && r.kind != errkind.CallerCancelled && q.race.MayBegin() && q.canContinue() && (r.unsent || q.reserveRetry())
 }
 
+// canContinue reports whether another server's response could follow what the caller has got: only a stream can go on elsewhere.
+func (q *request) canContinue() bool { return !q.headSent || q.route.Repeat == fleet.Stream }
+
 // reserveRetry charges the retry budget for one more attempt and reports whether the budget allows it. A reservation
 // that has not been used yet is reused. The organisation's limit is charged later, by countRun.
 func (q *request) reserveRetry() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	if q.retryReserved {
 		return true
 	}
 	_, gateways := q.server.opts.Gateways()
-	if !q.server.budget(q.service).TakeRetry(q.server.opts.Clock(), gateways) {
-		return false
-	}
-	q.retryReserved = true
-	return true
+	q.retryReserved = q.server.budget(q.service).TakeRetry(q.server.opts.Clock(), gateways)
+	return q.retryReserved
 }
 
-// countRun counts an attempt that may have run. Each run after the first is charged to the organisation's limit
-// again.
-func (q *request) countRun() {
-	q.runs++
-	if q.runs > 1 && q.org != nil && q.charged > 0 {
-		q.server.opts.Limits.ChargeAgain(q.org, q.charged)
+// runs returns the number of attempts that ended and may have run.
+func (q *request) runs() int {
+	if q.race == nil {
+		return 0
 	}
+	return q.race.Runs()
 }
 
 // finalError returns the error for the caller, given the error of the last attempt.
@@ -196,11 +182,11 @@
 	switch {
 	case q.http.Context().Err() != nil:
 		return errkind.Wrap(errkind.CallerCancelled, err, "the caller disconnected")
-	case q.runs == 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case q.runs() == 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errkind.Wrap(errkind.NoCandidate, err, "not sent before the deadline")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return errkind.Wrap(errkind.DeadlineExceeded, err, "no complete response before the deadline")
-	case q.runs > 0 && errkind.Of(err).NotRun():
+	case q.runs() > 0 && errkind.Of(err).NotRun():
 		return errkind.Wrap(errkind.OutcomeUnknown, err, "an earlier attempt may have run")
 	}
 	return err
--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -48,7 +48,8 @@
 }
 
 // followConfiguration applies a configuration that came into force while the request waited. It returns an error of one of the
-// kinds of match, OutcomeUnknown if a response has begun and the request belongs to another service now, or RateLimited.
+// kinds of match, OutcomeUnknown if the request belongs to another service or organisation now although a response has begun or an
+// attempt is live, or RateLimited.
 func (q *request) followConfiguration() error {
 	if err := q.checkConfiguration(); err != nil {
 		return err
@@ -57,20 +58,27 @@
 	if newest == q.config {
 		return nil
 	}
-	service, org := q.service, q.org
+	config, route, service, org := q.config, q.route, q.service, q.org
 	q.config = newest
-	if err := q.match(); err != nil {
+	err := q.match()
+	sameOrg := org == q.org || (org != nil && q.org != nil && org.Name == q.org.Name)
+	switch {
+	case err != nil && len(q.live) == 0:
 		q.org = org // the charge is refunded to it
 		return err
+	case err == nil && len(q.live) > 0 && (q.service != service || !sameOrg),
+		err == nil && q.headSent && q.service != service:
+		err = errkind.New(errkind.OutcomeUnknown, "the request belongs to another service or organisation since it was sent")
+	}
+	if err != nil {
+		q.config, q.route, q.service, q.org = config, route, service, org
+		return err
 	}
 	if q.service != service {
-		if q.headSent {
-			return errkind.New(errkind.OutcomeUnknown, "the route belongs to another service since the response began")
-		}
 		q.model, q.modelKey = "", ""
 		q.describePrompt()
 	}
-	if org == q.org || (org != nil && q.org != nil && org.Name == q.org.Name) {
+	if sameOrg {
 		return nil
 	}
 	newOrg := q.org
@@ -82,12 +90,12 @@
 
 var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen, or the deadline has passed")
 
-// mayStillSend reports whether the request may be sent to server r now: the configuration has not changed since r was chosen and is
-// not too old, r is listed, in service and not draining, and the deadline has not passed.
-func (q *request) mayStillSend(r *fleet.Replica) bool {
+// mayStillSend reports whether the request may be sent to server r now: the configuration is still the one by which r was chosen and
+// is not too old, r is listed, in service and not draining, and the deadline has not passed.
+func (q *request) mayStillSend(config *fleet.Configuration, r *fleet.Replica) bool {
 	s := q.server
 	snapshot := s.opts.View.Snapshot()
 	current := snapshot.Replicas[r.ID]
-	return snapshot.Config == q.config && s.opts.CheckConfiguration() == nil && current != nil && snapshot.Usable(current) &&
+	return snapshot.Config == config && s.opts.CheckConfiguration() == nil && current != nil && snapshot.Usable(current) &&
 		!s.reportsDraining(current, s.opts.Clock()) && q.timeLeft() > 0
 }
--- /dev/null
+++ b/internal/fleetgateway/exchange.go
@@ -0,0 +1,157 @@
+package fleetgateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+	"github.com/pomelowheel/pomelowheel/internal/upstream"
+	"github.com/pomelowheel/pomelowheel/platform"
+)
+
+// relayBytes is the size of the parts in which a response is relayed that is too long to be read first.
+const relayBytes = 32 << 10
+
+// attempt is one sending of a request to a server. A goroutine of its own reads the response and passes it on in messages.
+type attempt struct {
+	number    int
+	candidate *fleetroute.Candidate
+	replica   *fleet.Replica
+	load      *fleetroute.Attempt
+	cancel    context.CancelCauseFunc
+	stream    bool        // a successful response is a stream
+	lastRun   bool        // the request may not run once more
+	sent      atomic.Bool // the server may have got the request
+	responded atomic.Bool // the head of the response has arrived
+
+	lastEventAt time.Time // when the last event was relayed; used by the request's goroutine only
+}
+
+// message is a part of a server's response, or the end of an attempt.
+type message struct {
+	attempt  *attempt
+	status   int // zero if there was no response
+	header   http.Header
+	instance string // server that responded, if it said so
+	event    event  // of a stream
+	body     []byte // of a response that is not a stream
+	ended    bool   // the last message of the attempt
+	result   result // of an attempt that has ended
+}
+
+// exchange sends the request of an attempt and passes on the response until it ends or ctx ends.
+func (q *request) exchange(ctx context.Context, a *attempt, r upstream.Request) {
+	last := q.transfer(ctx, a, r)
+	last.ended = true
+	q.pass(ctx, a, last)
+}
+
+// pass gives a message to the request's goroutine and ends a choice that is in progress there. It returns the cause of ctx if that
+// ends first.
+func (q *request) pass(ctx context.Context, a *attempt, m message) error {
+	m.attempt = a
+	select {
+	case q.messages <- m:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	if interrupt := q.interrupt.Load(); interrupt != nil {
+		(*interrupt)()
+	}
+	return nil
+}
+
+// transfer sends the request of an attempt, passes on the response and returns the last message. The connection has been given back
+// then, so that the end of the attempt does not close it.
+func (q *request) transfer(ctx context.Context, a *attempt, r upstream.Request) message {
+	resp, err := q.server.opts.Pool.Do(ctx, r)
+	if err != nil {
+		return message{result: unanswered(err)}
+	}
+	defer resp.Close()
+	a.responded.Store(true)
+	answer := platform.ParseResponse(resp.Status, resp.Header)
+	ok := statusOK(resp.Status)
+	last := message{status: resp.Status, header: resp.Header, instance: answer.Instance}
+	switch {
+	case answer.NotRun:
+		q.discardBody(resp)
+		last.result = result{kind: errkind.Overloaded, notRun: true}
+	case ok && !answer.Signed:
+		last.result = result{kind: errkind.ProtocolError, err: errors.New("successful response without a signature")}
+	case resp.Header.Get("Content-Encoding") != "":
+		last.result = result{kind: errkind.ProtocolError,
+			err: errors.New("the response has a content encoding, which servers do not use")}
+	case resp.Status >= http.StatusInternalServerError && !a.lastRun:
+		q.discardBody(resp)
+		last.result = result{kind: errkind.BackendFailed, err: fmt.Errorf("status %d", resp.Status)}
+	case a.stream && ok:
+		last.result = q.passEvents(ctx, a, resp)
+	default:
+		last.body, last.result = q.passBody(ctx, a, resp)
+	}
+	return last
+}
+
+// unanswered returns the result of an attempt whose request got no response.
+func unanswered(err error) result {
+	switch {
+	case errors.Is(err, upstream.ErrWithdrawn):
+		return result{kind: errkind.NoCandidate, notRun: true, unsent: true, err: err}
+	case errors.Is(err, upstream.ErrNotSent):
+		return result{kind: errkind.BackendUnreachable, notRun: true, err: err}
+	}
+	return result{kind: errkind.OutcomeUnknown, err: err}
+}
+
+// discardBody reads a short body, so that the connection can be reused.
+func (q *request) discardBody(resp *upstream.Response) {
+	if err := resp.Discard(maxBufferedBytes, discardTimeout); err != nil {
+		q.server.opts.Log.Debug("response body not read; the connection is closed", "request_id", q.caller.ID, "error", err)
+	}
+}
+
+// passEvents passes on the complete events of a stream as they arrive.
+func (q *request) passEvents(ctx context.Context, a *attempt, resp *upstream.Response) result {
+	events := newEventReader(resp)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			return result{}
+		}
+		if err == nil {
+			if event.hasData {
+				a.load.RecordProgress(q.server.opts.Clock())
+			}
+			err = q.pass(ctx, a, message{status: resp.Status, header: resp.Header, event: event})
+		}
+		if err != nil {
+			return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the stream broke off: %w", err)}
+		}
+	}
+}
+
+// passBody reads a response before it is relayed, so that an incomplete one can be retried or reported, and returns it. Of one
+// longer than maxBufferedBytes it passes on all but the last part as it arrives.
+func (q *request) passBody(ctx context.Context, a *attempt, resp *upstream.Response) ([]byte, result) {
+	part, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	if err == nil {
+		a.load.RecordProgress(q.server.opts.Clock())
+	}
+	for err == nil && len(part) > 0 && len(part)%relayBytes == 0 {
+		if err = q.pass(ctx, a, message{status: resp.Status, header: resp.Header, body: part}); err == nil {
+			part, err = io.ReadAll(io.LimitReader(resp, relayBytes))
+		}
+	}
+	if err != nil {
+		return nil, result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the response broke off: %w", err)}
+	}
+	return part, result{}
+}
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/failover"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
@@ -22,9 +22,8 @@
 	// discardTimeout bounds the time to read a body that is not relayed. The request is sent to another server, or the caller
 	// gets its answer, only after that.
 	discardTimeout = 50 * time.Millisecond
-	// A request that may be repeated waits for a server that sends nothing for silenceTimeoutFactor times the
-	// predicted time, and at least for minSilenceTimeout and half of the route's Target, before it is sent to another
-	// server.
+	// A request that may be repeated is sent to another server, too, if its server sends nothing for silenceTimeoutFactor times
+	// the predicted time, and at least for minSilenceTimeout and half of the route's Target.
 	silenceTimeoutFactor = 4
 	minSilenceTimeout    = 350 * time.Millisecond
 	// gapTimeoutFactor times the route's GapTarget, the longest pause between events that is still on time, is how
@@ -34,61 +33,46 @@
 	minGapTimeout = time.Second
 )
 
-// errServerSilent is the cause of an attempt that was cancelled because the server sent nothing for too long.
-var errServerSilent = errors.New("the server sent nothing for too long")
+var (
+	// errReplaced is the cause of an attempt that was cancelled because another server's response advanced the answer.
+	errReplaced = errors.New("another server's response came first")
+	// errEnded is the cause of an attempt that was cancelled because the request ended.
+	errEnded = errors.New("the request ended")
+)
 
-// sendTo sends the request to one server and relays the response.
-func (q *request) sendTo(ctx context.Context, c *fleetroute.Candidate, replica *fleet.Replica) result {
+// begin sends the request to one server. ok is false if nothing was sent, which r describes; the preparations end with prepare,
+// the attempt with ctx.
+func (q *request) begin(ctx, prepare context.Context, c *fleetroute.Candidate, replica *fleet.Replica) (r result, ok bool) {
 	s := q.server
+	number := q.begun
+	q.begun++
+	q.retryReserved = false
 	q.tried[c.ID] = true
 	if c.AdapterMissing {
-		if err := s.opts.Agents.EnsureAdapter(ctx, replica, q.caller.ID, q.model, q.caller.Adapter); err != nil {
+		if err := s.opts.Agents.EnsureAdapter(prepare, replica, q.caller.ID, q.model, q.caller.Adapter); err != nil {
 			s.opts.Log.Warn("adapter not loaded; nothing was sent to the server",
 				"request_id", q.caller.ID, "server", c.ID, "model", q.modelKey, "error", err)
 			delete(q.tried, c.ID) // nothing was sent, and the adapter may be loaded there later
 			s.excluded.add(c.ID, anyAdapter, s.opts.Clock())
-			return result{kind: errkind.ModelNotResident, notRun: true, unsent: true, err: err}
+			q.race.End(number, failover.Unsent)
+			return result{kind: errkind.ModelNotResident, notRun: true, unsent: true, err: err}, false
 		}
 	}
-	if c.AdapterMissing && !q.mayStillSend(replica) {
-		return q.withdrawn(c)
+	if c.AdapterMissing && !q.mayStillSend(q.config, replica) {
+		q.race.End(number, failover.Unsent)
+		return q.withdrawn(c), false
 	}
 	s.countColdRequest(c.ID)
-	attempt := s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	runs := q.runs + 1 // including this attempt
-	timer := newWatchdog(q.silenceTimeout(c), func() bool { return s.stalled(replica) },
-		func() bool { return q.canFailOver(ctx, runs) },
-		func() { cancel(errServerSilent) })
-	defer timer.Stop()
-	resp, err := s.opts.Pool.Do(attemptCtx, q.upstream(c, replica))
-	if err != nil {
-		notSent := errors.Is(err, upstream.ErrNotSent)
-		attempt.Done(s.opts.Clock(), q.http.Context().Err() == nil && !errors.Is(err, upstream.ErrWithdrawn))
-		if errors.Is(err, upstream.ErrWithdrawn) {
-			return q.withdrawn(c)
-		}
-		if notSent {
-			return q.attemptFailed(c, errkind.BackendUnreachable, true, err)
-		}
-		q.countRun()
-		return q.attemptFailed(c, errkind.OutcomeUnknown, false, errors.Join(err, context.Cause(attemptCtx)))
-	}
-	defer resp.Close()
-	answer := platform.ParseResponse(resp.Status, resp.Header)
-	if answer.NotRun {
-		attempt.Done(s.opts.Clock(), false)
-		q.discardBody(resp)
-		return q.notRun(c, replica, resp, answer)
+	q.race.Begin(number, q.elapsed(), q.silenceTimeout(c))
+	a := &attempt{
+		number: number, candidate: c, replica: replica, cancel: cancel, stream: q.route.Repeat == fleet.Stream,
+		lastRun: q.race.LastRun(), load: s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt),
 	}
-	q.countRun()
-	r := q.relay(ctx, resp, answer, attempt, timer, c)
-	attempt.Done(s.opts.Clock(), r.kind != errkind.None && q.http.Context().Err() == nil && ctx.Err() == nil)
-	if r.kind != errkind.None {
-		return q.attemptFailed(c, r.kind, false, errors.Join(r.err, context.Cause(attemptCtx)))
-	}
-	return r
+	q.live[number] = a
+	request := q.upstream(a)
+	q.exchanges.Go(func() { q.exchange(attemptCtx, a, request) })
+	return result{}, true
 }
 
 // withdrawn returns the result of an attempt that ended before anything was sent, because mayStillSend returned false.
@@ -96,180 +80,182 @@
 	q.server.opts.Log.Info("request not sent to the chosen server", "request_id", q.caller.ID, "server", c.ID,
 		"time_left", q.timeLeft(), "error", errChanged)
 	delete(q.tried, c.ID)
-	return result{kind: errkind.NoCandidate, notRun: true, unsent: true,
+	return result{server: c.ID, kind: errkind.NoCandidate, notRun: true, unsent: true,
 		err: errkind.Wrap(errkind.NoCandidate, errChanged, "server %s", c.ID)}
 }
 
-// stalled reports whether a server sends nothing for any request and its host does not report either.
-func (s *Server) stalled(r *fleet.Replica) bool {
-	now := s.opts.Clock()
-	_, reporting := s.opts.Agents.Report(r, now)
-	return !reporting && s.opts.Table.Stalled(r.ID, now)
-}
-
-// canFailOver reports whether the request could be sent to another server now, after the given number of runs. If
-// so, the retry budget has been charged for the next attempt. Silence alone does not end an attempt, because the
-// server may still respond in time.
-func (q *request) canFailOver(ctx context.Context, runs int) bool {
-	if ctx.Err() != nil || !q.route.Repeatable() || runs >= q.route.MaxAttempts {
-		return false
-	}
-	list, _, _ := q.candidates(q.server.opts.Clock())
-	at := fleetroute.Choose(list, q.server.opts.DataCentre)
-	if at < 0 || list[at].Predicted() > time.Duration(maxDeadlineShare*float64(q.timeLeft())) {
-		return false
-	}
-	return q.reserveRetry()
-}
+// elapsed returns the time since the request arrived, on the clock of q.race.
+func (q *request) elapsed() time.Duration { return time.Since(q.arrived) }
 
 // silenceTimeout returns how long the request waits for a server that sends nothing.
 func (q *request) silenceTimeout(c *fleetroute.Candidate) time.Duration {
 	return max(minSilenceTimeout, silenceTimeoutFactor*c.Predicted(), q.route.Target/2)
 }
 
-func (q *request) upstream(c *fleetroute.Candidate, replica *fleet.Replica) upstream.Request {
+func (q *request) gapTimeout() time.Duration {
+	return max(minGapTimeout, gapTimeoutFactor*q.route.MaxEventGap)
+}
+
+func (q *request) upstream(a *attempt) upstream.Request {
 	organisation := ""
 	if q.org != nil {
 		organisation = q.org.Name
 	}
+	config, id := q.config, q.caller.ID
 	return upstream.Request{
-		Server: c.ID, Address: replica.Address, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host,
+		Server: a.candidate.ID, Address: a.replica.Address, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host,
 		Header: platform.ForwardHeader(q.http.Header, platform.Forwarded{
-			Replica: c.ID, Organisation: organisation, Remaining: q.timeLeft(),
+			Replica: a.candidate.ID, Organisation: organisation, Remaining: q.timeLeft(),
 			Priority: fleet.PriorityOf(q.route, q.org), LastEvent: q.lastEvent,
 		}),
 		Body: q.body,
 		Matches: func(status int, h http.Header) bool {
-			id := platform.ParseResponse(status, h).RequestID
-			return id == "" || id == q.caller.ID
+			answered := platform.ParseResponse(status, h).RequestID
+			return answered == "" || answered == id
+		},
+		MayStillSend: func() bool {
+			if !q.mayStillSend(config, a.replica) {
+				return false
+			}
+			a.sent.Store(true)
+			return true
 		},
-		MayStillSend: func() bool { return q.mayStillSend(replica) },
 	}
 }
 
-func (q *request) attemptFailed(c *fleetroute.Candidate, kind errkind.Kind, notRun bool, err error) result {
-	q.server.opts.Log.Warn("attempt failed", "request_id", q.caller.ID, "server", c.ID, "outcome", kind.String(),
-		"not_run", notRun, "last_event", q.lastEvent, "error", err)
-	return result{kind: kind, notRun: notRun, err: errkind.Wrap(kind, err, "server %s", c.ID)}
+// await relays the response of the live attempts to the caller. It returns when the response is complete or all attempts have
+// ended, with the result of the last one.
+func (q *request) await(ctx context.Context) result {
+	check := time.NewTimer(q.race.NextCheck(q.elapsed()))
+	defer check.Stop()
+	for {
+		select {
+		case m := <-q.messages:
+			if r, done := q.receive(m); done {
+				return r
+			}
+		case <-check.C:
+			q.replaceSilent(ctx)
+		case <-ctx.Done():
+			return q.abandon(ctx)
+		}
+		check.Reset(q.race.NextCheck(q.elapsed()))
+	}
 }
 
-// notRun interprets the response of a server that did not run the request.
-func (q *request) notRun(c *fleetroute.Candidate, replica *fleet.Replica, resp *upstream.Response,
-	answer platform.Response) result {
-	s := q.server
-	kind := errkind.Overloaded
-	if resp.Status == http.StatusMisdirectedRequest {
-		kind = errkind.ModelNotResident
-		if answer.Instance != "" && answer.Instance != c.ID {
-			kind = errkind.BackendUnreachable // another server has the address
-			s.excluded.markReplaced(replica, s.opts.Clock())
-		} else if q.model != "" {
-			s.excluded.add(c.ID, q.model, s.opts.Clock())
-			s.excluded.add(c.ID, q.modelKey, s.opts.Clock())
+// replaceSilent sends the request to another server, too, if the servers of the live attempts have been silent for too long and
+// another one can take it. A message of a live attempt makes that unnecessary.
+func (q *request) replaceSilent(ctx context.Context) {
+	if !q.race.Replace(q.elapsed(), q.allStalled()) || !q.canFailOver(ctx) {
+		return
+	}
+	prepare, cancel := context.WithCancel(ctx)
+	defer cancel()
+	q.interrupt.Store(&cancel)
+	defer q.interrupt.Store(nil)
+	if len(q.messages) > 0 {
+		return
+	}
+	choice, replica, err := q.choose(prepare)
+	if prepare.Err() != nil {
+		return
+	}
+	if err == nil {
+		var r result
+		var ok bool
+		if r, ok = q.begin(ctx, prepare, choice, replica); ok {
+			return
 		}
+		err = r.err
 	}
-	s.opts.Log.Warn("server did not run the request", "request_id", q.caller.ID, "server", c.ID, "status", resp.Status,
-		"instance", answer.Instance, "outcome", kind.String())
-	return result{kind: kind, notRun: true,
-		err: errkind.New(kind, "server %s responded with status %d and did not run the request",
-			c.ID, resp.Status)}
+	q.race.ReplacementFailed(q.elapsed())
+	q.server.opts.Log.Info("no other server takes the request of a silent one; still waiting", "request_id", q.caller.ID, "error", err)
 }
 
-// discardBody reads a short body, so that the connection can be reused.
-func (q *request) discardBody(resp *upstream.Response) {
-	if err := resp.Discard(maxBufferedBytes, discardTimeout); err != nil {
-		q.server.opts.Log.Debug("response body not read; the connection is closed", "request_id", q.caller.ID, "error", err)
+// canFailOver reports whether the request could be sent to another server now, beside the attempts that have not ended. If so, the
+// retry budget has been charged for the next attempt.
+func (q *request) canFailOver(ctx context.Context) bool {
+	if ctx.Err() != nil || !q.canContinue() {
+		return false
+	}
+	list, _, _ := q.candidates(q.server.opts.Clock())
+	at := fleetroute.Choose(list, q.server.opts.DataCentre)
+	if at < 0 || list[at].Predicted() > time.Duration(maxDeadlineShare*float64(q.timeLeft())) {
+		return false
+	}
+	return q.reserveRetry()
+}
+
+// allStalled reports whether the servers of all live attempts send nothing for any request and their hosts do not report either.
+func (q *request) allStalled() bool {
+	now := q.server.opts.Clock()
+	for _, a := range q.live {
+		_, reporting := q.server.opts.Agents.Report(a.replica, now)
+		if reporting || !q.server.opts.Table.Stalled(a.replica.ID, now) {
+			return false
+		}
 	}
+	return true
 }
 
-// relay relays a server's response to the caller.
-func (q *request) relay(ctx context.Context, resp *upstream.Response, answer platform.Response, attempt *fleetroute.Attempt,
-	timer *watchdog, c *fleetroute.Candidate) result {
+// end removes an attempt that ended with r. failed says that its server is to be avoided. The result is r, and whether no other
+// attempt is live.
+func (q *request) end(a *attempt, r result, failed bool) (result, bool) {
+	a.load.Done(q.server.opts.Clock(), failed)
+	a.cancel(errEnded)
+	delete(q.live, a.number)
 	switch {
-	case statusOK(resp.Status) && !answer.Signed:
-		return result{kind: errkind.ProtocolError, err: errors.New("successful response without a signature")}
-	case resp.Header.Get("Content-Encoding") != "":
-		return result{kind: errkind.ProtocolError,
-			err: errors.New("the response has a content encoding, which servers do not use")}
-	case resp.Status >= http.StatusInternalServerError && !q.headSent && q.couldRepeat(ctx):
-		q.discardBody(resp)
-		return result{kind: errkind.BackendFailed, err: fmt.Errorf("status %d", resp.Status)}
-	case q.headSent && !statusOK(resp.Status):
-		return result{kind: errkind.BackendFailed, err: fmt.Errorf("status %d when resuming the stream", resp.Status)}
-	case q.route.Repeat == fleet.Stream && statusOK(resp.Status):
-		return q.relayStream(resp, attempt, timer)
+	case r.unsent:
+		q.race.End(a.number, failover.Unsent)
+	case r.notRun:
+		q.race.End(a.number, failover.NotRun)
+	default:
+		q.race.End(a.number, failover.MayHaveRun)
+		if q.race.Runs() > 1 && q.org != nil && q.charged > 0 {
+			q.server.opts.Limits.ChargeAgain(q.org, q.charged)
+		}
 	}
-	return q.relayBuffered(resp, attempt, timer)
+	return r, len(q.live) == 0
 }
 
-// couldRepeat reports whether the request may be repeated, so that a server's failure need not be returned to the
-// caller.
-func (q *request) couldRepeat(ctx context.Context) bool {
-	return ctx.Err() == nil && q.route.Repeatable() && q.runs < q.route.MaxAttempts
+// fail ends an attempt whose server did not answer the request.
+func (q *request) fail(a *attempt, kind errkind.Kind, notRun bool, err error) (result, bool) {
+	q.server.opts.Log.Warn("attempt failed", "request_id", q.caller.ID, "server", a.candidate.ID, "outcome", kind.String(),
+		"not_run", notRun, "last_event", q.lastEvent, "error", err, "others", len(q.live)-1)
+	r := result{server: a.candidate.ID, kind: kind, notRun: notRun, err: errkind.Wrap(kind, err, "server %s", a.candidate.ID)}
+	return q.end(a, r, q.http.Context().Err() == nil)
 }
 
-// relayBuffered reads a response before it relays it, so that an incomplete one can be retried or reported. Only the
-// first maxBufferedBytes of a longer response are read in advance.
-func (q *request) relayBuffered(resp *upstream.Response, attempt *fleetroute.Attempt, timer *watchdog) result {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err != nil {
-		return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the response broke off: %w", err)}
-	}
-	timer.Stop()
-	attempt.RecordProgress(q.server.opts.Clock())
-	q.firstEvent = time.Since(q.arrived)
-	q.sendHead(resp.Status, resp.Header)
-	if _, err := q.writer.Write(body); err != nil {
-		return result{kind: errkind.CallerCancelled, err: err}
-	}
-	if len(body) < maxBufferedBytes {
-		return result{}
+// cancel ends an attempt that is not needed any longer. failed says that its server is to be avoided.
+func (q *request) cancel(a *attempt, cause error, failed bool) result {
+	a.cancel(cause)
+	r := result{server: a.candidate.ID, kind: errkind.OutcomeUnknown}
+	if !a.sent.Load() {
+		r.kind, r.notRun = errkind.BackendUnreachable, true
 	}
-	if _, err := io.Copy(q.writer, resp); err != nil {
-		return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the response broke off: %w", err)}
-	}
-	return result{}
+	q.server.opts.Log.Info("attempt cancelled", "request_id", q.caller.ID, "server", a.candidate.ID, "not_run", r.notRun,
+		"last_event", q.lastEvent, "error", cause)
+	r.err = errkind.Wrap(r.kind, cause, "server %s", a.candidate.ID)
+	r, _ = q.end(a, r, failed)
+	return r
 }
 
-// relayStream relays complete events as they arrive.
-func (q *request) relayStream(resp *upstream.Response, attempt *fleetroute.Attempt, timer *watchdog) result {
-	events := newEventReader(resp)
-	var lastEventAt time.Time
-	flush := http.NewResponseController(q.writer)
-	for {
-		event, err := events.next()
-		switch {
-		case err == io.EOF && !q.headSent:
-			return result{kind: errkind.ProtocolError, err: errors.New("the stream ended without an event")}
-		case err == io.EOF:
-			return result{}
-		case err != nil:
-			return result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the stream broke off: %w", err)}
-		}
-		if event.hasData {
-			now := time.Now()
-			if !lastEventAt.IsZero() {
-				q.longestGap = max(q.longestGap, now.Sub(lastEventAt))
-			}
-			lastEventAt = now
-			attempt.RecordProgress(q.server.opts.Clock())
-			timer.Reset(max(minGapTimeout, gapTimeoutFactor*q.route.MaxEventGap))
-		}
-		if event.id != "" && !eventIDAfter(event.id, q.lastEvent) {
-			continue // the caller got it from an earlier attempt
-		}
-		if !q.headSent {
-			q.firstEvent = time.Since(q.arrived)
-			q.sendHead(resp.Status, resp.Header)
-		}
-		if _, err := q.writer.Write(event.raw); err != nil {
-			return result{kind: errkind.CallerCancelled, err: err}
-		}
-		if err := flush.Flush(); err != nil {
-			return result{kind: errkind.CallerCancelled, err: err}
-		}
-		if event.id != "" {
-			q.lastEvent = event.id
+// abandon ends all live attempts because ctx has ended, and returns the result of one that may have run, if there is one.
+func (q *request) abandon(ctx context.Context) result {
+	r := result{kind: errkind.NoCandidate, notRun: true, err: context.Cause(ctx)}
+	for _, a := range q.live {
+		silent := q.http.Context().Err() == nil && !a.responded.Load()
+		if one := q.cancel(a, fmt.Errorf("no complete response in time: %w", context.Cause(ctx)), silent); r.notRun {
+			r = one
 		}
 	}
+	return r
+}
+
+// endAttempts ends the attempts that are left and waits for their goroutines.
+func (q *request) endAttempts() {
+	for _, a := range q.live {
+		q.cancel(a, errEnded, false)
+	}
+	q.exchanges.Wait()
 }
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -32,18 +32,9 @@
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
-// knownRed is the label of the specs that KNOWN-RED.txt lists. They run in a test of their own, so that CI can skip exactly these.
-const knownRed = "known-red"
-
-func TestIngress(t *testing.T) { runSpecs(t, "!"+knownRed) }
-
-func TestIngressKnownRed(t *testing.T) { runSpecs(t, knownRed) }
-
-func runSpecs(t *testing.T, filter string) {
+func TestIngress(t *testing.T) {
 	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.LabelFilter = filter
-	RunSpecs(t, "ingress", suite, reporter)
+	RunSpecs(t, "ingress")
 }
 
 // testGateway is a gateway in front of emulated backend servers.
--- /dev/null
+++ b/internal/fleetgateway/relay.go
@@ -0,0 +1,123 @@
+package fleetgateway
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
+)
+
+// receive handles a message of an attempt. The result is that of the request's last attempt if done is set: the response is
+// complete, the caller cannot be reached, or no attempt is left.
+func (q *request) receive(m message) (r result, done bool) {
+	a := m.attempt
+	if q.live[a.number] != a {
+		return result{}, false // it was cancelled meanwhile
+	}
+	failed := m.ended && m.result.kind != errkind.None
+	switch {
+	case failed && m.result.unsent:
+		return q.end(a, q.withdrawn(a.candidate), false)
+	case failed && m.result.notRun && m.status != 0:
+		return q.rejected(a, m)
+	case failed:
+		return q.fail(a, m.result.kind, m.result.notRun, m.result.err)
+	case a != q.answering && q.headSent && !statusOK(m.status):
+		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d when resuming the stream", m.status))
+	case a != q.answering && len(q.live) > 1 && m.status >= http.StatusInternalServerError:
+		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d", m.status))
+	case m.ended && a.stream && statusOK(m.status) && !q.headSent:
+		return q.fail(a, errkind.ProtocolError, false, errors.New("the stream ended without an event"))
+	}
+	if err := q.relay(a, m); err != nil {
+		r, _ = q.fail(a, errkind.CallerCancelled, false, err)
+		return r, true
+	}
+	if !m.ended {
+		return result{}, false
+	}
+	q.replaceOthers(a)
+	return q.end(a, result{server: a.candidate.ID}, false)
+}
+
+// rejected ends an attempt whose server did not run the request.
+func (q *request) rejected(a *attempt, m message) (result, bool) {
+	s, id := q.server, a.candidate.ID
+	kind := errkind.Overloaded
+	if m.status == http.StatusMisdirectedRequest {
+		kind = errkind.ModelNotResident
+		if m.instance != "" && m.instance != id {
+			kind = errkind.BackendUnreachable // another server has the address
+			s.excluded.markReplaced(a.replica, s.opts.Clock())
+		} else if q.model != "" {
+			s.excluded.add(id, q.model, s.opts.Clock())
+			s.excluded.add(id, q.modelKey, s.opts.Clock())
+		}
+	}
+	s.opts.Log.Warn("server did not run the request", "request_id", q.caller.ID, "server", id, "status", m.status,
+		"instance", m.instance, "outcome", kind.String())
+	return q.end(a, result{server: id, kind: kind, notRun: true,
+		err: errkind.New(kind, "server %s responded with status %d and did not run the request", id, m.status)}, false)
+}
+
+// replaceOthers cancels the other attempts, because the caller gets the response of a.
+func (q *request) replaceOthers(a *attempt) {
+	for _, number := range q.race.Advance(a.number) {
+		q.cancel(q.live[number], errReplaced, number < a.number)
+	}
+	q.answering = a
+}
+
+// relay writes a part of a response to the caller. It returns the error of the write.
+func (q *request) relay(a *attempt, m message) error {
+	if a.stream && statusOK(m.status) {
+		if len(m.event.raw) == 0 {
+			return nil
+		}
+		return q.relayEvent(a, m)
+	}
+	q.race.Progress(q.elapsed(), q.gapTimeout())
+	q.replaceOthers(a)
+	q.ensureHead(m)
+	_, err := q.writer.Write(m.body)
+	return err
+}
+
+// relayEvent writes an event to the caller, unless that got it from an earlier attempt.
+func (q *request) relayEvent(a *attempt, m message) error {
+	e := m.event
+	if e.hasData {
+		now := time.Now()
+		if !a.lastEventAt.IsZero() {
+			q.longestGap = max(q.longestGap, now.Sub(a.lastEventAt))
+		}
+		a.lastEventAt = now
+		q.race.Progress(q.elapsed(), q.gapTimeout())
+	}
+	comment := e.id == "" && !e.hasData
+	if comment && len(q.live) > 1 || e.id != "" && !eventIDAfter(e.id, q.lastEvent) {
+		return nil
+	}
+	q.replaceOthers(a)
+	q.ensureHead(m)
+	if _, err := q.writer.Write(e.raw); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(q.writer).Flush(); err != nil {
+		return err
+	}
+	if e.id != "" {
+		q.lastEvent = e.id
+	}
+	return nil
+}
+
+// ensureHead sends the head of the response before its first part.
+func (q *request) ensureHead(m message) {
+	if !q.headSent {
+		q.firstEvent = q.elapsed()
+		q.sendHead(m.status, m.header)
+	}
+}
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/coldstart"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/failover"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
@@ -143,17 +144,20 @@
 	prompt       fleetroute.Prompt
 	outputTokens float64 // expected output tokens
 
-	tried         map[string]bool // IDs of the servers that this request was sent to
-	runs          int             // attempts that may have run at a server
-	unsent        int             // attempts that ended before anything was sent
-	demandCounted bool            // the request is counted in the model's demand
-	headSent      bool            // the status line and header of the response were sent
-	lastEvent     string          // ID of the last event that was sent to the caller
-	firstEvent    time.Duration   // from the arrival to the first event of a stream, or to a response that is not a stream
-	longestGap    time.Duration   // longest pause between two events of one attempt
-
-	mu            sync.Mutex
-	retryReserved bool // the retry budget has been charged for the next attempt
+	tried         map[string]bool                    // IDs of the servers that this request was sent to
+	race          *failover.Race                     // decides which attempts begin, and which of them answers
+	live          map[int]*attempt                   // attempts that have not ended, by number
+	begun         int                                // attempts that were prepared
+	exchanges     sync.WaitGroup                     // goroutines of the attempts
+	messages      chan message                       // from the attempts
+	interrupt     atomic.Pointer[context.CancelFunc] // ends a choice that a message makes unnecessary
+	answering     *attempt                           // whose response the caller gets
+	retryReserved bool                               // the retry budget has been charged for the next attempt
+	demandCounted bool                               // the request is counted in the model's demand
+	headSent      bool                               // the status line and header of the response were sent
+	lastEvent     string                             // ID of the last event that was sent to the caller
+	firstEvent    time.Duration                      // from the arrival to the first event of a stream, or to a response that is not a stream
+	longestGap    time.Duration                      // longest pause between two events of one attempt
 }
 
 // ServeHTTP implements http.Handler. It aborts the connection if a response that has begun could not be completed.
@@ -162,7 +166,7 @@
 	defer s.active.Add(-1)
 	q := &request{
 		server: s, writer: w, http: r, caller: platform.ParseCallerRequest(r.Header), arrived: time.Now(), arrivedAt: s.opts.Clock(),
-		tried: make(map[string]bool),
+		tried: make(map[string]bool), live: make(map[int]*attempt), messages: make(chan message, 1),
 	}
 	if s.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
--- a/internal/fleetgateway/silence_test.go
+++ b/internal/fleetgateway/silence_test.go
@@ -1,6 +1,7 @@
 package fleetgateway_test
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -27,7 +28,7 @@
 }
 
 // Guards against an answer that is cut, or replaced by an error, because its sound server was silent for a while.
-var _ = Describe("the answer of a sound server that is silent for a while", Label(knownRed), func() {
+var _ = Describe("the answer of a sound server that is silent for a while", func() {
 	const streamSilence, silence = 1800 * time.Millisecond, 1300 * time.Millisecond
 	events := fake.ReplicaOptions{Events: 6, Pause: 5 * time.Millisecond}
 	reject := func(s *testGateway) { s.add("i-2", events, fake.ReplicaFaults{Shed: 1}) }
@@ -79,4 +80,52 @@
 		Entry("another server rejects it, within the body", fake.ReplicaFaults{SilentBody: 1, Silence: silence}, reject),
 		Entry("another server fails, within the body", fake.ReplicaFaults{SilentBody: 1, Silence: silence}, fail),
 	)
+
+	// Guards against the opposite fault: a request that waits for a silent server although another one would answer.
+	It("comes from another server that begins first, and the silent one stops its work", func() {
+		s := newTestGateway(route(resumable, 9*time.Second))
+		first := s.add("i-1", events, fake.ReplicaFaults{SilentBody: 1, Silence: 4 * time.Second})
+		var second *fake.Replica
+		id, a := s.sendBeside(first, http.MethodPost, func() { second = s.add("i-2", events, fake.ReplicaFaults{}) })
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(fake.Body(id, 0, 6)))
+		Expect(a.duration).To(BeNumerically("<", streamSilence))
+		Expect(runsOf(id, first, second)).To(Equal(2))
+		Eventually(first.Active, "400ms", "5ms").Should(BeZero())
+	})
+
+	// Guards against work that goes on at two servers after the first one has gone on.
+	It("ends the attempt at the other server when the silent one goes on first", func() {
+		s := newTestGateway(route(resumable, 9*time.Second))
+		first := s.add("i-1", events, fake.ReplicaFaults{SilentBody: 1, Silence: streamSilence})
+		var second *fake.Replica
+		id, a := s.sendBeside(first, http.MethodPost, func() {
+			second = s.add("i-2", events, fake.ReplicaFaults{SilentHead: 1, Silence: 4 * time.Second})
+		})
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(fake.Body(id, 0, 6)))
+		Eventually(second.Active, "400ms", "5ms").Should(BeZero())
+	})
+
+	// Guards against work that goes on at one of two servers after the caller has left.
+	It("is given up at both servers when the caller leaves", func() {
+		s := newTestGateway(route(idempotent, 9*time.Second))
+		first := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{Hang: 1})
+		second := s.add("i-2", fake.ReplicaOptions{}, fake.ReplicaFaults{Hang: 1})
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		go func() {
+			defer GinkgoRecover()
+			Eventually(func() int { return first.Active() + second.Active() }, "3s", "5ms").Should(Equal(2))
+			leave()
+		}()
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url+"/a/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "crew.example"
+		r.Header.Set("Authorization", "Bearer key")
+		_, err = http.DefaultClient.Do(r)
+		Expect(err).To(MatchError(context.Canceled))
+		Eventually(func() int { return first.Active() + second.Active() }, "500ms", "5ms").Should(BeZero())
+		Eventually(s.server.Active, "1s").Should(BeZero())
+	})
 })
