Let a slow server's event not end the attempt at a fast one

Since a silent attempt goes on beside its replacement, and the first that sent something ended the other.

Now an attempt that was silent ends a later one only when it goes on at the route's pace between events; the later one ends the earlier one with its first event.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -2,7 +2,8 @@
 // for each request of a gateway: it has no side effects, and all times are passed in.
 //
 // A server that sends nothing may be sound and go on. An attempt is therefore never given up because of silence alone: another
-// one begins beside it, and the first that advances the answer replaces all others.
+// one begins beside it, and replaces it when its server has begun to answer. An attempt that was silent replaces a newer one only
+// if it goes on at a normal pace, because a slow server sends an event now and then, too.
 package failover
 
 import (
@@ -38,10 +39,10 @@
 	Unsent             // nothing was sent to the server
 )
 
-// Race holds the attempts of one request, by numbers that the caller chooses. Times are durations since any fixed moment.
+// Race holds the attempts of one request, by increasing numbers that the caller chooses. Times are durations since any fixed moment.
 type Race struct {
 	opts    Options
-	live    []int
+	live    []state
 	runs    int // attempts that ended and may have run
 	notRun  int
 	unsent  int
@@ -49,11 +50,24 @@
 	checkAt time.Duration // when Replace should be called next
 }
 
+// state is what is known of a live attempt.
+type state struct {
+	attempt int
+	sent    bool          // its server has sent something
+	sentAt  time.Duration // when it last did
+}
+
 // New returns a race without attempts.
 func New(opts Options) *Race { return &Race{opts: opts} }
 
-// Live returns the attempts that have not ended. The caller must not change it.
-func (r *Race) Live() []int { return r.live }
+// Live returns the attempts that have not ended, in the order in which they began.
+func (r *Race) Live() []int {
+	var live []int
+	for _, s := range r.live {
+		live = append(live, s.attempt)
+	}
+	return live
+}
 
 // Runs returns the number of attempts that ended and may have run.
 func (r *Race) Runs() int { return r.runs }
@@ -72,9 +86,9 @@
 	return !r.opts.Repeatable || r.runs+len(r.live) >= r.opts.MaxRuns
 }
 
-// Begin adds an attempt whose server should send something within patience.
+// Begin adds an attempt whose server should send something within patience. Its number is higher than those of all earlier ones.
 func (r *Race) Begin(attempt int, now, patience time.Duration) {
-	r.live = append(r.live, attempt)
+	r.live = append(r.live, state{attempt: attempt})
 	r.wait(now, patience)
 }
 
@@ -82,22 +96,38 @@
 	r.due, r.checkAt = now+patience, now+min(patience, earlyCheck)
 }
 
-// Progress records that a server has sent something; the next is expected within patience.
-func (r *Race) Progress(now, patience time.Duration) { r.wait(now, patience) }
-
-// Advance records that the caller gets the response of an attempt. It returns the attempts that it replaces, which must be cancelled.
-func (r *Race) Advance(attempt int) (replaced []int) {
+// Progress records that an attempt's server has sent a part of its response; the next is expected within patience. It returns the
+// attempts that this one replaces, which must be cancelled: earlier ones, which were silent, and later ones if this one goes on
+// within pace of its last part.
+func (r *Race) Progress(attempt int, now, patience, pace time.Duration) (replaced []int) {
+	r.wait(now, patience)
+	i := r.index(attempt)
+	if i < 0 {
+		return nil
+	}
+	s := &r.live[i]
+	timely := s.sent && now-s.sentAt <= pace
+	s.sent, s.sentAt = true, now
 	for _, other := range r.live {
-		if other != attempt {
-			replaced = append(replaced, other)
+		if other.attempt < attempt || other.attempt > attempt && timely {
+			replaced = append(replaced, other.attempt)
 		}
 	}
 	return replaced
 }
 
+// Answer records that the caller gets the response of an attempt and of no other one. It returns the attempts to cancel.
+func (r *Race) Answer(attempt int) (replaced []int) {
+	return slices.DeleteFunc(r.Live(), func(other int) bool { return other == attempt })
+}
+
+func (r *Race) index(attempt int) int {
+	return slices.IndexFunc(r.live, func(s state) bool { return s.attempt == attempt })
+}
+
 // End removes an attempt.
 func (r *Race) End(attempt int, outcome Outcome) {
-	if i := slices.Index(r.live, attempt); i >= 0 {
+	if i := r.index(attempt); i >= 0 {
 		r.live = slices.Delete(r.live, i, i+1)
 	}
 	switch outcome {
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -26,10 +26,10 @@
 	// the predicted time, and at least for minSilenceTimeout and half of the route's Target.
 	silenceTimeoutFactor = 4
 	minSilenceTimeout    = 350 * time.Millisecond
-	// gapTimeoutFactor times the route's GapTarget, the longest pause between events that is still on time, is how
+	// gapTimeoutFactor times the route's MaxEventGap, the longest pause between events that is still on time, is how
 	// long a resumable stream waits for its next event.
 	gapTimeoutFactor = 2
-	// minGapTimeout is the lower bound of that wait, and the wait itself if the route has no GapTarget.
+	// minGapTimeout is the lower bound of that wait, and the wait itself if the route has no MaxEventGap.
 	minGapTimeout = time.Second
 )
 
@@ -96,6 +96,14 @@
 	return max(minGapTimeout, gapTimeoutFactor*q.route.MaxEventGap)
 }
 
+// eventPace returns the longest pause between two events of a server that is not slow.
+func (q *request) eventPace() time.Duration {
+	if q.route.MaxEventGap > 0 {
+		return q.route.MaxEventGap
+	}
+	return minGapTimeout / gapTimeoutFactor
+}
+
 func (q *request) upstream(a *attempt) upstream.Request {
 	organisation := ""
 	if q.org != nil {
--- a/internal/fleetgateway/relay.go
+++ b/internal/fleetgateway/relay.go
@@ -38,7 +38,7 @@
 	if !m.ended {
 		return result{}, false
 	}
-	q.replaceOthers(a)
+	q.replace(a, q.race.Answer(a.number))
 	return q.end(a, result{server: a.candidate.ID}, false)
 }
 
@@ -62,12 +62,11 @@
 		err: errkind.New(kind, "server %s responded with status %d and did not run the request", id, m.status)}, false)
 }
 
-// replaceOthers cancels the other attempts, because the caller gets the response of a.
-func (q *request) replaceOthers(a *attempt) {
-	for _, number := range q.race.Advance(a.number) {
+// replace cancels attempts in favour of a.
+func (q *request) replace(a *attempt, replaced []int) {
+	for _, number := range replaced {
 		q.cancel(q.live[number], errReplaced, number < a.number)
 	}
-	q.answering = a
 }
 
 // relay writes a part of a response to the caller. It returns the error of the write.
@@ -78,9 +77,8 @@
 		}
 		return q.relayEvent(a, m)
 	}
-	q.race.Progress(q.elapsed(), q.gapTimeout())
-	q.replaceOthers(a)
-	q.ensureHead(m)
+	q.replace(a, q.race.Answer(a.number))
+	q.ensureHead(a, m)
 	_, err := q.writer.Write(m.body)
 	return err
 }
@@ -94,14 +92,17 @@
 			q.longestGap = max(q.longestGap, now.Sub(a.lastEventAt))
 		}
 		a.lastEventAt = now
-		q.race.Progress(q.elapsed(), q.gapTimeout())
+		q.replace(a, q.race.Progress(a.number, q.elapsed(), q.gapTimeout(), q.eventPace()))
 	}
-	comment := e.id == "" && !e.hasData
-	if comment && len(q.live) > 1 || e.id != "" && !eventIDAfter(e.id, q.lastEvent) {
-		return nil
+	switch {
+	case e.id != "" && !eventIDAfter(e.id, q.lastEvent):
+		return nil // the caller got it from another attempt
+	case e.id == "" && !e.hasData && len(q.live) > 1:
+		return nil // a comment, which is not a part of the answer
+	case e.id == "":
+		q.replace(a, q.race.Answer(a.number)) // nothing shows whether another attempt's events follow this one
 	}
-	q.replaceOthers(a)
-	q.ensureHead(m)
+	q.ensureHead(a, m)
 	if _, err := q.writer.Write(e.raw); err != nil {
 		return err
 	}
@@ -115,7 +116,8 @@
 }
 
 // ensureHead sends the head of the response before its first part.
-func (q *request) ensureHead(m message) {
+func (q *request) ensureHead(a *attempt, m message) {
+	q.answering = a
 	if !q.headSent {
 		q.firstEvent = q.elapsed()
 		q.sendHead(m.status, m.header)
--- a/internal/fleetgateway/silence_test.go
+++ b/internal/fleetgateway/silence_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,6 +29,32 @@
 	return id, a
 }
 
+// addSlow adds a server that pauses before each event of a stream but the first.
+func (s *testGateway) addSlow(id string, events int, pause time.Duration, started chan<- struct{}) {
+	GinkgoHelper()
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request := r.Header.Get("X-Request-Id")
+		w.Header().Set("X-Request-Id", request)
+		w.Header().Set("X-Response-Signature", fake.Signature(fake.Body(request, 0, events)))
+		for i := range events {
+			if i > 0 {
+				select {
+				case <-time.After(pause):
+				case <-r.Context().Done():
+					return
+				}
+			}
+			_, _ = io.WriteString(w, fake.Event(request, i)) // the gateway may have left
+			_ = http.NewResponseController(w).Flush()
+			if i == 0 {
+				started <- struct{}{}
+			}
+		}
+	}))
+	DeferCleanup(backend.Close)
+	s.list(id, backend.Listener.Addr().String(), false)
+}
+
 // Guards against an answer that is cut, or replaced by an error, because its sound server was silent for a while.
 var _ = Describe("the answer of a sound server that is silent for a while", func() {
 	const streamSilence, silence = 1800 * time.Millisecond, 1300 * time.Millisecond
@@ -94,6 +122,22 @@
 		Eventually(first.Active, "400ms", "5ms").Should(BeZero())
 	})
 
+	// Guards against a slow server that keeps a stream because each of its rare events ends the attempt at a fast one.
+	It("comes from another server when its own one is slow between events", func() {
+		s := newTestGateway(route(resumable, 9*time.Second))
+		started := make(chan struct{}, 1)
+		s.addSlow("i-1", 6, 1150*time.Millisecond, started)
+		go func() {
+			defer GinkgoRecover()
+			<-started
+			s.add("i-2", events, fake.ReplicaFaults{SilentHead: 1, Silence: 300 * time.Millisecond})
+		}()
+		id, a := s.send(http.MethodPost, "/a/", map[string]string{"X-Deadline-Ms": "8500"}, "")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(fake.Body(id, 0, 6)))
+		Expect(a.duration).To(BeNumerically("<", 3*time.Second))
+	})
+
 	// Guards against work that goes on at two servers after the first one has gone on.
 	It("ends the attempt at the other server when the silent one goes on first", func() {
 		s := newTestGateway(route(resumable, 9*time.Second))
