Return a server's own failure when no other server answers the request

Callers of repeatable requests got the gateway's 502, or 503 from its lack of servers turned into 502, although a server had answered 500 with its signature: that answer was dropped before another server had answered. The whole response of a server that failed is kept now (at most 256 KiB) and returned if nothing better comes.

The new spec failed before: 502 instead of 500 when the second server rejects the request or breaks off.

--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -51,7 +51,7 @@
 		choice, replica, err := q.choose(ctx)
 		q.countDemand(choice)
 		if err != nil {
-			return q.refuse(q.finalError(ctx, err))
+			return q.giveUp(q.finalError(ctx, err))
 		}
 		r, ok := q.begin(ctx, ctx, choice, replica)
 		if ok {
@@ -62,7 +62,7 @@
 			return errkind.None
 		}
 		if !q.shouldRetry(ctx, r) {
-			return q.refuse(q.finalError(ctx, r.err))
+			return q.giveUp(q.finalError(ctx, r.err))
 		}
 	}
 }
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -82,7 +82,7 @@
 	last := message{status: resp.Status, header: resp.Header, instance: answer.Instance}
 	switch {
 	case answer.NotRun:
-		q.discardBody(resp)
+		q.readRest(resp)
 		last.result = result{kind: errkind.Overloaded, notRun: true}
 	case ok && !answer.Signed:
 		last.result = result{kind: errkind.ProtocolError, err: errors.New("successful response without a signature")}
@@ -90,7 +90,7 @@
 		last.result = result{kind: errkind.ProtocolError,
 			err: errors.New("the response has a content encoding, which servers do not use")}
 	case resp.Status >= http.StatusInternalServerError && !a.lastRun:
-		q.discardBody(resp)
+		last.body = q.readRest(resp)
 		last.result = result{kind: errkind.BackendFailed, err: fmt.Errorf("status %d", resp.Status)}
 	case a.stream && ok:
 		last.result = q.passEvents(ctx, a, resp)
@@ -111,11 +111,14 @@
 	return result{kind: errkind.OutcomeUnknown, err: err}
 }
 
-// discardBody reads a short body, so that the connection can be reused.
-func (q *request) discardBody(resp *upstream.Response) {
-	if err := resp.Discard(maxBufferedBytes, discardTimeout); err != nil {
+// readRest reads a short body, so that the connection can be reused, and returns it. It returns nil if the body did not arrive whole.
+func (q *request) readRest(resp *upstream.Response) []byte {
+	body, err := resp.ReadRest(maxBufferedBytes, restTimeout)
+	if err != nil {
 		q.server.opts.Log.Debug("response body not read; the connection is closed", "request_id", q.caller.ID, "error", err)
+		return nil
 	}
+	return body
 }
 
 // passEvents passes on the complete events of a stream as they arrive.
--- a/internal/fleetgateway/fleetgateway_test.go
+++ b/internal/fleetgateway/fleetgateway_test.go
@@ -89,6 +89,20 @@
 		}
 	})
 
+	It("gets a server's own failure when no other server takes it", func() {
+		for _, second := range []fake.ReplicaFaults{{Shed: 1}, {Drop: 1}} {
+			s := newTestGateway(route(idempotent, 2*time.Second))
+			s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{Fail: 1})
+			_, a := s.send(http.MethodGet, "/a/", nil, "")
+			s.add("i-2", fake.ReplicaOptions{}, second)
+			for range 3 {
+				Expect(a.status).To(Equal(http.StatusInternalServerError))
+				Expect(a.header.Get("X-Response-Signature")).NotTo(BeEmpty())
+				_, a = s.send(http.MethodGet, "/a/", nil, "")
+			}
+		}
+	})
+
 	// Guards against a request whose attempt is cancelled because its server is silent, although no other server
 	// could take it.
 	It("waits for a slow server when there is no other", func() {
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -19,9 +19,9 @@
 	// maxBufferedBytes bounds a response that is read completely before it is relayed. Longer ones are relayed as
 	// they arrive.
 	maxBufferedBytes = 256 << 10
-	// discardTimeout bounds the time to read a body that is not relayed. The request is sent to another server, or the caller
+	// restTimeout bounds the time to read the body of a rejection or failure. The request is sent to another server, or the caller
 	// gets its answer, only after that.
-	discardTimeout = 50 * time.Millisecond
+	restTimeout = 50 * time.Millisecond
 	// A request that may be repeated is sent to another server, too, if its server sends nothing for silenceTimeoutFactor times
 	// the predicted time, and at least for minSilenceTimeout and half of the route's Target.
 	silenceTimeoutFactor = 4
--- a/internal/fleetgateway/relay.go
+++ b/internal/fleetgateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -23,10 +24,12 @@
 	case failed && m.result.notRun && m.status != 0:
 		return q.rejected(a, m)
 	case failed:
+		q.keepFailure(m)
 		return q.fail(a, m.result.kind, m.result.notRun, m.result.err)
 	case a != q.answering && q.headSent && !statusOK(m.status):
 		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d when resuming the stream", m.status))
 	case a != q.answering && len(q.live) > 1 && m.status >= http.StatusInternalServerError:
+		q.keepFailure(m)
 		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d", m.status))
 	case m.ended && a.stream && statusOK(m.status) && !q.headSent:
 		return q.fail(a, errkind.ProtocolError, false, errors.New("the stream ended without an event"))
@@ -69,6 +72,27 @@
 	}
 }
 
+// keepFailure keeps the whole response of a server that failed, in case that no other server answers the request.
+func (q *request) keepFailure(m message) {
+	if m.ended && m.status >= http.StatusInternalServerError && m.body != nil && q.failure == nil {
+		q.failure = &m
+	}
+}
+
+// giveUp ends the request: with the response of a server that failed, if there is one, or else with the error response for err.
+func (q *request) giveUp(err error) errkind.Kind {
+	m := q.failure
+	if m == nil || q.headSent || errkind.Of(err) == errkind.CallerCancelled {
+		return q.refuse(err)
+	}
+	q.ensureHead(m.attempt, *m)
+	if _, writeErr := q.writer.Write(m.body); writeErr != nil {
+		return q.refuse(errkind.Wrap(errkind.CallerCancelled, writeErr, "write the response of a server that failed"))
+	}
+	q.log(errkind.None, slog.String("server", m.attempt.candidate.ID), slog.Int("status", m.status), slog.Any("error", err))
+	return errkind.None
+}
+
 // relay writes a part of a response to the caller. It returns the error of the write.
 func (q *request) relay(a *attempt, m message) error {
 	if a.stream && statusOK(m.status) {
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -152,6 +152,7 @@
 	messages      chan message                       // from the attempts
 	interrupt     atomic.Pointer[context.CancelFunc] // ends a choice that a message makes unnecessary
 	answering     *attempt                           // whose response the caller gets
+	failure       *message                           // whole response of a server that failed, or nil
 	retryReserved bool                               // the retry budget has been charged for the next attempt
 	demandCounted bool                               // the request is counted in the model's demand
 	headSent      bool                               // the status line and header of the response were sent
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -150,20 +150,20 @@
 	return n, err
 }
 
-// Discard reads the rest of the body, so that Close can keep the connection. It gives up, and Close then closes the
+// ReadRest reads the rest of the body and returns it, so that Close can keep the connection. It gives up, and Close then closes the
 // connection, if the body is longer than maxBytes or takes longer than maxTime.
-func (r *Response) Discard(maxBytes int64, maxTime time.Duration) error {
+func (r *Response) ReadRest(maxBytes int64, maxTime time.Duration) ([]byte, error) {
 	if err := r.conn.SetReadDeadline(time.Now().Add(maxTime)); err != nil {
-		return fmt.Errorf("discard the response body: %w", err)
+		return nil, fmt.Errorf("read the response body: %w", err)
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(r, maxBytes))
+	body, err := io.ReadAll(io.LimitReader(r, maxBytes))
 	switch {
 	case err != nil:
-		return fmt.Errorf("discard the response body: %w", err)
+		return nil, fmt.Errorf("read the response body: %w", err)
 	case !r.complete:
-		return fmt.Errorf("discard the response body: more than %d bytes", n)
+		return nil, fmt.Errorf("read the response body: more than %d bytes", len(body))
 	}
-	return r.conn.SetReadDeadline(time.Time{})
+	return body, r.conn.SetReadDeadline(time.Time{})
 }
 
 // Close keeps the connection for another request if the request was sent and the response read completely. Otherwise
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -300,7 +300,7 @@
 			t.Fatal(err)
 		}
 		start := time.Now()
-		if err := resp.Discard(1<<20, 100*time.Millisecond); err == nil || time.Since(start) > time.Second {
+		if _, err := resp.ReadRest(1<<20, 100*time.Millisecond); err == nil || time.Since(start) > time.Second {
 			t.Fatalf("discarding took %v, error %v", time.Since(start), err)
 		}
 		resp.Close()
