Send a server nothing after it said that it leaves or wants no requests

Requests went on to reach servers after an answer with Server-Leaving: 1, and servers in the time that a 503 with Retry-After asked for. Callers whose requests all servers had turned away so were told to return after 0.1 s.

Cause: the gateway did not read the two headers of servers' answers; it knew of a leaving server only from the list and the agent.

Now both bind from the moment at which the head of an answer is read, whichever its status, and whether the answer is used, cut, cancelled or skipped because it is for another request. upstream calls OnHead for each head on the connection. The choice of a server passes over such servers, and the check immediately before a request is written does, too; so retries, resumed streams, second attempts, sessions, kept connections and waits for a turn, an adapter or a model are covered, with or without news from the store. A wait for a turn ends with the sign. If all servers that could serve a request are in a pause, it is refused at once as not run, with the time until the first pause ends. Prompts do not count a leaving server among those that cache their shared parts. The signs of a server that is no longer listed are kept, because its entry may return.

Log lines: one when a server begins to leave, one when a pause begins, and a warning for a header that is not readable. Metric: server_signs by kind.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -233,7 +233,7 @@
 	}
 }
 
-// cleanUp periodically closes expired idle connections and removes the loads of servers that are no longer listed.
+// cleanUp periodically closes expired idle connections and removes the loads and signs of servers that are no longer listed.
 func (g *gateway) cleanUp(ctx context.Context) error {
 	for {
 		if err := background.Sleep(ctx, cleanupInterval); err != nil {
@@ -242,6 +242,7 @@
 		g.pool.CloseExpired(time.Now())
 		replicas := g.view.Snapshot().Replicas
 		g.table.Prune(func(id string) bool { return replicas[id] != nil })
+		g.server.PruneSigns()
 	}
 }
 
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -62,7 +62,7 @@
 			return errkind.None
 		}
 		if !q.shouldRetry(ctx, r) {
-			return q.refuse(q.finalError(ctx, r.err))
+			return q.refuse(q.finalError(ctx, q.lastError(r)))
 		}
 	}
 }
@@ -113,6 +113,9 @@
 			}
 			return nil, nil, errkind.Wrap(errkind.WarmingUp, ctx.Err(), "no turn at a cold server before the deadline")
 		}
+		if err := q.pausedRefusal(now, nil); err != nil {
+			return nil, nil, err
+		}
 		if !q.mayWaitForModel(why) {
 			return nil, nil, &refusal{errkind.New(why, "no server of service %s can take the request", q.service),
 				retryAfter(q.loadTime() / 2)}
--- a/internal/fleetgateway/candidates.go
+++ b/internal/fleetgateway/candidates.go
@@ -130,28 +130,23 @@
 		switch {
 		case q.tried[r.ID], s.excluded.isReplaced(r, now):
 			continue
-		case r.Draining, s.reportsDraining(r, now):
+		case s.leaving(r, now):
 			why = firstReason(why, errkind.Draining)
 			continue
 		case snapshot.OutOfService[r.DataCentre]:
 			why = firstReason(why, errkind.DataCentreOut)
 			continue
 		}
-		c := fleetroute.Candidate{ID: r.ID, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots}
-		if q.model != "" {
-			if !s.holds(r, q.model, now) {
-				why = errkind.ModelNotResident
-				continue
-			}
-			if q.caller.Adapter != "" {
-				has, loadable := s.adapterState(r, q.model, q.caller.Adapter, now)
-				if !has && !loadable {
-					why = errkind.ModelNotResident
-					continue
-				}
-				c.AdapterMissing = !has
-			}
+		adapterMissing, ok := q.holdsModel(r, now)
+		if !ok {
+			why = errkind.ModelNotResident
+			continue
+		}
+		if s.pause(r, now) > 0 {
+			why = firstReason(why, errkind.Overloaded)
+			continue
 		}
+		c := fleetroute.Candidate{ID: r.ID, Address: r.Address, DataCentre: r.DataCentre, Slots: r.Slots, AdapterMissing: adapterMissing}
 		turn, ok := s.coldWait(r, service, now)
 		if !ok || turn > q.turnWaitLimit() {
 			why = firstReason(why, errkind.WarmingUp)
@@ -174,6 +169,20 @@
 	return list, byID, why
 }
 
+// holdsModel reports whether a server holds what the request needs. An adapter may be missing if the server's agent can load it.
+func (q *request) holdsModel(r *fleet.Replica, now time.Duration) (adapterMissing, ok bool) {
+	switch {
+	case q.model == "":
+		return false, true
+	case !q.server.holds(r, q.model, now):
+		return false, false
+	case q.caller.Adapter == "":
+		return false, true
+	}
+	has, loadable := q.server.adapterState(r, q.model, q.caller.Adapter, now)
+	return !has, has || loadable
+}
+
 // firstReason returns the earlier reason, if there is one. ModelNotResident is not passed to it: it overrides all
 // other reasons, because a request whose model can be loaded at a server in service may wait.
 func firstReason(earlier, reason errkind.Kind) errkind.Kind {
@@ -182,9 +191,3 @@
 	}
 	return reason
 }
-
-// reportsDraining reports whether the server's own report says that it is draining.
-func (s *Server) reportsDraining(r *fleet.Replica, now time.Duration) bool {
-	u, fresh := s.opts.Agents.Report(r, now)
-	return fresh && u.GetDraining()
-}
--- a/internal/fleetgateway/cold.go
+++ b/internal/fleetgateway/cold.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/coldstart"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
@@ -80,7 +79,27 @@
 		return false
 	}
 	c.TurnWaitMS = 0
-	return granted && background.Sleep(ctx, wait) == nil
+	return granted && s.waitWhileWanted(ctx, r, wait)
+}
+
+// waitWhileWanted waits for the given time. It returns false at once if the server leaves or asks for a pause meanwhile, or if ctx
+// ends.
+func (s *Server) waitWhileWanted(ctx context.Context, r *fleet.Replica, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		change, now := s.fleetChange(), s.opts.Clock()
+		if s.leaving(r, now) || s.pause(r, now) > 0 {
+			return false
+		}
+		select {
+		case <-timer.C:
+			return true
+		case <-change:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // needsTurn reports whether a request to the server needs a turn from its agent.
@@ -98,7 +117,7 @@
 	s.cold.Spend(id)
 }
 
-// ForgetServers removes the state of servers that are no longer listed.
+// ForgetServers removes the state of servers that are no longer listed, except their signs: they bind if an entry returns.
 func (s *Server) ForgetServers(ids []string) {
 	s.coldMu.Lock()
 	defer s.coldMu.Unlock()
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -101,7 +101,7 @@
 	if q.org != nil {
 		organisation = q.org.Name
 	}
-	config, id := q.config, q.caller.ID
+	config, id, server := q.config, q.caller.ID, q.server.incarnation(a.replica)
 	return upstream.Request{
 		Server: a.candidate.ID, Address: a.replica.Address, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host,
 		Header: platform.ForwardHeader(q.http.Header, platform.Forwarded{
@@ -113,6 +113,7 @@
 			answered := platform.ParseResponse(status, h).RequestID
 			return answered == "" || answered == id
 		},
+		OnHead: func(status int, h http.Header) { q.server.observeSigns(id, server, platform.ParseResponse(status, h)) },
 		MayStillSend: func() bool {
 			if !q.mayStillSend(config, a.replica) {
 				return false
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -48,6 +48,7 @@
 	behind      atomic.Bool            // a newer configuration is in force
 	onDial      atomic.Pointer[func()] // called once, before the next connection to a server is opened
 	demand      *fleetgateway.Demand
+	agents      *agentclient.Client
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -98,8 +99,14 @@
 	return r
 }
 
-// newTestGateway starts a gateway with one route and one organisation, whose key is "key".
+// newTestGateway starts a gateway with one route and one organisation, whose key is "key". It reaches no agent.
 func newTestGateway(r fleet.Route, change ...func(*fleet.Configuration)) *testGateway {
+	GinkgoHelper()
+	return newTestGatewayWithAgents("1", r, change...)
+}
+
+// newTestGatewayWithAgents is newTestGateway with agents at a port of their servers' hosts.
+func newTestGatewayWithAgents(port string, r fleet.Route, change ...func(*fleet.Configuration)) *testGateway {
 	GinkgoHelper()
 	s := &testGateway{view: fleet.NewView(), demand: fleetgateway.NewDemand()}
 	log := slog.New(slog.NewJSONHandler(s, nil))
@@ -113,6 +120,10 @@
 			return nil
 		},
 	})
+	s.agents = agentclient.New(agentclient.Options{
+		Identity: &wirepb.Identity{Host: "g"}, View: s.view, Pool: transport.NewPool(nil), Port: port, Clock: clock, Log: log,
+		Changed: func() {}, Demand: func(string, string) float64 { return 0 },
+	})
 	s.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: "a", View: s.view, Table: fleetroute.NewTable(), Pool: pool, Clock: clock, Gateways: singleGateway,
 		Rank: func(string) int { return 0 }, ConfigurationBehind: s.behind.Load,
@@ -125,11 +136,8 @@
 		Limits:  fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
 		Demand:  s.demand,
 		Metrics: fleetgateway.NewMetrics(), Log: log,
-		Retry: retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
-		Agents: agentclient.New(agentclient.Options{
-			Identity: &wirepb.Identity{Host: "g"}, View: s.view, Pool: transport.NewPool(nil), Port: "1", Clock: clock, Log: log,
-			Changed: func() {}, Demand: func(string, string) float64 { return 0 },
-		}),
+		Retry:  retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
+		Agents: s.agents,
 	})
 	s.configure(r, change...)
 	front := httptest.NewServer(s.server)
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -22,6 +22,7 @@
 	outcomes *expvar.Map
 	cut      *expvar.Map // requests whose caller got an incomplete answer or none, by outcome
 	sends    *expvar.Int
+	signs    *expvar.Map // signs in servers' responses, by kind
 
 	mu            sync.Mutex
 	firstEvent    map[string]*hdrhistogram.Histogram // by repeat rule of the route
@@ -31,7 +32,7 @@
 // NewMetrics returns metrics without any request.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int),
+		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -42,6 +43,7 @@
 		"requests_by_outcome": m.outcomes,
 		"answers_cut":         m.cut,
 		"sends":               m.sends,
+		"server_signs":        m.signs,
 		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
 		"whole_answer_ms":     expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
 	}
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -72,6 +72,7 @@
 	draining atomic.Pointer[time.Duration] // the clock's reading when draining began, or nil
 	active   atomic.Int64
 	excluded *exclusions
+	signs    *signs
 
 	mu      sync.Mutex
 	retries map[string]*retrybudget.Budget // by service
@@ -86,7 +87,7 @@
 // New returns a server that accepts requests.
 func New(opts Options) *Server {
 	return &Server{
-		opts: opts, excluded: newExclusions(),
+		opts: opts, excluded: newExclusions(), signs: newSigns(),
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
@@ -109,7 +110,7 @@
 	return snapshot.Config != nil && len(snapshot.Replicas) > 0 && s.draining.Load() == nil && s.opts.CheckConfiguration() == nil
 }
 
-// FleetChanged makes requests that wait for a model to be loaded look for a server again.
+// FleetChanged makes requests that wait for a model to be loaded, or for their turn at a server, check again whether they should.
 func (s *Server) FleetChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -263,9 +264,9 @@
 		parts = append(parts, fleetroute.Part(p))
 	}
 	var holders, local []string
-	snapshot := q.server.opts.View.Snapshot()
+	snapshot, now := q.server.opts.View.Snapshot(), q.server.opts.Clock()
 	for _, r := range snapshot.Services[q.service] {
-		if snapshot.Usable(r) && q.server.holds(r, q.model, q.server.opts.Clock()) {
+		if snapshot.Usable(r) && !q.server.leaving(r, now) && q.server.holds(r, q.model, now) {
 			holders = append(holders, r.ID)
 			if r.DataCentre == q.server.opts.DataCentre {
 				local = append(local, r.ID)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,6 +32,9 @@
 	Body    []byte
 	// Matches reports whether a response with this status and header is for this request.
 	Matches func(status int, h http.Header) bool
+	// OnHead is called with each status line and header that the server sends on the connection until the one for this request,
+	// which is included. Nil means that they are not observed.
+	OnHead func(status int, h http.Header)
 	// MayStillSend is called once a connection is open, immediately before the request is written. If it returns false, nothing
 	// is sent. Nil means that the request is sent in any case.
 	MayStillSend func() bool
@@ -116,6 +119,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", boundText(err))
 		}
+		if r.OnHead != nil {
+			r.OnHead(resp.StatusCode, resp.Header)
+		}
 		switch {
 		case resp.StatusCode < http.StatusOK: // an interim response
 			continue
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -172,7 +172,7 @@
 	_ = c.Close()
 }
 
-// Forget closes the idle connections to a server that is no longer listed.
+// Forget closes the idle connections to a server that is no longer listed, or that gets no more requests.
 func (p *Pool) Forget(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/withdrawn_test.go
+++ b/internal/upstream/withdrawn_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 
@@ -62,3 +65,29 @@
 		t.Fatalf("the server received %d requests, want %d", n, sent)
 	}
 }
+
+// Guards against the state of a server that is lost because its response is for another request or has another purpose.
+func TestEachHeadIsObserved(t *testing.T) {
+	address, _ := serve(t, func(c net.Conn, r *bufio.Reader) {
+		id, err := read(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		respond(c, "earlier", "skipped")
+		respond(c, id, "answer")
+	})
+	var heads []string
+	resp, err := pool().Do(t.Context(), upstream.Request{
+		Server: "s", Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"X-Id": {"1"}},
+		Matches: func(_ int, h http.Header) bool { return h.Get("X-Id") == "1" },
+		OnHead:  func(status int, h http.Header) { heads = append(heads, strconv.Itoa(status)+h.Get("X-Id")) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Close()
+	if want := []string{"103", "200earlier", "2001"}; !slices.Equal(heads, want) {
+		t.Fatalf("observed %q, want %q", heads, want)
+	}
+}
