Let emulated servers leave by a sign in answers and reject for a stated time

The sign in answers (POST /control/leave) and the state in the list (POST /control/drain) are set apart, because the sign binds a gateway also while the store is away. Rejections are recorded beside the runs, with time, status, stated time and sign; runs say when they ended and whether they carried the sign. fake-fleet writes the records to a file at its end (-records), so that a server that ended can still be checked.

Ruled out: telling gateways apart by their address. None of them binds its connections to a server, so every one arrives from 127.0.0.1; a request ID names its gateway as well, since a caller sends each request to one.

Tests: go test -race of fake, fleetgateway, agent, discovery and the gateway's main pass.

--- a/cmd/fake-fleet/main.go
+++ b/cmd/fake-fleet/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -56,6 +57,7 @@
 	flags.DurationVar(&o.Pause, "pause", 5*time.Millisecond, "delay before each event")
 	flags.DurationVar(&o.Cold, "cold", 0, "time after the start for which the backend server is cold")
 	flags.Float64Var(&o.ColdPerSecond, "cold-per-s", 0, "requests per second that a cold backend server can take; 0 for no limit")
+	records := flags.String("records", "", "`FILE` to which the records of /control/runs are written at the end")
 	orderTime := flags.Duration("order-time", 0, "duration of a model load or unload")
 	if err := flags.Parse(args[1:]); err != nil {
 		return err
@@ -71,5 +73,19 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return standin.Serve(ctx, *listen, replica.Handler()) })
 	group.Go(func() error { return replica.RenewEntry(ctx, *store) })
-	return group.Wait()
+	err := group.Wait()
+	if *records != "" {
+		if err := writeRecords(*records, replica.Records()); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func writeRecords(path string, r fleet.Records) error {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode records: %w", err)
+	}
+	return os.WriteFile(path, data, 0o600)
 }
--- a/internal/fake/fleet/replica.go
+++ b/internal/fake/fleet/replica.go
@@ -1,11 +1,7 @@
 package fleet
 
 import (
-	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -16,15 +12,17 @@
 	"sync"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"github.com/pomelowheel/pomelowheel/internal/fake/standin"
 )
 
 // ReplicaFaults are the faults that an emulated backend server injects. Fractions are from 0 to 1. The zero value injects
 // none.
 type ReplicaFaults struct {
-	Shed     float64       `json:"shed"`     // fraction of the requests that are rejected as not run
+	// Shed is the fraction of the requests that are rejected as not run. RetryAfter is the time that each rejection with
+	// status 503 asks the client to wait, in Retry-After; zero sends no such header.
+	Shed       float64       `json:"shed"`
+	RetryAfter time.Duration `json:"retry_after"`
+
 	Fail     float64       `json:"fail"`     // fraction that run and get status 500
 	Drop     float64       `json:"drop"`     // fraction that run and whose response is lost
 	Truncate float64       `json:"truncate"` // fraction whose response is cut off
@@ -72,6 +70,8 @@
 	AtMS         int64  `json:"at_ms"`    // Unix milliseconds
 	Tokens       int    `json:"tokens"`   // prompt and output tokens that the request declared
 	Whole        bool   `json:"whole"`    // the whole response was sent
+	EndMS        int64  `json:"end_ms"`   // when the work on it ended, in Unix milliseconds; 0 if it has not
+	Leaving      bool   `json:"leaving"`  // the response says that the server is leaving
 }
 
 // Replica is one emulated backend server. It is safe for concurrent use.
@@ -87,9 +87,11 @@
 	sequence       int64
 	fence          int64
 	holders        map[string]time.Time
-	draining       bool
+	draining       bool // in the server list and in reports
+	leaving        bool // in the header of responses
 	active         int
 	runs           []Run
+	rejections     []Rejection
 	crashed        string // reason, if an order or the load crashed the server
 	recentRequests []time.Time
 }
@@ -144,7 +146,15 @@
 	r.faults = f
 }
 
-// Drain makes the backend server report the state draining.
+// Leave makes the backend server say in each of its responses that it is leaving. It does not change the state in the
+// server list.
+func (r *Replica) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// Drain makes the backend server report the state draining. It does not change the header of responses.
 func (r *Replica) Drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -159,13 +169,6 @@
 	r.models, r.busy, r.sequence, r.fence = make(map[string][]string), false, 0, 0
 }
 
-// Runs returns the requests that the backend server ran, and the reason if it crashed.
-func (r *Replica) Runs() (runs []Run, crashed string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.runs), r.crashed
-}
-
 // Active returns the number of requests that the backend server is working on.
 func (r *Replica) Active() int {
 	r.mu.Lock()
@@ -173,29 +176,6 @@
 	return r.active
 }
 
-// Handler returns the HTTP interface of the backend server, and the paths below /control/ by which tests control it.
-func (r *Replica) Handler() http.Handler {
-	router := mux.NewRouter().SkipClean(true)
-	router.HandleFunc("/api/report", r.report).Methods(http.MethodGet)
-	router.HandleFunc("/api/order", r.order).Methods(http.MethodPost)
-	router.HandleFunc("/control/faults", func(w http.ResponseWriter, q *http.Request) {
-		var f ReplicaFaults
-		if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		r.SetFaults(f)
-	}).Methods(http.MethodPut)
-	router.HandleFunc("/control/restart", func(http.ResponseWriter, *http.Request) { r.Restart() }).Methods(http.MethodPost)
-	router.HandleFunc("/control/drain", func(http.ResponseWriter, *http.Request) { r.Drain() }).Methods(http.MethodPost)
-	router.HandleFunc("/control/runs", func(w http.ResponseWriter, _ *http.Request) {
-		runs, crashed := r.Runs()
-		standin.WriteJSON(w, http.StatusOK, map[string]any{"runs": runs, "crashed": crashed})
-	}).Methods(http.MethodGet)
-	router.PathPrefix("/").HandlerFunc(r.serve)
-	return router
-}
-
 func (r *Replica) report(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -210,70 +190,6 @@
 	})
 }
 
-// Signature returns the signature of a complete response body, in hexadecimal.
-func Signature(body string) string {
-	sum := sha256.Sum256([]byte(body))
-	return hex.EncodeToString(sum[:8])
-}
-
-// Body returns the body of the response to a plain request if n is 0, or else the events from (counted from 0) to n-1 of a
-// stream.
-func Body(requestID string, from, n int) string {
-	if n == 0 {
-		return "answer to " + requestID
-	}
-	var b strings.Builder
-	for i := from; i < n; i++ {
-		b.WriteString(Event(requestID, i))
-	}
-	return b.String()
-}
-
-// Event returns event i of a stream. It depends on the request ID and i only, so that a stream can be resumed at another
-// backend server.
-func Event(requestID string, i int) string {
-	return fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", i, i, requestID)
-}
-
-// reject responds to a request that the backend server does not run, and returns true. Otherwise it counts the request as
-// active and returns false.
-func (r *Replica) reject(w http.ResponseWriter, q *http.Request) bool {
-	model, adapter, _ := strings.Cut(q.Header.Get("X-Model"), "/")
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	adapters, held := r.models[model]
-	status := 0
-	switch {
-	case q.Header.Get("X-Expect-Instance") != r.opts.ID:
-		w.Header().Set("X-Instance-Id", r.opts.ID)
-		status = http.StatusMisdirectedRequest
-	case model != "" && (!held || adapter != "" && !slices.Contains(adapters, adapter)):
-		status = http.StatusMisdirectedRequest
-	case r.active >= r.opts.Slots || rand.Float64() < r.faults.Shed:
-		w.Header().Set("X-Not-Executed", "1")
-		status = http.StatusServiceUnavailable
-	}
-	if status != 0 {
-		w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
-		w.WriteHeader(status)
-		return true
-	}
-	r.active++
-	r.checkColdRate()
-	return false
-}
-
-// checkColdRate counts a request and records a crash if a cold server gets more requests per second than it can take. The
-// caller holds r.mu.
-func (r *Replica) checkColdRate() {
-	now := time.Now()
-	r.recentRequests = slices.DeleteFunc(r.recentRequests, func(t time.Time) bool { return now.Sub(t) > time.Second })
-	r.recentRequests = append(r.recentRequests, now)
-	if r.opts.ColdPerSecond > 0 && r.warmupLeft() > 0 && float64(len(r.recentRequests)) > 1.5*r.opts.ColdPerSecond+5 {
-		r.crashed = fmt.Sprintf("%d requests in one second while cold", len(r.recentRequests))
-	}
-}
-
 func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
@@ -283,24 +199,9 @@
 		return
 	}
 	id := q.Header.Get("X-Request-Id")
-	r.mu.Lock()
-	f := r.faults
-	runIndex := len(r.runs)
-	tokens := 0
-	for part := range strings.SplitSeq(q.Header.Get("X-Token-Usage"), ",") {
-		n, _ := strconv.Atoi(part) // an absent number counts as 0
-		tokens += n
-	}
-	r.runs = append(r.runs, Run{
-		ID: id, Organisation: q.Header.Get("X-Tenant"), Server: r.opts.ID, Method: q.Method, Target: q.RequestURI,
-		Body: string(body), KeySeen: q.Header.Get("Authorization") != "", AtMS: time.Now().UnixMilli(), Tokens: tokens,
-	})
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.active--
-	}()
+	runIndex, f := r.beginRun(q, string(body))
+	whole := false
+	defer func() { r.endRun(runIndex, whole) }()
 	time.Sleep(f.Slow)
 	if rand.Float64() < f.Hang {
 		<-q.Context().Done()
@@ -313,8 +214,9 @@
 		pause(q.Context(), f.Silence)
 	}
 	w.Header().Set("X-Request-Id", id)
+	r.setLeaving(w.Header(), runIndex)
 	if rand.Float64() >= f.Unsigned {
-		w.Header().Set("X-Response-Signature", Signature(Body(id, 0, r.opts.Events)))
+		w.Header().Set("X-Response-Signature", Signature(r.body(q)))
 	}
 	if rand.Float64() < f.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -325,58 +227,41 @@
 		silence = f.Silence
 	}
 	r.writeResponse(q.Context(), w, q, rand.Float64() < f.Truncate, silence)
-	r.mu.Lock()
-	r.runs[runIndex].Whole = true
-	r.mu.Unlock()
+	whole = true
 }
 
-// pause waits for d. It aborts the response if ctx ends first.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-		panic(http.ErrAbortHandler)
+// beginRun records that the backend server began to work on a request. It returns the index of the record and the faults to
+// inject.
+func (r *Replica) beginRun(q *http.Request, body string) (index int, f ReplicaFaults) {
+	tokens := 0
+	for part := range strings.SplitSeq(q.Header.Get("X-Token-Usage"), ",") {
+		n, _ := strconv.Atoi(part) // an absent number counts as 0
+		tokens += n
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs = append(r.runs, Run{
+		ID: q.Header.Get("X-Request-Id"), Organisation: q.Header.Get("X-Tenant"), Server: r.opts.ID, Method: q.Method,
+		Target: q.RequestURI, Body: body, KeySeen: q.Header.Get("Authorization") != "", AtMS: time.Now().UnixMilli(),
+		Tokens: tokens,
+	})
+	return len(r.runs) - 1, r.faults
 }
 
-// writeResponse sends the response, with a pause of the given silence in the middle of it. If truncate is set, it closes the
-// connection there.
-func (r *Replica) writeResponse(ctx context.Context, w http.ResponseWriter, q *http.Request, truncate bool, silence time.Duration) {
-	flush := http.NewResponseController(w)
-	id := q.Header.Get("X-Request-Id")
-	if r.opts.Events == 0 {
-		body := Body(id, 0, 0)
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		if truncate {
-			_, _ = io.WriteString(w, body[:len(body)/2]) // the client may have disconnected
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = io.WriteString(w, body[:len(body)/2])
-		if silence > 0 {
-			_ = flush.Flush()
-			pause(ctx, silence)
-		}
-		_, _ = io.WriteString(w, body[len(body)/2:])
-		return
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	from := 0
-	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
-		from = last + 1
-	}
-	for i := from; i < r.opts.Events; i++ {
-		pause(ctx, r.opts.Pause)
-		event := Event(id, i)
-		middle := i == from+(r.opts.Events-from)/2
-		if middle && silence > 0 {
-			pause(ctx, silence)
-		}
-		if truncate && middle {
-			_, _ = io.WriteString(w, event[:len(event)/2]) // the client may have disconnected
-			_ = flush.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = io.WriteString(w, event)
-		_ = flush.Flush()
+// setLeaving adds the sign that the backend server is leaving to the header of a response, if it is, and records that.
+func (r *Replica) setLeaving(h http.Header, index int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		h.Set(headerLeaving, "1")
+		r.runs[index].Leaving = true
 	}
 }
+
+// endRun records that the work on a request ended, and whether the whole response was sent.
+func (r *Replica) endRun(index int, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active--
+	r.runs[index].Whole, r.runs[index].EndMS = whole, time.Now().UnixMilli()
+}
