Run a soak plan of planned work only, in which no request may be lost

The plan "planned" draws only configuration and key changes in series, SIGHUP in series, stops of gateways one by one and overlapping, silent servers, servers that leave (sign in answers, then mostly in the list, then another one at the address) and servers that reject for a stated time. Checked in it: each whole request to a running gateway gets a complete answer of any status; a gateway that passed on that a server leaves sends it nothing that was sent more than drain_ms later; at most two requests arrive in the rest of the time of a Retry-After; a gateway ends within its grace period. The plan of before draws the new faults, too.

Callers write their requests themselves: on kept or new connections, with a body in two pieces, reading a long answer slowly, some with keys that are being withdrawn. net/http's client hid how far a request got and repeated some of them itself. They use a connection until it is closed.

Not counted as lost, after the rule's text: no byte of an answer and not passed on, and closed within 200 ms after the last byte; an end at the route's timeout or later; a server that still worked in the last sixth of the grace period. The first are counted in the report as unread.

The gateways run without the race detector's second of sleep at exit in this plan: with it they went on answering after the end of main, and seemed to overrun the grace period (4 s after SIGTERM, log "stopped" at 3.65 s).

--- a/cmd/pomelo-soak/main.go
+++ b/cmd/pomelo-soak/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -39,6 +40,14 @@
 	flags.IntVar(&o.PlainServers, "plain", 2, "number of plain servers")
 	flags.Float64Var(&o.Rate, "rate", 60, "requests per second")
 	flags.IntVar(&o.AddressBase, "base", 10, "second byte of the loopback addresses, 1 to 250")
+	flags.Func("plan", fmt.Sprintf("`PLAN` of the faults, one of %v (default %s)", soak.Plans, soak.PlanDisruptions),
+		func(name string) error {
+			o.Plan = soak.Plan(name)
+			if !slices.Contains(soak.Plans, o.Plan) {
+				return fmt.Errorf("unknown plan %q", name)
+			}
+			return nil
+		})
 	verbose := flags.Bool("v", false, "list the faults of every seed, not only of those that fail")
 	if err := flags.Parse(args); err != nil {
 		return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,8 +16,8 @@
 	run  func(s *system, rng *rand.Rand) error
 }
 
-// faults are chosen with equal probability.
-var faults = []fault{
+// disruptions are the faults of PlanDisruptions.
+var disruptions = []fault{
 	{"gateway killed", func(s *system, rng *rand.Rand) error { return restart(pick(s.gateways, rng), syscall.SIGKILL, rng) }},
 	{"gateway stopped", func(s *system, rng *rand.Rand) error { return restart(pick(s.gateways, rng), syscall.SIGTERM, rng) }},
 	{"gateways stopped one after the other", func(s *system, rng *rand.Rand) error {
@@ -69,6 +69,10 @@
 		time.Sleep(faultDuration(rng))
 		return s.configOperator.setOutOfService(name, false)
 	}},
+	{"SIGHUP sent in series", sendHangups},
+	{"server silent", silenceServer},
+	{"server leaving", replaceServer},
+	{"server rejects for a stated time", rejectForStatedTime},
 }
 
 func pick[T any](list []T, rng *rand.Rand) T { return list[rng.IntN(len(list))] }
@@ -101,7 +105,7 @@
 	i := rng.IntN(len(s.servers))
 	f := kinds[rng.IntN(len(kinds))]
 	if i < s.opts.Engines {
-		f.OrderTime = 150 * time.Millisecond
+		f.OrderTime = orderTime
 	}
 	if err := s.sendControl(s.serverAddress(i), "/control/faults", f); err != nil {
 		return fmt.Errorf("server %d: %w", i, err)
@@ -139,9 +143,9 @@
 	Err      string
 }
 
-// injectFaults starts faults at random times drawn from rng until ctx ends, at most three at a time. It waits for them and
-// returns them.
+// injectFaults starts faults of the plan at random times drawn from rng until ctx ends. It waits for them and returns them.
 func (s *system) injectFaults(ctx context.Context, rng *rand.Rand, start time.Time) []injectedFault {
+	plan := s.opts.Plan.plan()
 	done := make(chan injectedFault)
 	running := 0
 	var events []injectedFault
@@ -150,7 +154,7 @@
 		running--
 	}
 	for ctx.Err() == nil {
-		f := faults[rng.IntN(len(faults))]
+		f := pick(plan.faults, rng)
 		faultRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		running++
 		go func() {
@@ -162,7 +166,7 @@
 			e.Duration = time.Since(at)
 			done <- e
 		}()
-		for running >= 3 {
+		for running >= plan.maxConcurrent {
 			collect()
 		}
 		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -24,14 +24,19 @@
 	spareKeys  = 40 // number of further keys of the organisation "free", which may be withdrawn
 )
 
-func spareKey(i int) string { return fmt.Sprintf("key-spare-%d", i) }
+// routeTimeout is the longest time until the end of an answer that the configuration allows.
+const routeTimeout = 2500 * time.Millisecond
+
+const spareKeyPrefix = "key-spare-"
+
+func spareKey(i int) string { return spareKeyPrefix + fmt.Sprint(i) }
 
 func newOperator(s *system) *operator {
 	return &operator{system: s, withdrawnKeys: make(map[string]bool), out: make(map[string]time.Time)}
 }
 
 func streamRoute(prefix string, resumable bool) map[string]any {
-	r := baseRoute(prefix, "streaming", "engine")
+	r := baseRoute(prefix, "streaming", engineService)
 	r["resumable"], r["gap_aim_ms"], r["sticky_sessions"] = resumable, 300, true
 	if !resumable {
 		r["max_attempts"] = 1
@@ -45,7 +50,7 @@
 		attempts = 1
 	}
 	return map[string]any{
-		"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "type": kind, "timeout_ms": 2500,
+		"name": "r" + prefix, "hostname": "soak.example", "path_prefix": prefix, "type": kind, "timeout_ms": routeTimeout.Milliseconds(),
 		"target_latency_ms": 600, "priority": 1, "service": service, "max_attempts": attempts, "public": false,
 	}
 }
@@ -57,11 +62,14 @@
 	o.version++
 	o.probeRoutes++
 	routes := []map[string]any{
-		baseRoute("/book/", "unsafe", "desk"), baseRoute("/look/", "safe", "desk"),
+		baseRoute("/book/", "unsafe", deskService), baseRoute("/look/", "safe", deskService),
 		streamRoute("/chat/", true), streamRoute("/brief/", false),
 	}
+	for _, route := range routes { // a change that concerns requests in progress
+		route["target_latency_ms"] = 600 + 50*(o.version%3)
+	}
 	for i := 1; i <= o.probeRoutes; i++ {
-		probe := baseRoute(fmt.Sprintf("/v%d/", i), "safe", "desk")
+		probe := baseRoute(fmt.Sprintf("/v%d/", i), "safe", deskService)
 		probe["public"] = true
 		routes = append(routes, probe)
 	}
@@ -81,11 +89,11 @@
 	value, err := json.Marshal(map[string]any{
 		"version": o.version, "routes": routes,
 		"services": []map[string]any{
-			{"name": "engine", "max_connections": 300, "cold_start_s": 0, "cold_per_s": 0, "engine": map[string]any{
+			{"name": engineService, "max_connections": 300, "cold_start_s": 0, "cold_per_s": 0, "engine": map[string]any{
 				"slots": 16, "kv_capacity": 200000, "weights_mb": 230000, "adapter_slots": 4, "loads_per_s": loadsPerSecond,
 				"models": models,
 			}},
-			{"name": "desk", "max_connections": 300},
+			{"name": deskService, "max_connections": 300 + o.version%2},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
 		"tenants": []map[string]any{
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,8 +23,11 @@
 	command       *exec.Cmd
 	exited        chan struct{}
 	stopRequested bool // the current process was told to end
-	starts        int
+	startedAt     []time.Time
+	terminatedAt  []time.Time // when SIGTERM was sent
 	failures      []string
+
+	stopping sync.Mutex // held while the process is stopped and started again
 }
 
 // start starts the process if it is not running.
@@ -33,8 +37,8 @@
 	if p.command != nil {
 		return nil
 	}
-	p.starts++
-	log, err := os.Create(filepath.Join(p.logDir, fmt.Sprintf("%s-%d.log", p.name, p.starts)))
+	p.startedAt = append(p.startedAt, time.Now())
+	log, err := os.Create(filepath.Join(p.logDir, fmt.Sprintf("%s-%d.log", p.name, len(p.startedAt))))
 	if err != nil {
 		return err
 	}
@@ -60,6 +64,13 @@
 	return nil
 }
 
+// setArgs sets the arguments of the next start.
+func (p *program) setArgs(args []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.args = args
+}
+
 // signal sends a signal to the process. terminates says that the process is expected to end by it.
 func (p *program) signal(s syscall.Signal, terminates bool) {
 	p.mu.Lock()
@@ -68,25 +79,37 @@
 		return
 	}
 	p.stopRequested = p.stopRequested || terminates
+	if s == syscall.SIGTERM {
+		p.terminatedAt = append(p.terminatedAt, time.Now())
+	}
 	_ = p.command.Process.Signal(s) // fails if the process has just ended
 }
 
-// wait waits until the process ends, and kills it after limit.
-func (p *program) wait(limit time.Duration) {
+// wait waits until the process ends, and kills it after limit. It reports whether the process ended by itself.
+func (p *program) wait(limit time.Duration) bool {
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
 	if exited == nil {
-		return
+		return true
 	}
 	select {
 	case <-exited:
+		return true
 	case <-time.After(limit):
 		p.signal(syscall.SIGKILL, true)
 		<-exited
+		return false
 	}
 }
 
+// fail records a failure of the process.
+func (p *program) fail(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures = append(p.failures, p.name+" "+fmt.Sprintf(format, args...))
+}
+
 // recordedFailures returns the unexpected exits and the failed restarts of the process.
 func (p *program) recordedFailures() []string {
 	p.mu.Lock()
@@ -98,5 +121,12 @@
 func (p *program) incarnation() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.starts
+	return len(p.startedAt)
+}
+
+// times returns when the process was started and when it was told to end.
+func (p *program) times() (startedAt, terminatedAt []time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.startedAt), slices.Clone(p.terminatedAt)
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -12,14 +12,22 @@
 	if len(r.Failures) > 0 {
 		verdict = "BROKEN"
 	}
-	fmt.Fprintf(w, "seed %d: %s; %d requests, %d succeeded, %d not run, %d faults\n", r.Seed, verdict, r.Requests, r.Succeeded,
-		r.NotRun, len(r.InjectedFaults))
+	fmt.Fprintf(w, "seed %d: %s; %d requests, %d succeeded, %d not run, %d unread, %d lost, %d faults\n", r.Seed, verdict,
+		r.Requests, r.Succeeded, r.NotRun, r.Unread, len(r.Losses), len(r.InjectedFaults))
 	if withFaults {
 		for _, e := range r.InjectedFaults {
 			fmt.Fprintf(w, "  %6.2f s for %5.2f s: %s %s\n", e.Start.Seconds(),
 				e.Duration.Round(time.Millisecond).Seconds(), e.Name, e.Err)
 		}
 	}
+	for _, line := range r.lossCounts() {
+		fmt.Fprintf(w, "  lost: %s\n", line)
+	}
+	for _, l := range r.Losses {
+		for _, line := range l.log {
+			fmt.Fprintf(w, "  log: %s\n", line)
+		}
+	}
 	const shown = 12
 	for i, f := range r.Failures {
 		if i == shown {
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -7,15 +7,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
-
-	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
 )
 
 // Options configure a run.
@@ -29,6 +27,7 @@
 	PlainServers  int           // number of plain servers
 	Rate          float64       // requests per second, on average
 	AddressBase   int           // second byte of the loopback addresses, 1 to 250; concurrent runs need different values
+	Plan          Plan          // PlanDisruptions if empty
 }
 
 const (
@@ -46,11 +45,24 @@
 	maxModelsPerEngine = 3
 	adapterCount       = 3
 	streamEvents       = 12
+	// grace is the time between SIGTERM and the end of a process, and drainTime the time after which a server that leaves gets no
+	// request any more.
+	grace     = 4 * time.Second
+	drainTime = 2 * time.Second
 	// tokenRate, in tokens per second, and tokenBurst, in tokens, are the limit of the organisation "watched".
 	tokenRate  = 3000
 	tokenBurst = 6000
 )
 
+// Names of the services.
+const (
+	engineService = "engine"
+	deskService   = "desk"
+)
+
+// orderTime is the duration of a model load or unload.
+const orderTime = 150 * time.Millisecond
+
 var dataCentres = []string{"north", "south"}
 
 // system holds the processes and proxies of one run.
@@ -64,6 +76,9 @@
 	serverProxies  []*proxy   // in front of each server
 	client         *http.Client
 	configOperator *operator
+
+	serverFaults []sync.Mutex           // by server: held while a fault affects it
+	leaving      map[string]*sync.Mutex // by service: held while one of its servers leaves
 }
 
 func (o Options) ip(subnet, n int) string {
@@ -84,7 +99,10 @@
 
 // newSystem starts the processes and waits until every gateway is ready. After an error the system still has to be closed.
 func newSystem(ctx context.Context, o Options) (*system, error) {
-	s := &system{opts: o, client: &http.Client{Timeout: 2 * time.Second}}
+	s := &system{
+		opts: o, client: &http.Client{Timeout: 2 * time.Second}, serverFaults: make([]sync.Mutex, o.Engines+o.PlainServers),
+		leaving: map[string]*sync.Mutex{engineService: {}, deskService: {}},
+	}
 	s.configOperator = newOperator(s)
 	s.store = s.program("store", "fake-fleet", nil, "store", "-listen", s.storeAddress())
 	if err := s.store.start(); err != nil {
@@ -128,20 +146,38 @@
 		return err
 	}
 	s.serverProxies = append(s.serverProxies, p)
-	args := []string{"replica", "-listen", s.serverAddress(i), "-address", p.address(), "-store", s.storeAddress(),
-		"-id", fmt.Sprintf("i-%d", i), "-data-centre", dataCentres[i%len(dataCentres)]}
-	if i < s.opts.Engines {
-		held := []string{modelName(i), modelName(i + 1), modelName(i + 2)}
-		args = append(args, "-service", "engine", "-events", fmt.Sprint(streamEvents), "-models", strings.Join(held, ","),
-			"-max-models", fmt.Sprint(maxModelsPerEngine), "-order-time", "150ms", "-cold-per-s", "40")
-	} else {
-		args = append(args, "-service", "desk")
-	}
-	server := s.program(fmt.Sprintf("server-%d", i), "fake-fleet", nil, args...)
+	server := s.program(fmt.Sprintf("server-%d", i), "fake-fleet", nil, s.serverArgs(i, 1)...)
 	s.servers = append(s.servers, server)
 	return server.start()
 }
 
+// serverArgs returns the arguments of a server's process, which is started for the given time. Each start has another ID,
+// and only the first one of an engine holds models.
+func (s *system) serverArgs(i, start int) []string {
+	args := []string{"replica", "-listen", s.serverAddress(i), "-address", s.serverProxies[i].address(), "-store", s.storeAddress(),
+		"-id", fmt.Sprintf("i-%d-%d", i, start), "-data-centre", dataCentres[i%len(dataCentres)], "-service", s.serviceOf(i),
+		"-records", s.recordsFile(i, start)}
+	if i >= s.opts.Engines {
+		return args
+	}
+	if start == 1 {
+		args = append(args, "-models", strings.Join([]string{modelName(i), modelName(i + 1), modelName(i + 2)}, ","))
+	}
+	return append(args, "-events", fmt.Sprint(streamEvents), "-max-models", fmt.Sprint(maxModelsPerEngine),
+		"-order-time", orderTime.String(), "-cold-per-s", "40", "-pause", s.opts.Plan.eventPause().String())
+}
+
+func (s *system) serviceOf(server int) string {
+	if server < s.opts.Engines {
+		return engineService
+	}
+	return deskService
+}
+
+func (s *system) recordsFile(server, start int) string {
+	return filepath.Join(s.opts.WorkDir, fmt.Sprintf("records-%d-%d.json", server, start))
+}
+
 // addProgram starts a gateway (subnet 1) or an agent (subnet 2) with its settings file and its own proxy to the store.
 func (s *system) addProgram(name, binary string, subnet, i int, list *[]*program) error {
 	ip := s.opts.ip(subnet, i)
@@ -154,7 +190,7 @@
 		"node_name": name, "role": name, "ip": ip, "zone": dataCentres[i%len(dataCentres)],
 		"port_range": []int{portRangeFirst, portRangeLast},
 		"seeds":      []string{fmt.Sprintf("%s:%d", s.opts.ip(1, 0), peerPort)}, "bootstrap": true,
-		"bounds": map[string]any{"grace_s": 4, "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 54,
+		"bounds": map[string]any{"grace_s": grace.Seconds(), "drain_ms": drainTime.Milliseconds(), "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 54,
 			"lease_ms": 3000, "ceiling_window_s": 5, "ceiling_overage": 1.1, "contact_ms": 3000},
 		"provider": map[string]any{"address": p.address(), "row_bytes": 65536},
 	}
@@ -163,7 +199,7 @@
 			"front": s.gatewayAddress(i), "readiness": fmt.Sprintf("%s:%d", ip, readyPort), "control": fmt.Sprintf("%s:%d", ip, peerPort),
 		}
 	} else {
-		settings["app"], settings["service"] = s.serverAddress(i), "engine"
+		settings["app"], settings["service"] = s.serverAddress(i), engineService
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -173,7 +209,12 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return err
 	}
-	program := s.program(name, binary, []string{"POMELOWHEEL_BOOT=" + path})
+	env := []string{"POMELOWHEEL_BOOT=" + path}
+	if s.opts.Plan == PlanPlanned {
+		// Without this, a program that was built with the race detector runs on for a second after the end of main.
+		env = append(env, "GORACE=atexit_sleep_ms=0")
+	}
+	program := s.program(name, binary, env)
 	*list = append(*list, program)
 	return program.start()
 }
@@ -210,7 +251,7 @@
 	}
 	method := http.MethodPut
 	switch path {
-	case "/control/rows", "/control/restart":
+	case "/control/rows", "/control/restart", "/control/leave", "/control/drain":
 		method = http.MethodPost
 	case "/control/history":
 		method = http.MethodDelete
@@ -230,26 +271,6 @@
 	return nil
 }
 
-type serverRuns struct {
-	Runs    []fake.Run `json:"runs"`
-	Crashed string     `json:"crashed"`
-}
-
-// runs returns the requests that a server ran since its process started.
-func (s *system) runs(i int) (serverRuns, error) {
-	var r serverRuns
-	resp, err := s.client.Get("http://" + s.serverAddress(i) + "/control/runs")
-	if err != nil {
-		return r, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return r, err
-	}
-	return r, json.Unmarshal(data, &r)
-}
-
 // close kills every process of the run and closes the proxies.
 func (s *system) close() {
 	all := append(append(append([]*program{}, s.gateways...), s.agents...), s.servers...)
