--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,11 +49,13 @@
 	for _, q := range requests {
 		r.Requests++
 		checkRequest(q, records.runs[q.id], fail)
-		if q.succeeded() {
+		switch {
+		case q.succeeded():
 			r.Succeeded++
-		}
-		if q.notRun() {
+		case q.notRun():
 			r.NotRun++
+		case q.answer.status != 0 && q.answer.complete:
+			r.OtherAnswers++
 		}
 		if q.at.After(recoveredAt) && q.key == freeKey {
 			asked++
--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -78,7 +78,7 @@
 	fail func(string, ...any)) {
 	for _, q := range requests {
 		answered := q.answer.status != 0 && q.answer.complete
-		if answered || q.answer.written.IsZero() || q.ended.Sub(q.at) >= routeTimeout {
+		if answered || q.answer.written.IsZero() {
 			continue
 		}
 		passed := len(records.arrivals(q.id)) > 0
@@ -86,12 +86,13 @@
 			r.Unread++
 			continue
 		}
-		if workedUntilGraceEnd(q, records, history[q.gateway]) {
+		if q.ended.Sub(q.at) >= routeTimeout || workedUntilGraceEnd(q, records, history[q.gateway]) {
+			r.Late++
 			continue
 		}
 		l := loss{request: q, sentAt: q.at.Sub(start), endedAt: q.ended.Sub(start), passed: passed}
 		for _, f := range r.InjectedFaults {
-			if f.Start <= l.endedAt && f.Start+f.Duration >= l.sentAt {
+			if f.Start <= l.endedAt && f.Start+f.Duration >= l.sentAt && !slices.Contains(l.during, f.Name) {
 				l.during = append(l.during, f.Name)
 			}
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,7 +25,7 @@
 
 func (p Plan) plan() plan {
 	if p == PlanPlanned {
-		return plan{faults: plannedWork, maxConcurrent: 5, recoveryTime: 4 * time.Second}
+		return plan{faults: plannedWork, maxConcurrent: 7, recoveryTime: 4 * time.Second}
 	}
 	return plan{faults: disruptions, maxConcurrent: 3, recoveryTime: 8 * time.Second}
 }
@@ -33,7 +33,7 @@
 // eventPause returns the engines' delay before each event of a stream.
 func (p Plan) eventPause() time.Duration {
 	if p == PlanPlanned {
-		return 60 * time.Millisecond
+		return 40 * time.Millisecond
 	}
 	return 5 * time.Millisecond
 }
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -37,6 +37,7 @@
 		return s.writeConfigs(rng, func() error { return s.configOperator.withdrawKey(rng.IntN(spareKeys)) })
 	}},
 	{"server silent", silenceServer},
+	{"server silent while others reject", silenceServerBesideRejections},
 	{"server leaving", replaceServer},
 	{"server rejects for a stated time", rejectForStatedTime},
 }
@@ -112,47 +113,85 @@
 	return nil
 }
 
-// silenceServer makes a server pause before the head or within the body of a part of its responses.
-func silenceServer(s *system, rng *rand.Rand) error {
-	server, unlock, err := s.lockServer(rng)
-	if err != nil {
-		return err
-	}
-	defer unlock()
+// silence returns faults that make a server pause before the head or within the body of a part of its responses.
+func silence(rng *rand.Rand) fake.ReplicaFaults {
 	f := fake.ReplicaFaults{Silence: time.Duration(800+rng.IntN(1001)) * time.Millisecond}
-	share := 0.2 + 0.5*rng.Float64()
-	if rng.IntN(2) == 0 {
+	share := 0.3 + 0.6*rng.Float64()
+	if rng.IntN(3) == 0 {
 		f.SilentHead = share
 	} else {
 		f.SilentBody = share
 	}
+	return f
+}
+
+// rejection returns faults that make a server reject all or a part of the requests with Retry-After.
+func rejection(rng *rand.Rand) fake.ReplicaFaults {
+	f := fake.ReplicaFaults{Shed: 1, RetryAfter: time.Duration(1+rng.IntN(3)) * time.Second}
+	if rng.IntN(2) == 0 {
+		f.RetryAfter = time.Duration(1000+rng.IntN(2001)) * time.Millisecond
+	}
+	if rng.IntN(2) == 0 {
+		f.Shed = 0.3
+	}
+	return f
+}
+
+// holdServerFaults sets the faults of a server, and clears them after d.
+func (s *system) holdServerFaults(server int, f fake.ReplicaFaults, d time.Duration) error {
 	if err := s.setServerFaults(server, f); err != nil {
 		return err
 	}
-	time.Sleep(time.Duration(1500+rng.IntN(2500)) * time.Millisecond)
+	time.Sleep(d)
 	return s.setServerFaults(server, fake.ReplicaFaults{})
 }
 
-// rejectForStatedTime makes a server reject all or a part of the requests with Retry-After, for about the time that it states.
+// silenceServer makes a server silent from time to time.
+func silenceServer(s *system, rng *rand.Rand) error {
+	server, unlock, err := s.lockServer(rng)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	return s.holdServerFaults(server, silence(rng), time.Duration(1500+rng.IntN(2500))*time.Millisecond)
+}
+
+// rejectForStatedTime makes a server reject requests for about the time that it states.
 func rejectForStatedTime(s *system, rng *rand.Rand) error {
 	server, unlock, err := s.lockServer(rng)
 	if err != nil {
 		return err
 	}
 	defer unlock()
-	wait := time.Duration(1+rng.IntN(3)) * time.Second
-	if rng.IntN(2) == 0 {
-		wait = time.Duration(1000+rng.IntN(2001)) * time.Millisecond
+	f := rejection(rng)
+	return s.holdServerFaults(server, f, f.RetryAfter+time.Duration(rng.IntN(1000))*time.Millisecond)
+}
+
+// silenceServerBesideRejections makes a server silent from time to time, while all others of its service reject.
+func silenceServerBesideRejections(s *system, rng *rand.Rand) error {
+	server, unlock, err := s.lockServer(rng)
+	if err != nil {
+		return err
 	}
-	f := fake.ReplicaFaults{Shed: 1, RetryAfter: wait}
-	if rng.IntN(2) == 0 {
-		f.Shed = 0.3
+	defer unlock()
+	d := time.Duration(1500+rng.IntN(2500)) * time.Millisecond
+	done := make(chan error, len(s.servers))
+	faulty := 1
+	go func(f fake.ReplicaFaults) { done <- s.holdServerFaults(server, f, d) }(silence(rng))
+	for i := range s.servers {
+		if i == server || s.serviceOf(i) != s.serviceOf(server) || !s.serverFaults[i].TryLock() {
+			continue
+		}
+		defer s.serverFaults[i].Unlock()
+		f := rejection(rng)
+		f.Shed = 1
+		faulty++
+		go func() { done <- s.holdServerFaults(i, f, d) }()
 	}
-	if err := s.setServerFaults(server, f); err != nil {
-		return err
+	for range faulty {
+		err = errors.Join(err, <-done)
 	}
-	time.Sleep(wait + time.Duration(rng.IntN(1000))*time.Millisecond)
-	return s.setServerFaults(server, fake.ReplicaFaults{})
+	return err
 }
 
 // replaceServer lets a server leave and starts a new one at its address. The server first says in its answers that it leaves,
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 )
 
@@ -12,12 +13,12 @@
 	if len(r.Failures) > 0 {
 		verdict = "BROKEN"
 	}
-	fmt.Fprintf(w, "seed %d: %s; %d requests, %d succeeded, %d not run, %d unread, %d lost, %d faults\n", r.Seed, verdict,
-		r.Requests, r.Succeeded, r.NotRun, r.Unread, len(r.Losses), len(r.InjectedFaults))
+	fmt.Fprintf(w, "seed %d: %s; %d requests, %d succeeded, %d not run, %d answered otherwise, %d unread, %d late, %d lost, %d faults\n",
+		r.Seed, verdict, r.Requests, r.Succeeded, r.NotRun, r.OtherAnswers, r.Unread, r.Late, len(r.Losses), len(r.InjectedFaults))
 	if withFaults {
 		for _, e := range r.InjectedFaults {
 			fmt.Fprintf(w, "  %6.2f s for %5.2f s: %s %s\n", e.Start.Seconds(),
-				e.Duration.Round(time.Millisecond).Seconds(), e.Name, e.Err)
+				e.Duration.Round(time.Millisecond).Seconds(), e.Name, strings.ReplaceAll(e.Err, "\n", "; "))
 		}
 	}
 	for _, line := range r.lossCounts() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,7 +20,9 @@
 	Requests       int
 	Succeeded      int // answered 200 with a complete body
 	NotRun         int
-	Unread         int // sent to a gateway that closed the connection without having read them
+	OtherAnswers   int // with another status, complete
+	Unread         int // recorded only in PlanPlanned, as Late and Losses: sent to a gateway that closed the connection without having read them
+	Late           int // without a complete answer at the route's timeout, or in the last part of the grace period
 	InjectedFaults []injectedFault
 	Losses         []loss   // requests that ended without an answer; recorded only in PlanPlanned
 	Failures       []string // one message for each violated guarantee
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,25 +11,37 @@
 	"github.com/pomelowheel/pomelowheel/internal/soak"
 )
 
-// seeds are run by every test run: one for a short run, and each seed that ever violated a guarantee, with its cause.
-var seeds = []uint64{1}
+// Every test run runs these seeds of each plan: one for a short run, and each seed that ever violated a guarantee, with its cause.
+var (
+	seeds        = []uint64{1}
+	plannedSeeds = []uint64{5}
+)
 
 // Checks the guarantees of the real programs under faults: number of executions, complete answers, limits, keys,
 // configuration, orders and recovery.
 func TestSoak(t *testing.T) {
-	bin := t.TempDir()
+	run(t, seeds, soak.Options{Plan: soak.PlanDisruptions, FaultDuration: 6 * time.Second, Rate: 30})
+}
+
+// Guards against requests that end without an answer around planned work, and against requests to servers that asked for none.
+func TestSoakPlannedWork(t *testing.T) {
+	run(t, plannedSeeds, soak.Options{Plan: soak.PlanPlanned, FaultDuration: 6 * time.Second, Rate: 40})
+}
+
+// run runs the real programs once with each seed.
+func run(t *testing.T, seeds []uint64, o soak.Options) {
+	o.BinDir = t.TempDir()
 	for _, program := range []string{"pomelo-fleet-gateway", "pomelo-fleet-agent", "fake-fleet"} {
-		build := exec.Command("go", "build", "-race", "-o", filepath.Join(bin, program),
+		build := exec.Command("go", "build", "-race", "-o", filepath.Join(o.BinDir, program),
 			"github.com/pomelowheel/pomelowheel/cmd/"+program)
 		if out, err := build.CombinedOutput(); err != nil {
 			t.Fatalf("build %s: %v\n%s", program, err, out)
 		}
 	}
+	o.Gateways, o.Engines, o.PlainServers, o.AddressBase = 3, 3, 2, 11
 	for _, seed := range seeds {
-		r, err := soak.Run(context.Background(), soak.Options{
-			BinDir: bin, WorkDir: t.TempDir(), Seed: seed, FaultDuration: 6 * time.Second,
-			Gateways: 3, Engines: 3, PlainServers: 2, Rate: 30, AddressBase: 11,
-		})
+		o.Seed, o.WorkDir = seed, t.TempDir()
+		r, err := soak.Run(context.Background(), o)
 		if err != nil {
 			t.Fatal(err)
 		}
