--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -81,25 +81,28 @@
 		if answered || q.answer.written.IsZero() {
 			continue
 		}
-		passed := len(records.arrivals(q.id)) > 0
-		if !passed && !q.answer.begun && q.ended.Sub(q.answer.written) <= lossSlack {
-			r.Unread++
-			continue
-		}
-		if q.ended.Sub(q.at) >= routeTimeout || workedUntilGraceEnd(q, records, history[q.gateway]) {
-			r.Late++
-			continue
+		l := r.describeLoss(q, records, start)
+		switch {
+		case !l.passed && !q.answer.begun && q.ended.Sub(q.answer.written) <= lossSlack:
+			r.Unread = append(r.Unread, l)
+		case q.ended.Sub(q.at) >= routeTimeout, workedUntilGraceEnd(q, records, history[q.gateway]):
+			r.Late = append(r.Late, l)
+		default:
+			l.log = findLogLines(logDir, q.id)
+			r.Losses = append(r.Losses, l)
+			fail("%s", l)
 		}
-		l := loss{request: q, sentAt: q.at.Sub(start), endedAt: q.ended.Sub(start), passed: passed}
-		for _, f := range r.InjectedFaults {
-			if f.Start <= l.endedAt && f.Start+f.Duration >= l.sentAt && !slices.Contains(l.during, f.Name) {
-				l.during = append(l.during, f.Name)
-			}
+	}
+}
+
+func (r *Result) describeLoss(q *sent, records *serverRecords, start time.Time) loss {
+	l := loss{request: q, sentAt: q.at.Sub(start), endedAt: q.ended.Sub(start), passed: len(records.arrivals(q.id)) > 0}
+	for _, f := range r.InjectedFaults {
+		if f.Start <= l.endedAt && f.Start+f.Duration >= l.sentAt && !slices.Contains(l.during, f.Name) {
+			l.during = append(l.during, f.Name)
 		}
-		l.log = findLogLines(logDir, q.id)
-		r.Losses = append(r.Losses, l)
-		fail("%s", l)
 	}
+	return l
 }
 
 // workedUntilGraceEnd reports whether a server still worked on the request in the last part of its gateway's grace period.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 )
@@ -14,12 +15,15 @@
 		verdict = "BROKEN"
 	}
 	fmt.Fprintf(w, "seed %d: %s; %d requests, %d succeeded, %d not run, %d answered otherwise, %d unread, %d late, %d lost, %d faults\n",
-		r.Seed, verdict, r.Requests, r.Succeeded, r.NotRun, r.OtherAnswers, r.Unread, r.Late, len(r.Losses), len(r.InjectedFaults))
+		r.Seed, verdict, r.Requests, r.Succeeded, r.NotRun, r.OtherAnswers, len(r.Unread), len(r.Late), len(r.Losses), len(r.InjectedFaults))
 	if withFaults {
 		for _, e := range r.InjectedFaults {
 			fmt.Fprintf(w, "  %6.2f s for %5.2f s: %s %s\n", e.Start.Seconds(),
 				e.Duration.Round(time.Millisecond).Seconds(), e.Name, strings.ReplaceAll(e.Err, "\n", "; "))
 		}
+		for _, l := range append(slices.Clone(r.Unread), r.Late...) {
+			fmt.Fprintf(w, "  excused: %s\n", l)
+		}
 	}
 	for _, line := range r.lossCounts() {
 		fmt.Fprintf(w, "  lost: %s\n", line)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,11 +21,12 @@
 	Succeeded      int // answered 200 with a complete body
 	NotRun         int
 	OtherAnswers   int // with another status, complete
-	Unread         int // recorded only in PlanPlanned, as Late and Losses: sent to a gateway that closed the connection without having read them
-	Late           int // without a complete answer at the route's timeout, or in the last part of the grace period
 	InjectedFaults []injectedFault
-	Losses         []loss   // requests that ended without an answer; recorded only in PlanPlanned
-	Failures       []string // one message for each violated guarantee
+	// Requests that ended without an answer, recorded only in PlanPlanned. Of those in Unread, the gateway closed the connection
+	// without having read them. Those in Late reached the route's timeout or the last part of the grace period. Losses
+	// violate a guarantee.
+	Unread, Late, Losses []loss
+	Failures             []string // one message for each violated guarantee
 }
 
 // Run starts the fleet, runs it under load with the faults that o.Seed selects, checks the guarantees and ends all
