Run seed 11 of planned work in the tests, which sees each of five broken gateways

A run of 6 s draws few of the faults: seed 5 kept its guarantees on a gateway that ignores Server-Leaving, because all gateways restarted meanwhile, and seed 8 on ones that ignore Retry-After or cut answers at a configuration change. A server now gives the sign in its answers for 1 to 3.5 s longer than drain_ms before the list has it, so that there is more time in which a request is late.

The check of the grace period was seen to fail with programs that sleep for a second at exit (gateway-0, seed 1, 12 s).

--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -227,7 +227,7 @@
 	if err := s.sendControl(s.serverAddress(server), "/control/leave", nil); err != nil {
 		return err
 	}
-	time.Sleep(drainTime + time.Duration(500+rng.IntN(2000))*time.Millisecond)
+	time.Sleep(drainTime + time.Duration(1000+rng.IntN(2500))*time.Millisecond)
 	if rng.IntN(4) == 0 {
 		return nil
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,7 +14,7 @@
 // Every test run runs these seeds of each plan: one for a short run, and each seed that ever violated a guarantee, with its cause.
 var (
 	seeds        = []uint64{1}
-	plannedSeeds = []uint64{5}
+	plannedSeeds = []uint64{11}
 )
 
 // Checks the guarantees of the real programs under faults: number of executions, complete answers, limits, keys,
