Answer every request that was read when a gateway ends

Cause: after a call of http.Server.Shutdown or Close, net/http closes each connection whose next header it has read, without an answer (conn.serve returns if shuttingDown). Shutdown also closes connections that it counts as idle while their request is being parsed, and it was given 300 ms in all, after which Close ended the handlers that had begun in that time.

Now the server is closed only when no connection can deliver a request any longer. Arrivals ends the connections itself: it lets reads fail on those from which nothing was read; bytes that were read at the same moment make the connection go on. Handlers, responses that are not flushed and bodies that still arrive are waited for within the same limit of the grace period; a body that has stopped for 1 s is not. Connections that send no request are still ended after 300 ms.

The tests of the former EndConnections are the same for Arrivals.End; the one for the unused connection now also expects that it was closed.

--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -52,8 +52,8 @@
 	server := &http.Server{
 		Handler: g.server, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxCallerHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnState: arrivals.ConnState,
 	}
+	arrivals.Attach(server)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := background.NewGroup(ctx, log)
@@ -97,13 +97,13 @@
 	g.mesh.AnnounceShutdown()
 	g.lease.Release(ctx)
 	idle := fleetprocess.WaitIdle(ctx, grace-drainReserve, drainIdleTime, func() bool {
-		return g.server.Active() == 0 && arrivals.Pending(time.Now()) == 0
+		return arrivals.Pending(time.Now()) == 0
 	})
 	if !idle {
 		g.log.Warn("grace period is about to end with requests in progress", "active", g.server.Active())
 	}
 	left := time.Until(start.Add(grace - drainReserve/2))
-	if err := fleetprocess.EndConnections(ctx, server, idle, left); err != nil && g.server.Active() > 0 {
+	if err := arrivals.End(ctx, server, left); err != nil {
 		g.log.Warn("connections closed with requests in progress", "active", g.server.Active(), "error", err)
 	}
 }
--- a/internal/fleetprocess/arrivals.go
+++ b/internal/fleetprocess/arrivals.go
@@ -1,71 +1,171 @@
 package fleetprocess
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/background"
 )
 
 // arrivalTimeout is the time without a byte after which a request that has arrived in part no longer delays the end of a
 // process. A sound caller sends a request in one piece or a few.
 const arrivalTimeout = time.Second
 
-// Arrivals tracks the connections of an http.Server on which a part of a request has arrived. The server counts such a
-// connection as idle until it has read the whole header, and closes it when it shuts down.
-type Arrivals struct {
-	mu    sync.Mutex
-	conns map[net.Conn]*arrival
-}
+// firstRequestTimeout limits the wait for the first request of a connection when the process ends. It allows a few round trips
+// with the slowest callers; a longer limit would delay the end, because callers open connections that they do not use.
+const firstRequestTimeout = 300 * time.Millisecond
 
-type arrival struct {
-	serving    bool      // the server has read the header of a request
-	lastByteAt time.Time // of a request whose header has not been read; zero if nothing of one has arrived
+// endPollInterval is the pause between two checks whether the connections have ended.
+const endPollInterval = 5 * time.Millisecond
+
+// Arrivals tracks the connections of one http.Server, so that the process can end without the loss of an answer. The methods
+// Shutdown and Close of http.Server do not serve that: both close connections on which a part of a request has been read,
+// and after a call of one of them the server answers no request whose header it reads.
+type Arrivals struct {
+	mu       sync.Mutex
+	conns    map[*arrivalConn]struct{}
+	refusing bool // new connections are closed
 }
 
 // NewArrivals returns an Arrivals without connections.
-func NewArrivals() *Arrivals { return &Arrivals{conns: make(map[net.Conn]*arrival)} }
+func NewArrivals() *Arrivals { return &Arrivals{conns: make(map[*arrivalConn]struct{})} }
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
 
-// Listener returns a listener whose connections are tracked. Its server must have ConnState as its hook.
+// Attach sets the hooks of a server and wraps its handler. The server must use a listener of Listener.
+func (a *Arrivals) Attach(server *http.Server) {
+	handler := server.Handler
+	server.ConnState = a.connState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*arrivalConn); ok {
+			defer a.handled(c)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// Listener returns a listener whose connections are tracked.
 func (a *Arrivals) Listener(l net.Listener) net.Listener { return &arrivalListener{l, a} }
 
-// ConnState is the hook for http.Server.ConnState.
-func (a *Arrivals) ConnState(c net.Conn, state http.ConnState) {
+// connState is the hook for http.Server.ConnState.
+func (a *Arrivals) connState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*arrivalConn)
+	if !ok {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch state {
-	case http.StateNew:
-		if a.conns[c] == nil {
-			a.conns[c] = new(arrival)
-		}
-	case http.StateActive, http.StateIdle:
-		if t := a.conns[c]; t != nil {
-			t.serving, t.lastByteAt = state == http.StateActive, time.Time{}
-		}
+	case http.StateActive:
+		c.used, c.serving, c.ended, c.handledAt, c.lastByteAt = true, true, false, time.Time{}, time.Time{}
+	case http.StateIdle:
+		c.serving, c.handledAt, c.lastByteAt = false, time.Time{}, time.Time{}
 	case http.StateClosed, http.StateHijacked:
 		delete(a.conns, c)
 	}
 }
 
-// Pending returns the number of connections on which a part of a request arrived within arrivalTimeout before now and
-// whose header has not been read yet.
+// add begins to track a connection, unless new connections are refused.
+func (a *Arrivals) add(c *arrivalConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.refusing {
+		a.conns[c] = struct{}{}
+	}
+	return !a.refusing
+}
+
+// handled records that the handler of a request has returned.
+func (a *Arrivals) handled(c *arrivalConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.handledAt = time.Now()
+}
+
+// Pending returns the number of connections with a request that is being served or that has arrived in part. One whose bytes
+// stopped to arrive arrivalTimeout before now is left out, unless its handler has not returned.
 func (a *Arrivals) Pending(now time.Time) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := 0
-	for _, t := range a.conns {
-		if !t.serving && !t.lastByteAt.IsZero() && now.Sub(t.lastByteAt) < arrivalTimeout {
+	for c := range a.conns {
+		if c.pending(now) {
 			n++
 		}
 	}
 	return n
 }
 
-func (a *Arrivals) recordBytes(c net.Conn) {
+// End ends all connections and closes the server. No further request begins on an idle connection, nor on a new one after
+// firstRequestTimeout. End waits for the pending requests until limit has passed or ctx ends, and returns an error if some
+// are left then.
+func (a *Arrivals) End(ctx context.Context, server *http.Server, limit time.Duration) error {
+	start := time.Now()
+	left := a.endUnused(start, false)
+	for refusing := false; !refusing || left > 0; {
+		now := time.Now()
+		if now.Sub(start) >= limit || ctx.Err() != nil {
+			break
+		}
+		refusing = left == 0 || now.Sub(start) >= firstRequestTimeout
+		left = a.endUnused(now, refusing)
+		if left > 0 {
+			_ = background.Sleep(ctx, endPollInterval) // the loop ends with ctx
+		}
+	}
+	if err := server.Close(); err != nil {
+		return fmt.Errorf("close the server: %w", err)
+	}
+	if left > 0 {
+		return fmt.Errorf("%d connections closed with a request", left)
+	}
+	return nil
+}
+
+// endUnused lets the server close the connections on which nothing of a request has been read; those on which nothing has ever
+// been read are included, and new connections refused, if first is set. It returns the number of connections to wait for.
+func (a *Arrivals) endUnused(now time.Time, first bool) (left int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if t := a.conns[c]; t != nil && !t.serving {
-		t.lastByteAt = time.Now()
+	a.refusing = first
+	for c := range a.conns {
+		switch {
+		case c.pending(now):
+			left++
+		case !c.serving && c.lastByteAt.IsZero():
+			left++ // until the server has closed it, because bytes may just have been read
+			if c.used || first {
+				c.ended = true
+				_ = c.Conn.SetReadDeadline(now) // fails on a closed connection only
+			}
+		}
+	}
+	return left
+}
+
+// mayRead reports whether the server may read from a connection.
+func (a *Arrivals) mayRead(c *arrivalConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !c.ended
+}
+
+// recordBytes records that bytes were read from a connection. One that was ended at the same time goes on, because the bytes
+// may be a whole request.
+func (a *Arrivals) recordBytes(c *arrivalConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.lastByteAt = time.Now()
+	if c.ended {
+		c.ended = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails on a closed connection only
 	}
 }
 
@@ -76,20 +176,46 @@
 
 // Accept implements net.Listener.
 func (l *arrivalListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &arrivalConn{Conn: conn, arrivals: l.arrivals}
+		if l.arrivals.add(c) {
+			return c, nil
+		}
+		_ = conn.Close() // nothing was read from it
 	}
-	return &arrivalConn{c, l.arrivals}, nil
 }
 
+// arrivalConn is a connection of a caller. Its state is protected by the mutex of arrivals.
 type arrivalConn struct {
 	net.Conn
-	arrivals *Arrivals
+	arrivals   *Arrivals
+	used       bool      // a request was read from it
+	serving    bool      // the server has read the header of a request and has not ended its response
+	handledAt  time.Time // when the handler of that request returned; zero before
+	lastByteAt time.Time // of the current request; zero if nothing of it was read since its header, or none arrives
+	ended      bool      // no further request may begin
+}
+
+// pending reports whether a request is being served or has arrived in part.
+func (c *arrivalConn) pending(now time.Time) bool {
+	switch {
+	case c.serving && c.handledAt.IsZero():
+		return true
+	case c.serving && now.Sub(c.handledAt) < arrivalTimeout:
+		return true
+	}
+	return !c.lastByteAt.IsZero() && now.Sub(c.lastByteAt) < arrivalTimeout
 }
 
 // Read implements net.Conn.
 func (c *arrivalConn) Read(b []byte) (int, error) {
+	if !c.arrivals.mayRead(c) {
+		return 0, os.ErrDeadlineExceeded // other errors make the server send a response
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.arrivals.recordBytes(c)
--- a/internal/fleetprocess/drain_test.go
+++ b/internal/fleetprocess/drain_test.go
@@ -20,27 +20,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted := make(chan struct{})
-	server := &http.Server{ConnState: func(_ net.Conn, s http.ConnState) {
-		if s == http.StateNew {
-			close(accepted)
-		}
-	}}
-	go func() { _ = server.Serve(listener) }() // returns when the server is closed
+	arrivals := fleetprocess.NewArrivals()
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	arrivals.Attach(server)
+	go func() { _ = server.Serve(arrivals.Listener(listener)) }() // returns when the server is closed
 	unused, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = unused.Close() }()
-	<-accepted
+	expectAccepted(t, listener.Addr().String())
 	start := time.Now()
-	_ = fleetprocess.EndConnections(context.Background(), server, true, 4*time.Second) // the unused connection may remain
+	if err := arrivals.End(context.Background(), server, 4*time.Second); err != nil {
+		t.Fatal(err)
+	}
 	if took := time.Since(start); took > time.Second {
 		t.Fatalf("shutdown took %v, expected at most 1s", took)
 	}
-	if err := server.Close(); err != nil {
-		t.Fatal(err)
-	}
 }
 
 // Guards against a planned stop that closes a kept connection while a request arrives on it: the server counts the
@@ -52,9 +48,9 @@
 	}
 	arrivals := fleetprocess.NewArrivals()
 	server := &http.Server{
-		ConnState: arrivals.ConnState,
-		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
 	}
+	arrivals.Attach(server)
 	go func() { _ = server.Serve(arrivals.Listener(listener)) }() // returns when the server is closed
 	c, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
@@ -79,14 +75,14 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		idle := fleetprocess.WaitIdle(context.Background(), 10*time.Second, 20*time.Millisecond, func() bool {
+		fleetprocess.WaitIdle(context.Background(), 10*time.Second, 20*time.Millisecond, func() bool {
 			select {
 			case checks <- struct{}{}:
 			default:
 			}
 			return arrivals.Pending(time.Now()) == 0
 		})
-		_ = fleetprocess.EndConnections(context.Background(), server, idle, time.Second)
+		_ = arrivals.End(context.Background(), server, time.Second)
 	}()
 	for _, piece := range []string{"Host: h\r\n", "\r\n"} {
 		for range 3 { // the stop has looked at the connection since the piece before
@@ -118,7 +114,8 @@
 		t.Fatal(err)
 	}
 	arrivals := fleetprocess.NewArrivals()
-	server := &http.Server{ConnState: arrivals.ConnState}
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	arrivals.Attach(server)
 	go func() { _ = server.Serve(arrivals.Listener(listener)) }() // returns when the server is closed
 	defer func() { _ = server.Close() }()
 	c, err := net.Dial("tcp", listener.Addr().String())
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -31,9 +31,6 @@
 	settingsPollInterval = 2 * time.Second
 	// shutdownTimeout limits the shutdown of a server started by Serve.
 	shutdownTimeout = 200 * time.Millisecond
-	// idleCloseTimeout limits the wait for connections without requests. It allows a few round trips with the slowest
-	// callers.
-	idleCloseTimeout = 300 * time.Millisecond
 	// headerTimeout limits reading the header of a request to a server started by Serve.
 	headerTimeout = 2 * time.Second
 )
@@ -163,18 +160,6 @@
 	return ctx.Err()
 }
 
-// EndConnections shuts a server down and waits for requests in progress for at most limit. idle says that there are none:
-// then it waits for at most idleCloseTimeout, because callers open connections that they do not use and a longer limit
-// would delay the end of the process. It returns the error of http.Server.Shutdown.
-func EndConnections(ctx context.Context, server *http.Server, idle bool, limit time.Duration) error {
-	if idle {
-		limit = min(limit, idleCloseTimeout)
-	}
-	end, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return server.Shutdown(end)
-}
-
 // WaitIdle polls idle until it has reported true continuously for the duration quiet, and returns true. It returns false
 // if limit passes or ctx ends first.
 func WaitIdle(ctx context.Context, limit, quiet time.Duration, idle func() bool) bool {
