Send nothing for an attempt that counts as not sent

A server could get and run a request that its gateway had logged, refunded and, at its deadline, answered as not run. The end of an attempt looked whether the request had been sent, while the attempt's goroutine, whose connection had just been opened, was between its last check and the sending; the reset of the connection came after the request.

--- /dev/null
+++ b/internal/fleetgateway/connection_test.go
@@ -0,0 +1,73 @@
+package fleetgateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
+)
+
+// caller is a connection of a caller that sends bytes of its own choice.
+type caller struct {
+	*net.TCPConn
+	responses *bufio.Reader
+}
+
+func (s *testGateway) dial() *caller {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() }) // the test may have closed it
+	Expect(c.SetDeadline(time.Now().Add(15 * time.Second))).To(Succeed())
+	return &caller{c.(*net.TCPConn), bufio.NewReader(c)}
+}
+
+// send sends the head of a request with a new ID and what follows it.
+func (c *caller) send(method string, deadline time.Duration, lines string, body string) (id string) {
+	GinkgoHelper()
+	requests++
+	id = fmt.Sprintf("request-%d", requests)
+	_, err := fmt.Fprintf(c, "%s /a/ HTTP/1.1\r\nHost: crew.example\r\nAuthorization: Bearer key\r\nX-Request-Id: %s\r\n"+
+		"X-Deadline-Ms: %d\r\n%s\r\n%s", method, id, deadline.Milliseconds(), lines, body)
+	Expect(err).NotTo(HaveOccurred())
+	return id
+}
+
+// receive returns the status and the body of the next response, or a zero status if there is none.
+func (c *caller) receive() (status int, body string) {
+	GinkgoHelper()
+	resp, err := http.ReadResponse(c.responses, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	data, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred(), "the answer was cut")
+	return resp.StatusCode, string(data)
+}
+
+var _ = Describe("a request whose caller is still there", func() {
+	// Guards against a server that gets a request after the gateway has concluded that nothing was sent to it.
+	It("does not reach a server once its caller has left while the connection was opened", func() {
+		s := newTestGateway(route(once, 4*time.Second))
+		server := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		c := s.dial()
+		leave := func() {
+			Expect(c.Close()).To(Succeed())
+			Eventually(func() []string { return s.lines("attempt cancelled") }, "2s", "1ms").ShouldNot(BeEmpty())
+		}
+		onDial := func() { s.onCheck.Store(&leave) }
+		s.onDial.Store(&onDial)
+		id := c.send(http.MethodPost, 4*time.Second, "Content-Length: 5\r\n", "hello")
+		Eventually(func() []string { return s.lines("request ended") }, "4s", "5ms").ShouldNot(BeEmpty())
+		Expect(s.lines("attempt cancelled")).To(ContainElement(ContainSubstring(`"not_run":true`)))
+		Consistently(func() int { return runsOf(id, server) }, "200ms", "5ms").Should(BeZero())
+	})
+})
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -26,14 +26,27 @@
 	replica   *fleet.Replica
 	load      *fleetroute.Attempt
 	cancel    context.CancelCauseFunc
-	stream    bool        // a successful response is a stream
-	lastRun   bool        // the request may not run once more
-	sent      atomic.Bool // the server may have got the request
-	responded atomic.Bool // the head of the response has arrived
+	stream    bool         // a successful response is a stream
+	lastRun   bool         // the request may not run once more
+	sending   atomic.Int32 // sendUndecided, sendAllowed or sendForbidden
+	responded atomic.Bool  // the head of the response has arrived
 
 	lastEventAt time.Time // when the last event was relayed; used by the request's goroutine only
 }
 
+// States of attempt.sending. Only sendUndecided changes.
+const (
+	sendUndecided int32 = iota
+	sendAllowed         // the server may get the request
+	sendForbidden       // nothing was sent to the server, and nothing will be
+)
+
+// allowSending reports whether the request may be sent: forbidSending has not returned true.
+func (a *attempt) allowSending() bool { return a.sending.CompareAndSwap(sendUndecided, sendAllowed) }
+
+// forbidSending reports whether nothing was sent to the server and nothing will be.
+func (a *attempt) forbidSending() bool { return a.sending.CompareAndSwap(sendUndecided, sendForbidden) }
+
 // message is a part of a server's response, or the end of an attempt.
 type message struct {
 	attempt  *attempt
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -113,13 +113,7 @@
 			answered := platform.ParseResponse(status, h).RequestID
 			return answered == "" || answered == id
 		},
-		MayStillSend: func() bool {
-			if !q.mayStillSend(config, a.replica) {
-				return false
-			}
-			a.sent.Store(true)
-			return true
-		},
+		MayStillSend: func() bool { return q.mayStillSend(config, a.replica) && a.allowSending() },
 	}
 }
 
@@ -230,7 +224,7 @@
 func (q *request) cancel(a *attempt, cause error, failed bool) result {
 	a.cancel(cause)
 	r := result{server: a.candidate.ID, kind: errkind.OutcomeUnknown}
-	if !a.sent.Load() {
+	if a.forbidSending() {
 		r.kind, r.notRun = errkind.BackendUnreachable, true
 	}
 	q.server.opts.Log.Info("attempt cancelled", "request_id", q.caller.ID, "server", a.candidate.ID, "not_run", r.notRun,
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -47,6 +47,7 @@
 	stale       atomic.Bool            // the configuration is too old to be used
 	behind      atomic.Bool            // a newer configuration is in force
 	onDial      atomic.Pointer[func()] // called once, before the next connection to a server is opened
+	onCheck     atomic.Pointer[func()] // called once, at the next check of the configuration's age
 	demand      *fleetgateway.Demand
 
 	mu  sync.Mutex
@@ -117,6 +118,9 @@
 		DataCentre: "a", View: s.view, Table: fleetroute.NewTable(), Pool: pool, Clock: clock, Gateways: singleGateway,
 		Rank: func(string) int { return 0 }, ConfigurationBehind: s.behind.Load,
 		CheckConfiguration: func() error {
+			if f := s.onCheck.Swap(nil); f != nil {
+				(*f)()
+			}
 			if s.stale.Load() {
 				return errors.New("not confirmed")
 			}
