Answer requests whose body is malformed or does not arrive

A caller whose chunked body is malformed got a closed connection and no answer, and one whose body stopped to arrive got none for as long as it waited (15 s in the spec, with a route timeout of 0.4 s); each of the latter held a goroutine and the process's end. Four new specs failed before.

Cause: every error of the body counted as a caller that had left, and nothing limited the time to read a body: the server has a limit for the header only. A refusal before the body is read waits in net/http for up to 256 KiB of the rest, also without a limit.

Now a malformed body gets 400. One that has not arrived at the request's deadline gets 503 as not run, and a refusal waits for the rest until the caller's own deadline. A body that ends early or whose connection breaks is still a caller that left.

--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -11,6 +11,10 @@
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
+// minRestTime is the least time in which the rest of a refused request is read. If the connection were closed before, the
+// caller could lose the response.
+const minRestTime = time.Second
+
 // refuse sends the error response for err and logs it, and returns the kind of err. A request that did not run is
 // refunded. Nothing is sent if a response has begun or the caller has disconnected.
 func (q *request) refuse(err error) errkind.Kind {
@@ -22,6 +26,9 @@
 	if q.headSent || kind == errkind.CallerCancelled {
 		return kind
 	}
+	if q.body == nil {
+		q.limitRest()
+	}
 	answer := kind.Answer()
 	retryAfter := answer.RetryAfter
 	var r *refusal
@@ -39,6 +46,16 @@
 	return kind
 }
 
+// limitRest limits the time to read the rest of a request whose body was not read. net/http reads it before it sends the response, or
+// after it if the response closes the connection.
+func (q *request) limitRest() {
+	deadline := time.Now().Add(minRestTime)
+	if due := q.callerDeadline(); due.After(deadline) {
+		deadline = due
+	}
+	q.setReadDeadline(deadline)
+}
+
 // answer says what the caller of a request with this outcome got.
 func (q *request) answer(kind errkind.Kind) string {
 	switch {
--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -54,6 +54,62 @@
 }
 
 var _ = Describe("a request whose caller is still there", func() {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+
+	// Guards against a connection that is closed without an answer because of a body that is no chunked encoding.
+	It("gets an answer if its body is malformed", func() {
+		s := newTestGateway(route(once, 4*time.Second))
+		server := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		c := s.dial()
+		id := c.send(http.MethodPost, 4*time.Second, chunked, "5\r\nhello\r\nxyz\r\n")
+		status, body := c.receive()
+		Expect(status).To(Equal(http.StatusBadRequest), body)
+		Expect(runsOf(id, server)).To(BeZero())
+	})
+
+	// Guards against a request that stays unanswered after its deadline because its body does not arrive.
+	DescribeTable("gets an answer at its deadline if its body stops to arrive", func(lines, body string) {
+		s := newTestGateway(route(once, 400*time.Millisecond))
+		server := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		c, start := s.dial(), time.Now()
+		id := c.send(http.MethodPost, 4*time.Second, lines, body)
+		status, text := c.receive()
+		Expect(status).To(Equal(http.StatusServiceUnavailable), text)
+		Expect(time.Since(start)).To(BeNumerically("~", 400*time.Millisecond, 300*time.Millisecond))
+		Expect(runsOf(id, server)).To(BeZero())
+	},
+		Entry("with a length", "Content-Length: 10\r\n", "hello"),
+		Entry("in chunks", chunked, "5\r\nhello\r\n"),
+	)
+
+	// Guards against a refusal that waits without limit for a body that does not arrive.
+	It("gets its refusal at its deadline if its body stops to arrive", func() {
+		s := newTestGateway(route(once, 4*time.Second))
+		s.stale.Store(true)
+		c, start := s.dial(), time.Now()
+		c.send(http.MethodPost, 1500*time.Millisecond, "Content-Length: 10\r\n", "hello")
+		status, text := c.receive()
+		Expect(status).To(Equal(http.StatusServiceUnavailable), text)
+		Expect(time.Since(start)).To(BeNumerically("~", 1500*time.Millisecond, 300*time.Millisecond))
+	})
+
+	// Guards against a read limit for one request's body that ends a later request on the same connection.
+	It("is not ended by the limits of the request before", func() {
+		s := newTestGateway(route(once, 300*time.Millisecond))
+		s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		c := s.dial()
+		c.send(http.MethodPost, 4*time.Second, "Content-Length: 5\r\n", "hello")
+		status, body := c.receive()
+		Expect(status).To(Equal(http.StatusOK), body)
+		time.Sleep(2500 * time.Millisecond) // past the deadline and the time to write the answer
+		c.send(http.MethodGet, 4*time.Second, "Authorization: Bearer unknown\r\n", "")
+		status, body = c.receive()
+		Expect(status).To(BeNumerically(">", 0), body)
+		c.send(http.MethodPost, 4*time.Second, "Content-Length: 5\r\n", "hello")
+		status, body = c.receive()
+		Expect(status).To(Equal(http.StatusOK), body)
+	})
+
 	// Guards against a server that gets a request after the gateway has concluded that nothing was sent to it.
 	It("does not reach a server once its caller has left while the connection was opened", func() {
 		s := newTestGateway(route(once, 4*time.Second))
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -8,7 +8,9 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -207,11 +209,7 @@
 	if err := q.match(); err != nil {
 		return err
 	}
-	wait := q.caller.Timeout
-	if wait == 0 {
-		wait = defaultWait
-	}
-	q.deadline = q.arrived.Add(max(wait-responseMargin, wait/2))
+	q.deadline = q.callerDeadline()
 	if timeout := q.arrived.Add(q.route.Timeout); q.route.Timeout > 0 && timeout.Before(q.deadline) {
 		q.deadline = timeout
 	}
@@ -222,6 +220,15 @@
 	return q.charge()
 }
 
+// callerDeadline returns when the final response is due if the route states no shorter timeout.
+func (q *request) callerDeadline() time.Time {
+	wait := q.caller.Timeout
+	if wait == 0 {
+		wait = defaultWait
+	}
+	return q.arrived.Add(max(wait-responseMargin, wait/2))
+}
+
 // timeLeft returns the time until the deadline. Time for which the host was suspended counts, unlike in q.deadline.
 func (q *request) timeLeft() time.Duration {
 	return min(time.Until(q.deadline), q.deadline.Sub(q.arrived)-(q.server.opts.Clock()-q.arrivedAt))
@@ -232,18 +239,35 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	q.setReadDeadline(q.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
+	q.setReadDeadline(time.Time{})
+	if err != nil {
+		q.writer.Header().Set("Connection", "close") // net/http then responds before it reads the rest
+	}
 	var tooLarge *http.MaxBytesError
+	var network net.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
-	case err != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.Wrap(errkind.DeadlineUnreachable, err, "the body did not arrive before the deadline")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		return errkind.Wrap(errkind.CallerCancelled, err, "the caller did not send the whole body")
+	case err != nil:
+		return errkind.Wrap(errkind.BadRequest, err, "the body is malformed")
 	}
 	q.body = body
 	return nil
 }
 
+// setReadDeadline limits the time to read the rest of the request. A zero time means no limit.
+func (q *request) setReadDeadline(t time.Time) {
+	if err := http.NewResponseController(q.writer).SetReadDeadline(t); err != nil {
+		q.server.opts.Log.Debug("cannot set the read deadline of the request", "error", err)
+	}
+}
+
 // describePrompt sets the fields that the choice of a server depends on. They stay empty for plain services.
 func (q *request) describePrompt() {
 	service := q.config.Services[q.service]
