Answer callers that have closed their sending side

Cause: the end of the caller's stream looks the same whether the caller has left or only sends nothing more, and the gateway aborted the connection in both cases. Nothing on the connection tells them apart before something is written, and work must stop within half a second once a caller has left.

Now the work stops as before and a response is written all the same: 503 if the request did not run, which promises that it never will, else 502. A caller that has left does not read it. An answer that has begun is still cut, since its server has been stopped.

--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -16,20 +16,23 @@
 const minRestTime = time.Second
 
 // refuse sends the error response for err and logs it, and returns the kind of err. A request that did not run is
-// refunded. Nothing is sent if a response has begun or the caller has disconnected.
+// refunded. Nothing is sent if a response has begun.
 func (q *request) refuse(err error) errkind.Kind {
 	kind := errkind.Of(err)
 	if kind.NotRun() {
 		q.refund()
 	}
 	q.log(kind, slog.Any("error", err))
-	if q.headSent || kind == errkind.CallerCancelled {
+	if q.headSent {
 		return kind
 	}
 	if q.body == nil {
 		q.limitRest()
 	}
 	answer := kind.Answer()
+	if kind == errkind.CallerCancelled {
+		answer.HTTPStatus = q.cancelledStatus()
+	}
 	retryAfter := answer.RetryAfter
 	var r *refusal
 	if errors.As(err, &r) {
@@ -56,6 +59,15 @@
 	q.setReadDeadline(deadline)
 }
 
+// cancelledStatus returns the status for a caller that seems to have left. It may have closed only its sending side, which looks
+// the same, and then reads the response.
+func (q *request) cancelledStatus() int {
+	if q.runs() > 0 {
+		return errkind.OutcomeUnknown.Answer().HTTPStatus
+	}
+	return errkind.NoCandidate.Answer().HTTPStatus
+}
+
 // answer says what the caller of a request with this outcome got.
 func (q *request) answer(kind errkind.Kind) string {
 	switch {
--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -110,6 +110,30 @@
 		Expect(status).To(Equal(http.StatusOK), body)
 	})
 
+	// Guards against a connection that ends without an answer because its caller closed the sending side after the request.
+	It("gets an answer if it has closed its sending side, and the server stops its work", func() {
+		s := newTestGateway(route(once, 4*time.Second))
+		server := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{Hang: 1})
+		c := s.dial()
+		c.send(http.MethodPost, 4*time.Second, "Content-Length: 5\r\n", "hello")
+		Eventually(server.Active, "2s", "5ms").Should(Equal(1))
+		Expect(c.CloseWrite()).To(Succeed())
+		Eventually(server.Active, "400ms", "5ms").Should(BeZero())
+		status, body := c.receive()
+		Expect(status).To(Equal(http.StatusBadGateway), body)
+	})
+
+	It("is told that the request did not run if it closed its sending side before the request was sent", func() {
+		s := newTestGateway(route(once, 4*time.Second), engine)
+		s.setHolding("s-0", "s", unusedAddress()) // lacks the model
+		c := s.dial()
+		c.send(http.MethodPost, 4*time.Second, "Content-Length: 5\r\nX-Model: m\r\nX-Token-Usage: 10,10\r\n", "hello")
+		Eventually(s.demand.Totals, "3s", "5ms").ShouldNot(BeEmpty()) // it waits for the model
+		Expect(c.CloseWrite()).To(Succeed())
+		status, body := c.receive()
+		Expect(status).To(Equal(http.StatusServiceUnavailable), body)
+	})
+
 	// Guards against a server that gets a request after the gateway has concluded that nothing was sent to it.
 	It("does not reach a server once its caller has left while the connection was opened", func() {
 		s := newTestGateway(route(once, 4*time.Second))
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -175,7 +175,7 @@
 	}
 	kind := q.serve()
 	s.opts.Metrics.record(q, kind)
-	if kind == errkind.CallerCancelled || (q.headSent && kind != errkind.None) {
+	if q.headSent && kind != errkind.None {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 }
