Answer the requests that are left at the end of the grace period

Cause: http.Server.Close was the only end of a request that outlasts the drain.

A response that has begun is cut, as before.

--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -31,6 +31,8 @@
 	// drainIdleTime is the time without a request after which a draining gateway ends. The balancer removes a
 	// gateway that was not ready in two checks, a second apart.
 	drainIdleTime = 2500 * time.Millisecond
+	// endAnswerTime is the time to answer the requests that are ended at the end of the grace period.
+	endAnswerTime = 150 * time.Millisecond
 	// defaultGrace is the grace period if the settings name none.
 	defaultGrace = 8 * time.Second
 )
@@ -91,6 +93,11 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
+	g.drain(ctx, server, arrivals, grace)
+}
+
+// drain ends the connections of callers within the grace period, as soon as no requests come any longer.
+func (g *gateway) drain(ctx context.Context, server *http.Server, arrivals *fleetprocess.Arrivals, grace time.Duration) {
 	start := time.Now()
 	g.log.Info("stopping", "grace", grace, "active", g.server.Active())
 	g.server.Drain()
@@ -103,6 +110,8 @@
 		g.log.Warn("grace period is about to end with requests in progress", "active", g.server.Active())
 	}
 	left := time.Until(start.Add(grace - drainReserve/2))
+	timer := time.AfterFunc(left-endAnswerTime, g.server.EndRequests)
+	defer timer.Stop()
 	if err := arrivals.End(ctx, server, left); err != nil {
 		g.log.Warn("connections closed with requests in progress", "active", g.server.Active(), "error", err)
 	}
--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -150,4 +150,21 @@
 		Expect(s.lines("attempt cancelled")).To(ContainElement(ContainSubstring(`"not_run":true`)))
 		Consistently(func() int { return runsOf(id, server) }, "200ms", "5ms").Should(BeZero())
 	})
+
+	// Guards against a connection that is closed without an answer because the process ends before the request was sent.
+	DescribeTable("is told that the request did not run if the process ends before it was sent", func(lines, body, marker string) {
+		s := newTestGateway(route(once, 8*time.Second), engine)
+		s.setHolding("s-0", "s", unusedAddress()) // lacks the model
+		c := s.dial()
+		c.send(http.MethodPost, 8*time.Second, lines, body)
+		Eventually(s.server.Active, "2s", "5ms").Should(BeEquivalentTo(1))
+		s.server.EndRequests()
+		status, text := c.receive()
+		Expect(status).To(Equal(http.StatusServiceUnavailable), text)
+		Expect(text).To(ContainSubstring(marker))
+	},
+		Entry("while its body arrives", "Content-Length: 10\r\n", "hello", "deadline_unreachable"),
+		Entry("while it waits for its model", "Content-Length: 5\r\nX-Model: m\r\nX-Token-Usage: 10,10\r\n", "hello",
+			"model_not_resident"),
+	)
 })
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -74,6 +74,8 @@
 	draining atomic.Pointer[time.Duration] // the clock's reading when draining began, or nil
 	active   atomic.Int64
 	excluded *exclusions
+	ending   context.Context // ends with EndRequests
+	end      context.CancelFunc
 
 	mu      sync.Mutex
 	retries map[string]*retrybudget.Budget // by service
@@ -87,8 +89,9 @@
 
 // New returns a server that accepts requests.
 func New(opts Options) *Server {
+	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(),
+		opts: opts, excluded: newExclusions(), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
@@ -101,6 +104,9 @@
 	s.draining.Store(&now)
 }
 
+// EndRequests ends all requests, because the process is about to end. Their callers get a response unless one has begun.
+func (s *Server) EndRequests() { s.end() }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -187,6 +193,8 @@
 	}
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
+	stop := context.AfterFunc(q.server.ending, cancel)
+	defer stop()
 	if err := http.NewResponseController(q.writer).SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
 		q.server.opts.Log.Debug("cannot set the write deadline of the response", "error", err)
 	}
@@ -240,7 +248,9 @@
 		limit = defaultMaxBodyBytes
 	}
 	q.setReadDeadline(q.deadline)
+	stop := context.AfterFunc(q.server.ending, func() { q.setReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
+	stop()
 	q.setReadDeadline(time.Time{})
 	if err != nil {
 		q.writer.Header().Set("Connection", "close") // net/http then responds before it reads the rest
@@ -251,7 +261,7 @@
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errkind.Wrap(errkind.DeadlineUnreachable, err, "the body did not arrive before the deadline")
+		return errkind.Wrap(errkind.DeadlineUnreachable, err, "the body did not arrive in time")
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		return errkind.Wrap(errkind.CallerCancelled, err, "the caller did not send the whole body")
 	case err != nil:
