Keep the caller server's limits above the configured ones

The gateway cut or refused what a configuration allows callers: a header of 128 KiB got 431, a header that took 7.2 s a closed connection without an answer, and connections were closed after 60 s of idleness whatever `idle_timeout_ms` says, while callers use them again for up to four fifths of it.

Now the fixed limits are 256 KiB and 20 s, and idle connections end after the longest `idle_timeout_ms` that was in force since the start, and 60 s at least. They end as at a stop: bytes that were read at that moment make a connection go on.

--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -19,12 +19,12 @@
 
 const (
 	// callerHeaderTimeout bounds the time to read the header of a caller's request.
-	callerHeaderTimeout = 5 * time.Second
-	// callerIdleTimeout is how long an idle connection of a caller stays open. It is longer than callers keep idle
-	// connections for reuse, so that the gateway does not close one on which a request is already on its way.
-	callerIdleTimeout = 60 * time.Second
+	callerHeaderTimeout = 20 * time.Second
+	// minCallerIdleTimeout is how long an idle connection of a caller stays open at least. It is longer than callers keep
+	// idle connections for reuse, so that the gateway does not close one on which a request is already on its way.
+	minCallerIdleTimeout = 60 * time.Second
 	// maxCallerHeaderBytes bounds the size of the header of a caller's request.
-	maxCallerHeaderBytes = 64 << 10
+	maxCallerHeaderBytes = 256 << 10
 	// drainReserve is how long before the end of the grace period the gateway stops waiting for requests in progress
 	// and begins to shut down.
 	drainReserve = 700 * time.Millisecond
@@ -51,11 +51,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	arrivals := fleetprocess.NewArrivals()
-	server := &http.Server{
-		Handler: g.server, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxCallerHeaderBytes, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
-	arrivals.Attach(server)
+	server := g.newCallerServer(arrivals)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := background.NewGroup(ctx, log)
@@ -66,6 +62,7 @@
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
 	})
+	group.Go("idle connections", func(ctx context.Context) error { return g.endIdleConnections(ctx, arrivals) })
 	group.Go("callers", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
@@ -81,6 +78,38 @@
 	return group.Wait()
 }
 
+// newCallerServer returns the server for callers, whose connections are tracked by arrivals. Its limits are above those that
+// configurations set for callers; idle connections are ended by endIdleConnections.
+func (g *gateway) newCallerServer(arrivals *fleetprocess.Arrivals) *http.Server {
+	server := &http.Server{
+		Handler: g.server, ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	arrivals.Attach(server)
+	return server
+}
+
+// endIdleConnections ends connections of callers that have been idle for longer than any configuration has allowed.
+func (g *gateway) endIdleConnections(ctx context.Context, arrivals *fleetprocess.Arrivals) error {
+	timeout := minCallerIdleTimeout
+	for {
+		if err := background.Sleep(ctx, cleanupInterval); err != nil {
+			return err
+		}
+		timeout = g.callerIdleTimeout(timeout)
+		arrivals.EndIdle(time.Now(), timeout)
+	}
+}
+
+// callerIdleTimeout returns the configured idle timeout if that is longer than the one before. Callers may still use the one
+// before.
+func (g *gateway) callerIdleTimeout(before time.Duration) time.Duration {
+	if config := g.view.Snapshot().Config; config != nil {
+		return max(before, config.Limits.IdleTimeout)
+	}
+	return before
+}
+
 // drainOnSignal waits for a signal and drains the gateway. It returns when that is done or when ctx ends.
 func (g *gateway) drainOnSignal(ctx context.Context, server *http.Server, arrivals *fleetprocess.Arrivals) {
 	signalled, stop := fleetprocess.NotifyTermination(ctx)
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -45,7 +45,8 @@
 
 // CallerLimits limit what a caller may send. Zero means no limit.
 type CallerLimits struct {
-	BodyBytes int64 // size of a request body
+	BodyBytes   int64         // size of a request body
+	IdleTimeout time.Duration // how long a connection may be idle; callers use one again within it
 }
 
 // Route maps requests with a hostname and a path prefix to services.
--- a/internal/fleetprocess/arrivals.go
+++ b/internal/fleetprocess/arrivals.go
@@ -66,7 +66,7 @@
 	case http.StateActive:
 		c.used, c.serving, c.ended, c.handledAt, c.lastByteAt = true, true, false, time.Time{}, time.Time{}
 	case http.StateIdle:
-		c.serving, c.handledAt, c.lastByteAt = false, time.Time{}, time.Time{}
+		c.serving, c.handledAt, c.lastByteAt, c.idleSince = false, time.Time{}, time.Time{}, time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(a.conns, c)
 	}
@@ -142,14 +142,25 @@
 		case !c.serving && c.lastByteAt.IsZero():
 			left++ // until the server has closed it, because bytes may just have been read
 			if c.used || first {
-				c.ended = true
-				_ = c.Conn.SetReadDeadline(now) // fails on a closed connection only
+				c.endReads()
 			}
 		}
 	}
 	return left
 }
 
+// EndIdle ends the connections that have been idle for longer than timeout before now and on which nothing of a request has been
+// read.
+func (a *Arrivals) EndIdle(now time.Time, timeout time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		if c.used && !c.serving && c.lastByteAt.IsZero() && now.Sub(c.idleSince) > timeout {
+			c.endReads()
+		}
+	}
+}
+
 // mayRead reports whether the server may read from a connection.
 func (a *Arrivals) mayRead(c *arrivalConn) bool {
 	a.mu.Lock()
@@ -197,9 +208,16 @@
 	serving    bool      // the server has read the header of a request and has not ended its response
 	handledAt  time.Time // when the handler of that request returned; zero before
 	lastByteAt time.Time // of the current request; zero if nothing of it was read since its header, or none arrives
+	idleSince  time.Time // when the last response ended
 	ended      bool      // no further request may begin
 }
 
+// endReads lets reads fail, which makes the server close the connection.
+func (c *arrivalConn) endReads() {
+	c.ended = true
+	_ = c.Conn.SetReadDeadline(time.Now()) // fails on a closed connection only
+}
+
 // pending reports whether a request is being served or has arrived in part.
 func (c *arrivalConn) pending(now time.Time) bool {
 	switch {
--- a/internal/fleetprocess/end_test.go
+++ b/internal/fleetprocess/end_test.go
@@ -242,3 +242,27 @@
 		t.Fatalf("idle %v after %v, expected true after at least %v", idle, took, quiet)
 	}
 }
+
+// Guards against idle connections that are closed too early, or never.
+func TestIdleConnectionsEndAfterTheirTimeout(t *testing.T) {
+	const timeout = time.Minute
+	address, arrivals, _ := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	idle, arriving := dial(t, address), dial(t, address)
+	for _, c := range []net.Conn{idle, arriving} {
+		send(t, c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		expectStatus(t, c, http.StatusNoContent)
+	}
+	awaitPending(t, arrivals, 0)
+	arrivals.EndIdle(time.Now().Add(timeout/2), timeout)
+	send(t, idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	expectStatus(t, idle, http.StatusNoContent)
+	awaitPending(t, arrivals, 0)
+	send(t, arriving, "GET / HTTP/1.1\r\n")
+	awaitPending(t, arrivals, 1)
+	arrivals.EndIdle(time.Now().Add(2*timeout), timeout)
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the idle connection gave %v, expected EOF", err)
+	}
+	send(t, arriving, "Host: h\r\n\r\n")
+	expectStatus(t, arriving, http.StatusNoContent)
+}
