Refuse as stale what only the newest configuration may allow

A gateway that knew of a newer configuration but lacked it answered 413 for a body above its own limit, and 401 for a request without a key on a route that may have become public. Callers do not repeat either. Unknown routes and keys already got 503 in that state; the check was missing for these two kinds. Both expectations failed before (413 and 401 instead of 503).

--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -23,30 +23,33 @@
 // KeyMissing or KeyUnknown, or ConfigStale if the newest configuration, which the gateway lacks, may allow the request.
 func (q *request) match() error {
 	c := q.config
-	refuse := func(kind errkind.Kind, format string, args ...any) error {
-		if q.server.opts.ConfigurationBehind() {
-			return &refusal{errkind.New(errkind.ConfigStale, "configuration version %d is behind: "+format,
-				append([]any{c.Version}, args...)...), staleRetryAfter}
-		}
-		return errkind.New(kind, format, args...)
-	}
 	route := c.Match(q.http.Host, q.http.URL.EscapedPath())
 	if route == nil {
-		return refuse(errkind.RouteNotFound, "no route for this host and path")
+		return q.disallow(errkind.RouteNotFound, "no route for this host and path")
 	}
 	q.route, q.org, q.service = route, nil, route.Pick(q.caller.ID)
 	if route.Public || len(c.Organisations) == 0 {
 		return nil
 	}
 	if q.caller.Key == "" {
-		return errkind.New(errkind.KeyMissing, "the route needs a key")
+		return q.disallow(errkind.KeyMissing, "the route needs a key")
 	}
 	if q.org = c.Authenticate(q.caller.Key); q.org == nil {
-		return refuse(errkind.KeyUnknown, "the key is not in configuration version %d", c.Version)
+		return q.disallow(errkind.KeyUnknown, "the key is not in configuration version %d", c.Version)
 	}
 	return nil
 }
 
+// disallow returns an error for a request that q.config does not allow: of the given kind, or ConfigStale if the newest
+// configuration, which the gateway lacks, may allow it.
+func (q *request) disallow(kind errkind.Kind, format string, args ...any) error {
+	if q.server.opts.ConfigurationBehind() {
+		return &refusal{errkind.New(errkind.ConfigStale, "configuration version %d is behind: "+format,
+			append([]any{q.config.Version}, args...)...), staleRetryAfter}
+	}
+	return errkind.New(kind, format, args...)
+}
+
 // followConfiguration applies a configuration that came into force while the request waited. It returns an error of one of the
 // kinds of match, OutcomeUnknown if the request belongs to another service or organisation now although a response has begun or an
 // attempt is live, or RateLimited.
--- a/internal/fleetgateway/configuration_test.go
+++ b/internal/fleetgateway/configuration_test.go
@@ -131,4 +131,21 @@
 		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(runsOf(id, replica)).To(Equal(0))
 	})
+
+	// Guards against 413 and 401 for a body that the newest configuration allows and a route that it makes public.
+	It("does not say that a body is too large or a key is missing", func() {
+		s := newTestGateway(route(idempotent, time.Second), func(c *fleet.Configuration) { c.Limits.BodyBytes = 10 })
+		s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		_, a := s.send(http.MethodPost, "/a/", nil, "eleven byte")
+		Expect(a.status).To(Equal(http.StatusRequestEntityTooLarge))
+		_, a = s.send(http.MethodGet, "/a/", map[string]string{"Authorization": ""}, "")
+		Expect(a.status).To(Equal(http.StatusUnauthorized))
+		s.behind.Store(true)
+		_, a = s.send(http.MethodGet, "/a/", map[string]string{"Authorization": ""}, "")
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		_, a = s.send(http.MethodPost, "/a/", nil, "eleven byte")
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		_, a = s.send(http.MethodPost, "/a/", nil, "ten bytes.")
+		Expect(a.status).To(Equal(http.StatusOK))
+	})
 })
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -259,7 +259,7 @@
 	var network net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
+		return q.disallow(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(errkind.DeadlineUnreachable, err, "the body did not arrive in time")
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
