Keep a panic in the exchange with a server from ending the process

Since each attempt has a goroutine of its own, a panic in one ended the gateway with all its requests; before, net/http recovered it in the goroutine of the request. In the new spec the test process died (panic in a goroutine of WaitGroup.Go). Now the attempt ends with an unknown outcome, the stack is logged, and the request goes on as after any other failure of an attempt.

--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -167,4 +167,17 @@
 		Entry("while it waits for its model", "Content-Length: 5\r\nX-Model: m\r\nX-Token-Usage: 10,10\r\n", "hello",
 			"model_not_resident"),
 	)
+
+	// Guards against a process that ends, with all its requests, because of a fault in the exchange with one server.
+	It("gets an answer if the exchange with its server panics", func() {
+		s := newTestGateway(route(once, 4*time.Second))
+		s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+		panics := func() { panic("a fault") }
+		s.onDial.Store(&panics)
+		_, a := s.send(http.MethodPost, "/a/", nil, "body")
+		Expect(a.status).To(Equal(http.StatusBadGateway))
+		Expect(s.lines("a fault")).NotTo(BeEmpty())
+		_, a = s.send(http.MethodPost, "/a/", nil, "body")
+		Expect(a.status).To(Equal(http.StatusOK))
+	})
 })
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -59,11 +60,19 @@
 	result   result // of an attempt that has ended
 }
 
-// exchange sends the request of an attempt and passes on the response until it ends or ctx ends.
+// exchange sends the request of an attempt and passes on the response until it ends or ctx ends. A panic ends only the attempt.
 func (q *request) exchange(ctx context.Context, a *attempt, r upstream.Request) {
-	last := q.transfer(ctx, a, r)
-	last.ended = true
-	q.pass(ctx, a, last)
+	var last message
+	defer func() {
+		if cause := recover(); cause != nil {
+			q.server.opts.Log.Error("panic in the exchange with a server", "request_id", q.caller.ID, "server", a.candidate.ID,
+				"panic", cause, "stack", string(debug.Stack()))
+			last = message{result: result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("panic: %v", cause)}}
+		}
+		last.ended = true
+		_ = q.pass(ctx, a, last) // fails only if nobody waits for it
+	}()
+	last = q.transfer(ctx, a, r)
 }
 
 // pass gives a message to the request's goroutine and ends a choice that is in progress there. It returns the cause of ctx if that
