--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -180,4 +180,18 @@
 		_, a = s.send(http.MethodPost, "/a/", nil, "body")
 		Expect(a.status).To(Equal(http.StatusOK))
 	})
+
+	// Guards against an answer that arrived in time and is dropped because its deadline passes before it is looked at.
+	It("gets an answer that arrived before its deadline", func() {
+		for range 5 {
+			s := newTestGateway(route(idempotent, 800*time.Millisecond))
+			first := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{SilentHead: 1, Silence: 600 * time.Millisecond})
+			_, a := s.sendBeside(first, http.MethodGet, func() {
+				s.add("i-2", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+				late := func() { time.Sleep(900 * time.Millisecond) } // the gateway does not run
+				s.onCheck.Store(&late)
+			})
+			Expect(a.status).To(Equal(http.StatusOK))
+		}
+	})
 })
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -131,6 +131,13 @@
 		case <-check.C:
 			q.replaceSilent(ctx)
 		case <-ctx.Done():
+			select {
+			case m := <-q.messages: // it arrived before
+				if r, done := q.receive(m); done {
+					return r
+				}
+			default:
+			}
 			return q.abandon(ctx)
 		}
 		check.Reset(q.race.NextCheck(q.elapsed()))
