Do not let a hang-up signal end a process that starts or stops

A SIGHUP ended a fleet process with all its requests if it came before the settings were watched, while the listener for callers was already open, or after the watch had ended: the signal was handled only in between. The new test died of it (signal: hangup) before.

Now it is handled from the load of the settings until the process ends; one that came before the watch reloads the settings then.

--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -66,7 +66,8 @@
 		return process.ExitDone
 	}
 	sink, log := logsink.New(stdout, level, slog.String("host", loaded.Host), slog.String("program", name))
-	s := &Settings{path: *path, log: log, Sink: sink}
+	s := &Settings{path: *path, log: log, Sink: sink, hangup: make(chan os.Signal, 1)}
+	signal.Notify(s.hangup, syscall.SIGHUP) // until the process ends, because the signal would end it otherwise
 	s.current.Store(loaded)
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logDone := make(chan struct{})
@@ -89,6 +90,7 @@
 	Sink    *logsink.Sink
 	path    string
 	log     *slog.Logger
+	hangup  chan os.Signal
 	current atomic.Pointer[platform.Settings]
 }
 
@@ -98,13 +100,10 @@
 // Watch reloads the settings on SIGHUP and at every settingsPollInterval until ctx ends, and calls changed with settings
 // that differ from the current ones. Settings that can't be loaded are logged and ignored. Watch returns the error of ctx.
 func (s *Settings) Watch(ctx context.Context, changed func(*platform.Settings)) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	for {
 		signalled := false
 		select {
-		case <-hangup:
+		case <-s.hangup:
 			signalled = true
 		case <-time.After(settingsPollInterval):
 		case <-ctx.Done():
