--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -11,18 +11,28 @@
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
+// minRestTime is the least time in which the rest of a refused request is read. If the connection were closed before, the
+// caller could lose the response.
+const minRestTime = time.Second
+
 // refuse sends the error response for err and logs it, and returns the kind of err. A request that did not run is
-// refunded. Nothing is sent if a response has begun or the caller has disconnected.
+// refunded. Nothing is sent if a response has begun.
 func (q *request) refuse(err error) errkind.Kind {
 	kind := errkind.Of(err)
 	if kind.NotRun() {
 		q.refund()
 	}
 	q.log(kind, slog.Any("error", err))
-	if q.headSent || kind == errkind.CallerCancelled {
+	if q.headSent {
 		return kind
 	}
+	if q.body == nil {
+		q.limitRest()
+	}
 	answer := kind.Answer()
+	if kind == errkind.CallerCancelled {
+		answer.HTTPStatus = q.cancelledStatus()
+	}
 	retryAfter := answer.RetryAfter
 	var r *refusal
 	if errors.As(err, &r) {
@@ -39,6 +49,25 @@
 	return kind
 }
 
+// limitRest limits the time to read the rest of a request whose body was not read. net/http reads it before it sends the response, or
+// after it if the response closes the connection.
+func (q *request) limitRest() {
+	deadline := time.Now().Add(minRestTime)
+	if due := q.callerDeadline(); due.After(deadline) {
+		deadline = due
+	}
+	q.setReadDeadline(deadline)
+}
+
+// cancelledStatus returns the status for a caller that seems to have left. It may have closed only its sending side, which looks
+// the same, and then reads the response.
+func (q *request) cancelledStatus() int {
+	if q.runs() > 0 {
+		return errkind.OutcomeUnknown.Answer().HTTPStatus
+	}
+	return errkind.NoCandidate.Answer().HTTPStatus
+}
+
 // answer says what the caller of a request with this outcome got.
 func (q *request) answer(kind errkind.Kind) string {
 	switch {
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -26,14 +27,27 @@
 	replica   *fleet.Replica
 	load      *fleetroute.Attempt
 	cancel    context.CancelCauseFunc
-	stream    bool        // a successful response is a stream
-	lastRun   bool        // the request may not run once more
-	sent      atomic.Bool // the server may have got the request
-	responded atomic.Bool // the head of the response has arrived
+	stream    bool         // a successful response is a stream
+	lastRun   bool         // the request may not run once more
+	sending   atomic.Int32 // sendUndecided, sendAllowed or sendForbidden
+	responded atomic.Bool  // the head of the response has arrived
 
 	lastEventAt time.Time // when the last event was relayed; used by the request's goroutine only
 }
 
+// States of attempt.sending. Only sendUndecided changes.
+const (
+	sendUndecided int32 = iota
+	sendAllowed         // the server may get the request
+	sendForbidden       // nothing was sent to the server, and nothing will be
+)
+
+// allowSending reports whether the request may be sent: forbidSending has not returned true.
+func (a *attempt) allowSending() bool { return a.sending.CompareAndSwap(sendUndecided, sendAllowed) }
+
+// forbidSending reports whether nothing was sent to the server and nothing will be.
+func (a *attempt) forbidSending() bool { return a.sending.CompareAndSwap(sendUndecided, sendForbidden) }
+
 // message is a part of a server's response, or the end of an attempt.
 type message struct {
 	attempt  *attempt
@@ -46,11 +60,19 @@
 	result   result // of an attempt that has ended
 }
 
-// exchange sends the request of an attempt and passes on the response until it ends or ctx ends.
+// exchange sends the request of an attempt and passes on the response until it ends or ctx ends. A panic ends only the attempt.
 func (q *request) exchange(ctx context.Context, a *attempt, r upstream.Request) {
-	last := q.transfer(ctx, a, r)
-	last.ended = true
-	q.pass(ctx, a, last)
+	var last message
+	defer func() {
+		if cause := recover(); cause != nil {
+			q.server.opts.Log.Error("panic in the exchange with a server", "request_id", q.caller.ID, "server", a.candidate.ID,
+				"panic", cause, "stack", string(debug.Stack()))
+			last = message{result: result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("panic: %v", cause)}}
+		}
+		last.ended = true
+		_ = q.pass(ctx, a, last) // fails only if nobody waits for it
+	}()
+	last = q.transfer(ctx, a, r)
 }
 
 // pass gives a message to the request's goroutine and ends a choice that is in progress there. It returns the cause of ctx if that
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -121,14 +121,8 @@
 			answered := platform.ParseResponse(status, h).RequestID
 			return answered == "" || answered == id
 		},
-		OnHead: func(status int, h http.Header) { q.server.observeSigns(id, server, platform.ParseResponse(status, h)) },
-		MayStillSend: func() bool {
-			if !q.mayStillSend(config, a.replica) {
-				return false
-			}
-			a.sent.Store(true)
-			return true
-		},
+		OnHead:       func(status int, h http.Header) { q.server.observeSigns(id, server, platform.ParseResponse(status, h)) },
+		MayStillSend: func() bool { return q.mayStillSend(config, a.replica) && a.allowSending() },
 	}
 }
 
@@ -146,6 +140,13 @@
 		case <-check.C:
 			q.replaceSilent(ctx)
 		case <-ctx.Done():
+			select {
+			case m := <-q.messages: // it arrived before
+				if r, done := q.receive(m); done {
+					return r
+				}
+			default:
+			}
 			return q.abandon(ctx)
 		}
 		check.Reset(q.race.NextCheck(q.elapsed()))
@@ -239,7 +240,7 @@
 func (q *request) cancel(a *attempt, cause error, failed bool) result {
 	a.cancel(cause)
 	r := result{server: a.candidate.ID, kind: errkind.OutcomeUnknown}
-	if !a.sent.Load() {
+	if a.forbidSending() {
 		r.kind, r.notRun = errkind.BackendUnreachable, true
 	}
 	q.server.opts.Log.Info("attempt cancelled", "request_id", q.caller.ID, "server", a.candidate.ID, "not_run", r.notRun,
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -8,7 +8,9 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +75,8 @@
 	active   atomic.Int64
 	excluded *exclusions
 	signs    *signs
+	ending   context.Context // ends with EndRequests
+	end      context.CancelFunc
 
 	mu      sync.Mutex
 	retries map[string]*retrybudget.Budget // by service
@@ -86,8 +90,9 @@
 
 // New returns a server that accepts requests.
 func New(opts Options) *Server {
+	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(), signs: newSigns(),
+		opts: opts, excluded: newExclusions(), signs: newSigns(), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
@@ -100,6 +105,9 @@
 	s.draining.Store(&now)
 }
 
+// EndRequests ends all requests, because the process is about to end. Their callers get a response unless one has begun.
+func (s *Server) EndRequests() { s.end() }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -175,7 +183,7 @@
 	}
 	kind := q.serve()
 	s.opts.Metrics.record(q, kind)
-	if kind == errkind.CallerCancelled || (q.headSent && kind != errkind.None) {
+	if q.headSent && kind != errkind.None {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 }
@@ -187,6 +195,8 @@
 	}
 	ctx, cancel := context.WithDeadline(q.http.Context(), q.deadline)
 	defer cancel()
+	stop := context.AfterFunc(q.server.ending, cancel)
+	defer stop()
 	if err := http.NewResponseController(q.writer).SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
 		q.server.opts.Log.Debug("cannot set the write deadline of the response", "error", err)
 	}
@@ -209,11 +219,7 @@
 	if err := q.match(); err != nil {
 		return err
 	}
-	wait := q.caller.Timeout
-	if wait == 0 {
-		wait = defaultWait
-	}
-	q.deadline = q.arrived.Add(max(wait-responseMargin, wait/2))
+	q.deadline = q.callerDeadline()
 	if timeout := q.arrived.Add(q.route.Timeout); q.route.Timeout > 0 && timeout.Before(q.deadline) {
 		q.deadline = timeout
 	}
@@ -224,6 +230,15 @@
 	return q.charge()
 }
 
+// callerDeadline returns when the final response is due if the route states no shorter timeout.
+func (q *request) callerDeadline() time.Time {
+	wait := q.caller.Timeout
+	if wait == 0 {
+		wait = defaultWait
+	}
+	return q.arrived.Add(max(wait-responseMargin, wait/2))
+}
+
 // timeLeft returns the time until the deadline. Time for which the host was suspended counts, unlike in q.deadline.
 func (q *request) timeLeft() time.Duration {
 	return min(time.Until(q.deadline), q.deadline.Sub(q.arrived)-(q.server.opts.Clock()-q.arrivedAt))
@@ -234,18 +249,37 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	q.setReadDeadline(q.deadline)
+	stop := context.AfterFunc(q.server.ending, func() { q.setReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
+	stop()
+	q.setReadDeadline(time.Time{})
+	if err != nil {
+		q.writer.Header().Set("Connection", "close") // net/http then responds before it reads the rest
+	}
 	var tooLarge *http.MaxBytesError
+	var network net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		return errkind.New(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
-	case err != nil:
+		return q.disallow(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.Wrap(errkind.DeadlineUnreachable, err, "the body did not arrive in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		return errkind.Wrap(errkind.CallerCancelled, err, "the caller did not send the whole body")
+	case err != nil:
+		return errkind.Wrap(errkind.BadRequest, err, "the body is malformed")
 	}
 	q.body = body
 	return nil
 }
 
+// setReadDeadline limits the time to read the rest of the request. A zero time means no limit.
+func (q *request) setReadDeadline(t time.Time) {
+	if err := http.NewResponseController(q.writer).SetReadDeadline(t); err != nil {
+		q.server.opts.Log.Debug("cannot set the read deadline of the request", "error", err)
+	}
+}
+
 // describePrompt sets the fields that the choice of a server depends on. They stay empty for plain services.
 func (q *request) describePrompt() {
 	service := q.config.Services[q.service]
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -31,9 +31,8 @@
 	settingsPollInterval = 2 * time.Second
 	// shutdownTimeout limits the shutdown of a server started by Serve.
 	shutdownTimeout = 200 * time.Millisecond
-	// idleCloseTimeout limits the wait for connections without requests. It allows a few round trips with the slowest
-	// callers.
-	idleCloseTimeout = 300 * time.Millisecond
+	// minPause is the time between two polls from which the process counts as paused.
+	minPause = 500 * time.Millisecond
 	// headerTimeout limits reading the header of a request to a server started by Serve.
 	headerTimeout = 2 * time.Second
 )
@@ -67,7 +66,8 @@
 		return process.ExitDone
 	}
 	sink, log := logsink.New(stdout, level, slog.String("host", loaded.Host), slog.String("program", name))
-	s := &Settings{path: *path, log: log, Sink: sink}
+	s := &Settings{path: *path, log: log, Sink: sink, hangup: make(chan os.Signal, 1)}
+	signal.Notify(s.hangup, syscall.SIGHUP) // until the process ends, because the signal would end it otherwise
 	s.current.Store(loaded)
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logDone := make(chan struct{})
@@ -90,6 +90,7 @@
 	Sink    *logsink.Sink
 	path    string
 	log     *slog.Logger
+	hangup  chan os.Signal
 	current atomic.Pointer[platform.Settings]
 }
 
@@ -99,13 +100,10 @@
 // Watch reloads the settings on SIGHUP and at every settingsPollInterval until ctx ends, and calls changed with settings
 // that differ from the current ones. Settings that can't be loaded are logged and ignored. Watch returns the error of ctx.
 func (s *Settings) Watch(ctx context.Context, changed func(*platform.Settings)) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	for {
 		signalled := false
 		select {
-		case <-hangup:
+		case <-s.hangup:
 			signalled = true
 		case <-time.After(settingsPollInterval):
 		case <-ctx.Done():
@@ -163,30 +161,20 @@
 	return ctx.Err()
 }
 
-// EndConnections shuts a server down and waits for requests in progress for at most limit. idle says that there are none:
-// then it waits for at most idleCloseTimeout, because callers open connections that they do not use and a longer limit
-// would delay the end of the process. It returns the error of http.Server.Shutdown.
-func EndConnections(ctx context.Context, server *http.Server, idle bool, limit time.Duration) error {
-	if idle {
-		limit = min(limit, idleCloseTimeout)
-	}
-	end, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return server.Shutdown(end)
-}
-
 // WaitIdle polls idle until it has reported true continuously for the duration quiet, and returns true. It returns false
-// if limit passes or ctx ends first.
+// if limit passes or ctx ends first. Time in which the process did not run does not count as idle: requests may have arrived.
 func WaitIdle(ctx context.Context, limit, quiet time.Duration, idle func() bool) bool {
 	const pollInterval = 20 * time.Millisecond
-	end := time.Now().Add(limit)
-	idleSince := time.Now()
-	for time.Now().Before(end) {
-		if !idle() {
-			idleSince = time.Now()
-		} else if time.Since(idleSince) >= quiet {
+	start := time.Now()
+	idleSince, lastPoll := start, start
+	for time.Since(start) < limit {
+		isIdle, now := idle(), time.Now()
+		if !isIdle || now.Sub(lastPoll) > minPause {
+			idleSince = now
+		} else if now.Sub(idleSince) >= quiet {
 			return true
 		}
+		lastPoll = now
 		if background.Sleep(ctx, pollInterval) != nil {
 			return false
 		}
