--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -42,6 +42,8 @@
 // ExitFailed if run returns an error, and ExitDone otherwise.
 func Main(name string, args []string, stdout, stderr io.Writer,
 	run func(ctx context.Context, s *Settings, log *slog.Logger) error) int {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // until the process ends, because the signal would end it otherwise
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("config", os.Getenv(platform.SettingsVariable), "platform settings `FILE`")
@@ -66,8 +68,7 @@
 		return process.ExitDone
 	}
 	sink, log := logsink.New(stdout, level, slog.String("host", loaded.Host), slog.String("program", name))
-	s := &Settings{path: *path, log: log, Sink: sink, hangup: make(chan os.Signal, 1)}
-	signal.Notify(s.hangup, syscall.SIGHUP) // until the process ends, because the signal would end it otherwise
+	s := &Settings{path: *path, log: log, Sink: sink, hangup: hangup}
 	s.current.Store(loaded)
 	logCtx, stopLog := context.WithCancel(context.Background())
 	logDone := make(chan struct{})
