Keep a peer's update without an incarnation from blocking a gateway

FuzzPeer, which passes arbitrary frames of a peer to a whole gateway, found it with the first committed input (peer-update-max): an update whose identity names an address and no incarnation made applyUpdate write to a nil map. The panic ended only the stream, but it happened under the mesh's lock, which stayed locked: the next update of any peer, the check of the configuration and readiness then wait forever.

The maps of a peer are now made with the peer.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -164,7 +164,10 @@
 		if a == "" || a == m.opts.Identity.GetAddress() || m.peers[a] != nil {
 			continue
 		}
-		p := &peer{address: a, addedAt: m.opts.Clock(), rows: background.NewQueue[*wirepb.StoreRow](maxPendingRows)}
+		p := &peer{
+			address: a, addedAt: m.opts.Clock(), rows: background.NewQueue[*wirepb.StoreRow](maxPendingRows),
+			use: make(map[string]float64), demand: make(map[string]float64),
+		}
 		m.peers[a] = p
 		if m.ctx != nil {
 			m.startStream(p)
