Ignore a bucket level of a peer that is no number and bound a peer's debt

FuzzPeer, inputs level-nan, level-minus-inf, level-huge-debt, peer-update-min and peer-update-odd: the first update of a peer sets the level of an organisation's bucket at a gateway that has just started. A level of NaN made the bucket NaN for the rest of the process: the wait was 0 s and each request was admitted, without a limit. A level of -Inf or -1e308 refused the organisation's requests for ever.

A level that is no number now changes nothing, and the debt is at most one burst, as it is for use that peers report.

--- a/internal/fleetlimit/bucket.go
+++ b/internal/fleetlimit/bucket.go
@@ -107,8 +107,13 @@
 	}
 }
 
-// LowerTo sets the level to the one that another gateway reports, if that is lower.
-func (b *Bucket) LowerTo(level float64) { b.level = math.Min(b.level, level) }
+// LowerTo sets the level to the one that another gateway reports, if that is lower. The debt is at most one burst, and a
+// level that is not a number changes nothing.
+func (b *Bucket) LowerTo(level float64) {
+	if !math.IsNaN(level) {
+		b.level = math.Min(b.level, math.Max(level, -b.limit.Burst))
+	}
+}
 
 // Level returns what the bucket holds, in units of the limit. It is negative while the bucket owes what other gateways
 // admitted.
