Ignore demand of a peer that is no finite number

Demand of +Inf in a peer's update, or of 1e308 in the stored lease, made the demand of a model infinite, and Lease.row panics on a demand that it cannot encode: renewing the planner's lease would end the process, and its successor's in turn if the peer reports it there. After NaN the model's demand was NaN until the restart, so its copies were no longer planned by its demand.

FuzzDemand, inputs inf, huge, nan, minus-inf and minus-huge, failed before. The panic of the process itself was not played.

--- a/internal/fleetplanner/demand.go
+++ b/internal/fleetplanner/demand.go
@@ -13,6 +13,9 @@
 	// slowWeight is the fraction of the slow average that counts as demand. At one half, the copies of a model can be
 	// displaced by other models about a second after its demand ends.
 	slowWeight = 0.5
+	// maxDemandTokens bounds the demand that is added at a time, in prompt tokens. It is far above any fleet's demand. Sums stay
+	// finite, which the row of the planner's lease requires.
+	maxDemandTokens = 1e12
 )
 
 // DemandEstimator estimates the demand of each model in prompt tokens per second from a fast and a slow exponential
@@ -32,14 +35,16 @@
 	return &DemandEstimator{at: now, models: make(map[string]*demandAverage)}
 }
 
-// Add records prompt tokens requested from a model since the last Advance.
+// Add records prompt tokens requested from a model since the last Advance. It ignores a number that no fleet can reach.
 func (a *DemandEstimator) Add(model string, tokens float64) {
 	m := a.models[model]
 	if m == nil {
 		m = new(demandAverage)
 		a.models[model] = m
 	}
-	m.pending += tokens
+	if math.Abs(tokens) <= maxDemandTokens {
+		m.pending += tokens
+	}
 }
 
 // Advance updates the averages with the demand recorded up to now. It does nothing if now is not after the last update.
@@ -79,7 +84,9 @@
 			m = new(demandAverage)
 			a.models[name] = m
 		}
-		m.slow = math.Max(m.slow, rate/slowWeight)
+		if rate <= maxDemandTokens {
+			m.slow = math.Max(m.slow, rate/slowWeight)
+		}
 	}
 }
 
