Grant no turn at a rate near zero or at one that is no number

FuzzHandle, input cold-slow: a gateway that asked for a turn at 1e-9 requests a second took the cold engine's next 30 years, so no other gateway got a turn there until the agent's restart. A rate of NaN passed the check for a positive one too.

The other inputs of FuzzHandle (each message type with extreme fields, NaN, tiny and huge rates, a wait of 2^63 ms) held.

--- a/internal/coldstart/pacer.go
+++ b/internal/coldstart/pacer.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// minPerSecond is the rate below which a server counts as taking no requests. One turn at a rate near zero, or at one that is no
+// number, would otherwise take the server from all gateways for years.
+const minPerSecond = 0.01
+
 // Pacer grants turns at one cold server to the requests of all gateways, in the order in which they ask. A turn is
 // the time at which one request may be sent. The pacer runs beside the server, so that the gateways together use the
 // server's whole rate, whichever of them has the requests. It is not safe for concurrent use.
@@ -13,11 +17,11 @@
 }
 
 // Reserve grants a turn if one is free within maxWait, and returns the time until it. Otherwise it returns the time
-// until the next turn is free. perSecond is the number of requests that the server takes in a second; if it is not
-// positive, no turn is granted.
+// until the next turn is free. perSecond is the number of requests that the server takes in a second; if it is not at
+// least minPerSecond, no turn is granted.
 func (p *Pacer) Reserve(now time.Duration, perSecond float64, maxWait time.Duration) (wait time.Duration, granted bool) {
 	at := max(p.next, now)
-	if wait = at - now; wait > maxWait || perSecond <= 0 {
+	if wait = at - now; wait > maxWait || !(perSecond >= minPerSecond) {
 		return wait, false
 	}
 	p.next = at + time.Duration(float64(time.Second)/perSecond)
