Treat a wait that an agent cannot mean as an error

FuzzReplies, inputs cold-reply-max and cold-wraps: a granted turn in -1 ms, or in 2^62 ms, which overflows, was used as it was. Now a negative wait, or a granted one beyond the longest that was asked for, is a protocol error: the gateway logs it and chooses again. Longer waits until the next free turn are cut to an hour.

--- a/internal/agentclient/calls.go
+++ b/internal/agentclient/calls.go
@@ -19,6 +19,8 @@
 	coldTurnTimeout = 200 * time.Millisecond
 	// proposalTimeout bounds the sending of a planner's proposal and the wait for the reply.
 	proposalTimeout = 700 * time.Millisecond
+	// maxReplyWaitMS bounds the wait until the next free turn, so that it does not overflow as a duration.
+	maxReplyWaitMS = 3_600_000
 )
 
 // roundTrip opens a stream to a backend server's agent, sends one message and returns the reply. All its errors are of kind
@@ -83,7 +85,11 @@
 		return 0, false, errkind.New(errkind.ProtocolError,
 			"unexpected message from the agent of server %s instead of a reply", r.ID)
 	}
-	return time.Duration(answer.GetWaitMs()) * time.Millisecond, answer.GetGranted(), nil
+	// The agent rounds the wait up to whole milliseconds.
+	if ms := answer.GetWaitMs(); ms < 0 || (answer.GetGranted() && ms > maxWait.Milliseconds()+1) {
+		return 0, false, errkind.New(errkind.ProtocolError, "the agent of server %s replied with a wait of %d ms", r.ID, ms)
+	}
+	return time.Duration(min(answer.GetWaitMs(), maxReplyWaitMS)) * time.Millisecond, answer.GetGranted(), nil
 }
 
 // Propose asks the agent of r to load or unload a model under a planner's epoch. It returns nil if the agent accepted the
