Bound the wait that a bucket returns

With a rate near zero the wait is beyond the range of a duration, and the result of that conversion depends on the processor: where it is negative, the request is admitted. No test shows it: on the test host (arm64) the conversion saturates.

--- a/internal/fleetlimit/bucket.go
+++ b/internal/fleetlimit/bucket.go
@@ -25,6 +25,8 @@
 	// overloadDuration is the time after a refusal for which an organisation counts as asking for more than its limit:
 	// the time of a few requests of such an organisation at each gateway.
 	overloadDuration = 2 * time.Second
+	// maxWait bounds the time that Take returns, so that a tiny rate does not make it overflow, which would admit the request.
+	maxWait = 24 * time.Hour
 )
 
 // Limit is an organisation's rate and burst, in units of the limit. A rate of zero means no limit.
@@ -82,9 +84,10 @@
 	return true, 0
 }
 
-// waitFor returns the time until the bucket holds the required level, or 0 if it already does.
+// waitFor returns the time until the bucket holds the required level, or 0 if it already does. It is at most maxWait.
 func (b *Bucket) waitFor(required float64) time.Duration {
-	return time.Duration(math.Ceil(math.Max(0, required-b.level) / b.limit.Rate * float64(time.Second)))
+	seconds := math.Max(0, required-b.level) / b.limit.Rate
+	return time.Duration(math.Ceil(math.Min(seconds, maxWait.Seconds()) * float64(time.Second)))
 }
 
 // requiredLevel returns the level that a request of the given size waits for, when the given fraction of the burst is
