Bound the gateways and the transfers that a peer can make a gateway keep

FuzzPeer, its own seed: one update of under a megabyte named 20,000 addresses and offered 20,000 rows. A gateway knew 20,000 gateways afterwards, each with a goroutine that dials and a queue, and kept an entry for each offered row until its end.

Now at most 4,096 gateways are known, as before until 30 s without an update, and 256 transfers are kept, until they end. What is ignored leaves a line in the log. That a transfer ends its entry also means that an older offer may be tried after a failed newer one; rows that are not newer are ignored.

--- a/cmd/pomelo-fleet-gateway/fuzz_test.go
+++ b/cmd/pomelo-fleet-gateway/fuzz_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -14,6 +16,8 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
+	"github.com/pomelowheel/pomelowheel/internal/wire"
+	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
@@ -69,6 +73,16 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		f.Fatal(err)
 	}
+	many := &wirepb.PeerUpdate{Identity: &wirepb.Identity{Host: "h", Address: "127.0.0.1:9"}}
+	for i := range 20_000 {
+		many.Members = append(many.Members, fmt.Sprintf("127.0.0.1:%d", i))
+		many.Offers = append(many.Offers, &wirepb.RowOffer{Table: "op", Key: fmt.Sprint(i), Version: 1})
+	}
+	var frames bytes.Buffer
+	if err := wire.Write(&frames, wire.PeerUpdate(many)); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frames.Bytes())
 	f.Fuzz(func(t *testing.T, frames []byte) {
 		g := newFuzzGateway(t, settings)
 		ours, theirs := net.Pipe()
@@ -81,7 +95,7 @@
 		defer cancel()
 		g.handlePeer(ctx, &transport.Stream{Conn: ours})
 		_ = ours.Close()
-		if known := g.mesh.KnownCount(); known > 10_000 {
+		if known := g.mesh.KnownCount(); known > 5000 {
 			t.Fatalf("%d gateways are known", known)
 		}
 		checkLimits(t, g)
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -42,6 +42,8 @@
 	resyncPause = 2 * time.Second
 	// maxPendingRows bounds the rows that are queued for one peer. A peer that misses some gets all rows again.
 	maxPendingRows = 4096
+	// maxPeers bounds the gateways that are known. Each costs a goroutine, and a queue, also if its address is not one of a gateway.
+	maxPeers = 4096
 )
 
 // Source provides the state that this gateway sends to its peers.
@@ -164,6 +166,10 @@
 		if a == "" || a == m.opts.Identity.GetAddress() || m.peers[a] != nil {
 			continue
 		}
+		if len(m.peers) >= maxPeers {
+			m.opts.Log.Warn("addresses of gateways ignored: too many are known", "known", len(m.peers), "address", a)
+			return
+		}
 		p := &peer{
 			address: a, addedAt: m.opts.Clock(), rows: background.NewQueue[*wirepb.StoreRow](maxPendingRows),
 			use: make(map[string]float64), demand: make(map[string]float64),
--- a/internal/peers/transfer.go
+++ b/internal/peers/transfer.go
@@ -27,6 +27,8 @@
 	chunkTimeout = 700 * time.Millisecond
 	// maxRowBytes bounds the value of a row, compressed or not.
 	maxRowBytes = 8 << 20
+	// maxFetches bounds the rows that are being transferred. Only the operator's configuration is large.
+	maxFetches = 256
 )
 
 var errRowUnknown = errors.New("the peer does not have the row")
@@ -76,6 +78,11 @@
 		m.mu.Lock()
 		f := m.fetches[k]
 		if f == nil {
+			if len(m.fetches) >= maxFetches {
+				m.mu.Unlock()
+				m.opts.Log.Warn("offers of rows ignored: too many transfers", "peer", address, "key", o.GetKey())
+				return
+			}
 			f = new(rowFetch)
 			m.fetches[k] = f
 		}
@@ -128,14 +135,14 @@
 	}
 }
 
-// nextProvider removes and returns the next provider of a row and the version that it offered, or marks the fetch as ended and
-// returns an empty address.
+// nextProvider removes and returns the next provider of a row and the version that it offered, or removes the fetch and returns an
+// empty address.
 func (m *Mesh) nextProvider(k rowKey) (address string, version int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := m.fetches[k]
 	if len(f.providers) == 0 {
-		f.running = false
+		delete(m.fetches, k)
 		return "", 0
 	}
 	address, f.providers = f.providers[0], f.providers[1:]
