--- a/cmd/pomelo-fleet-gateway/fuzz_test.go
+++ b/cmd/pomelo-fleet-gateway/fuzz_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,8 +10,11 @@
 	"log/slog"
 	"math"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,6 +51,17 @@
 	return g
 }
 
+// fuzzSettings returns the path of a settings file.
+func fuzzSettings(f *testing.F) string {
+	path := filepath.Join(f.TempDir(), "settings.json")
+	text := `{"node_name":"edge-1","ip":"127.0.0.1","port_range":[1,2],"provider":{"address":"127.0.0.1:1"},
+		"listen":{"front":"127.0.0.1:3","control":"127.0.0.1:0"}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.Fatal(err)
+	}
+	return path
+}
+
 // checkLimits fails if an organisation's limit admits anything or a valid request is never admitted again.
 func checkLimits(t *testing.T, g *gateway) {
 	o := g.view.Organisation("o")
@@ -67,12 +82,7 @@
 
 // FuzzPeer guards against frames of a peer that end the process, make a limit void or fill the memory.
 func FuzzPeer(f *testing.F) {
-	settings := filepath.Join(f.TempDir(), "settings.json")
-	text := `{"node_name":"edge-1","ip":"127.0.0.1","port_range":[1,2],"provider":{"address":"127.0.0.1:1"},
-		"listen":{"front":"127.0.0.1:3","control":"127.0.0.1:0"}}`
-	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
-		f.Fatal(err)
-	}
+	settings := fuzzSettings(f)
 	many := &wirepb.PeerUpdate{Identity: &wirepb.Identity{Host: "h", Address: "127.0.0.1:9"}}
 	for i := range 20_000 {
 		many.Members = append(many.Members, fmt.Sprintf("127.0.0.1:%d", i))
@@ -106,3 +116,33 @@
 		}
 	})
 }
+
+// FuzzRequest guards against a caller's request that ends the process or takes long, and an answer that holds the caller's key.
+func FuzzRequest(f *testing.F) {
+	settings := fuzzSettings(f)
+	f.Fuzz(func(t *testing.T, head []byte) {
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+		if err != nil {
+			return
+		}
+		g := newFuzzGateway(t, settings)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		w := httptest.NewRecorder()
+		start := time.Now()
+		func() {
+			defer func() {
+				if cause := recover(); cause != nil && cause != http.ErrAbortHandler { // net/http closes the connection
+					panic(cause)
+				}
+			}()
+			g.server.ServeHTTP(w, r.WithContext(ctx))
+		}()
+		if took := time.Since(start); took > 5*time.Second || w.Code < 200 || w.Code > 599 {
+			t.Fatalf("status %d after %v", w.Code, took)
+		}
+		if _, key, ok := strings.Cut(r.Header.Get("Authorization"), " "); ok && len(key) > 8 && bytes.Contains(w.Body.Bytes(), []byte(key)) {
+			t.Fatalf("the key is in the answer: %s", w.Body)
+		}
+	})
+}
