--- a/internal/limitshare/loan.go
+++ b/internal/limitshare/loan.go
@@ -48,7 +48,10 @@
 	// discarded at the lender and at the borrower.
 	free := max(0, s.capacity()-s.level) / unitsPerToken
 	loan.Capacity = min(loan.Capacity, loan.Tokens+free)
-	rate = min(rate, int64(math.Floor(max(0, want.Rate)*unitsPerToken)))
+	if !(want.Rate >= 0) { // negative or not a number
+		want.Rate = 0
+	}
+	rate = int64(math.Floor(min(want.Rate*unitsPerToken, float64(rate))))
 	loan.Rate = float64(rate) / unitsPerToken
 	if loan.Empty() || loan.Duration == 0 {
 		return Loan{}
@@ -74,7 +77,10 @@
 	if loan.Empty() || duplicate || s.now > sentAt+timeout || s.now >= end || loan.Tokens > loan.Capacity {
 		return false
 	}
-	if loan.Tokens < 0 || loan.Rate < 0 {
+	// No lender has more than the whole bucket, but for the rounding of a sum of rates. Comparisons with NaN are false.
+	maxRate := s.base.Rate + 1.0/unitsPerToken
+	inRange := loan.Tokens >= 0 && loan.Capacity <= s.base.Burst && loan.Rate >= 0 && loan.Rate <= maxRate
+	if !inRange {
 		return false
 	}
 	// The lender's rate is a whole number of units, so rounding to the nearest one recovers it.
