--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,7 +84,9 @@
 func position(file *ast.File, path string) (line, column int) {
 	positions := make(positionCollector)
 	for _, doc := range file.Docs {
-		ast.Walk(positions, doc.Body)
+		if doc.Body != nil { // an empty document has none
+			ast.Walk(positions, doc.Body)
+		}
 	}
 	for path != "" {
 		if p, ok := positions[path]; ok {
