Deliver an answer also after a pause of the gateway

The new spec, with a pause of 3 s, got EOF before and passes now.

Now the time to write counts from the later of the deadline and the moment at which the head is written.

--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -28,6 +28,8 @@
 	}
 	if q.body == nil {
 		q.limitRest()
+	} else {
+		q.setWriteDeadline()
 	}
 	answer := kind.Answer()
 	if kind == errkind.CallerCancelled {
@@ -117,5 +119,6 @@
 		h["Content-Type"] = nil // keeps net/http from guessing one
 	}
 	q.headSent = true
+	q.setWriteDeadline()
 	q.writer.WriteHeader(status)
 }
--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -194,4 +194,17 @@
 			Expect(a.status).To(Equal(http.StatusOK))
 		}
 	})
+
+	// Guards against a connection that is closed without the answer because the gateway did not run for a while after the deadline.
+	It("gets an answer that arrived before a pause of the gateway", func() {
+		s := newTestGateway(route(idempotent, 800*time.Millisecond))
+		first := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{SilentHead: 1, Silence: 600 * time.Millisecond})
+		_, a := s.sendBeside(first, http.MethodGet, func() {
+			s.add("i-2", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+			pause := func() { time.Sleep(3 * time.Second) } // the gateway does not run
+			s.onCheck.Store(&pause)
+		})
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(http.StatusOK))
+	})
 })
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -42,8 +42,8 @@
 	// minLocalHolders is the number of servers in the gateway's own data centre that must hold a model before its
 	// prompts prefer only these: two, so that the loss of one does not move all prompts to other data centres.
 	minLocalHolders = 2
-	// writeGrace is the time after a request's deadline during which its response may still be written to a slow
-	// caller.
+	// writeGrace is the time after a request's deadline, or after the end of its processing if that is later, during which its
+	// response may still be written to a slow caller.
 	writeGrace = 2 * time.Second
 )
 
@@ -197,9 +197,7 @@
 	defer cancel()
 	stop := context.AfterFunc(q.server.ending, cancel)
 	defer stop()
-	if err := http.NewResponseController(q.writer).SetWriteDeadline(q.deadline.Add(writeGrace)); err != nil {
-		q.server.opts.Log.Debug("cannot set the write deadline of the response", "error", err)
-	}
+	q.setWriteDeadline()
 	return q.run(ctx)
 }
 
@@ -273,6 +271,18 @@
 	return nil
 }
 
+// setWriteDeadline limits the time to write the response: until writeGrace after the deadline, or from now if that has passed, as
+// after a pause of the process.
+func (q *request) setWriteDeadline() {
+	deadline := q.deadline
+	if now := time.Now(); now.After(deadline) {
+		deadline = now
+	}
+	if err := http.NewResponseController(q.writer).SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
+		q.server.opts.Log.Debug("cannot set the write deadline of the response", "error", err)
+	}
+}
+
 // setReadDeadline limits the time to read the rest of the request. A zero time means no limit.
 func (q *request) setReadDeadline(t time.Time) {
 	if err := http.NewResponseController(q.writer).SetReadDeadline(t); err != nil {
