End the wait for an agent's reply with its context

The wait was to be ended by closing its stream, but Close of a yamux stream ends only the sending side, and the receiving side has no deadline. So the 200 ms for a turn, the deadline, the interrupt of a choice and the end of the process were all without effect.

An interrupted wait no longer counts against the agent or the server.

--- a/internal/agentclient/agentclient.go
+++ b/internal/agentclient/agentclient.go
@@ -221,7 +221,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer func() { _ = stream.Close() }()
+	// Closing a stream ends only its sending side.
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
 	defer a.opts.Pool.Drop(address)
 	go a.sendTargets(ctx, cancel, stream, w)
@@ -229,6 +231,9 @@
 		if err := stream.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
 			return received, err
 		}
+		if ctx.Err() != nil {
+			return received, ctx.Err() // the deadline above may have replaced the one of the end
+		}
 		frame, err := stream.Recv()
 		if err != nil {
 			return received, err
--- a/internal/agentclient/calls.go
+++ b/internal/agentclient/calls.go
@@ -35,7 +35,8 @@
 		return nil, errkind.Wrap(errkind.BackendUnreachable, err, "agent of server %s", r.ID)
 	}
 	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	// Closing a stream ends only its sending side.
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
 	if err := stream.Send(message); err != nil {
 		return nil, errkind.Wrap(errkind.BackendUnreachable, err, "agent of server %s", r.ID)
--- a/internal/fleetgateway/cold.go
+++ b/internal/fleetgateway/cold.go
@@ -63,6 +63,9 @@
 		return true
 	}
 	wait, granted, err := s.opts.Agents.AcquireColdTurn(ctx, r, q.caller.ID, service.ColdPerSecond, q.turnWaitLimit())
+	if ctx.Err() != nil {
+		return false
+	}
 	s.coldMu.Lock()
 	switch {
 	case err != nil:
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -49,7 +49,13 @@
 	q.retryReserved = false
 	q.tried[c.ID] = true
 	if c.AdapterMissing {
-		if err := s.opts.Agents.EnsureAdapter(prepare, replica, q.caller.ID, q.model, q.caller.Adapter); err != nil {
+		err := s.opts.Agents.EnsureAdapter(prepare, replica, q.caller.ID, q.model, q.caller.Adapter)
+		if prepare.Err() != nil {
+			delete(q.tried, c.ID)
+			return result{server: c.ID, kind: errkind.ModelNotResident, notRun: true, unsent: true,
+				err: errkind.Wrap(errkind.ModelNotResident, prepare.Err(), "the adapter was not loaded in time")}, false
+		}
+		if err != nil {
 			s.opts.Log.Warn("adapter not loaded; nothing was sent to the server",
 				"request_id", q.caller.ID, "server", c.ID, "model", q.modelKey, "error", err)
 			delete(q.tried, c.ID) // nothing was sent, and the adapter may be loaded there later
--- a/internal/fleetgateway/signs_wait_test.go
+++ b/internal/fleetgateway/signs_wait_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"log/slog"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire"
@@ -55,23 +51,11 @@
 	func(perSecond float64, header map[string]string, sign http.HandlerFunc) {
 		before, resume := make(chan string, 4), make(chan struct{}, 4)
 		agent := &testAgent{waitMS: 1200, before: before, resume: resume}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		_, port, err := net.SplitHostPort(l.Addr().String())
-		Expect(err).NotTo(HaveOccurred())
-		s := newTestGatewayWithAgents(port, route(once, 4*time.Second), engine,
-			func(c *fleet.Configuration) { c.Services["s"].ColdPerSecond = perSecond })
-		ctx, cancel := context.WithCancel(context.Background())
-		var done sync.WaitGroup
-		done.Go(func() { _ = transport.NewServer(l, nil, agent.handle, slog.New(slog.DiscardHandler)).Serve(ctx) })
-		done.Go(func() { _ = s.agents.Run(ctx) })
-		DeferCleanup(func() { cancel(); done.Wait() })
-
+		s := newGatewayWithAgent(agent, route(once, 4*time.Second), perSecond)
 		release := make(chan struct{})
 		b := s.addBackend("i-1", after(release, sign))
 		s.update(b, func(r *fleet.Replica) { r.Cold = time.Minute })
-		replica := s.view.Snapshot().Replicas["i-1"]
-		Eventually(func() bool { _, ok := s.agents.Report(replica, bootclock.Now()); return ok }, "2s", "5ms").Should(BeTrue())
+		s.awaitReport("i-1")
 		turns := perSecond > 0
 		if turns {
 			resume <- struct{}{}
