Let a second attempt's empty stream or refusal not replace a sound attempt

A second server that answered 200 and closed without an event made the answer count as complete: the caller of a stream got 3 of 6 events and no error. A second server's 404, 408 or 429 was returned while the first one, silent for a moment, would have answered 200. Both end only their attempt now while another one is live; the response is kept and returned if nothing better comes.

Both new specs failed before: after 1.02 s with three events, and with 404 instead of 200.

--- a/internal/fleetgateway/relay.go
+++ b/internal/fleetgateway/relay.go
@@ -28,10 +28,10 @@
 		return q.fail(a, m.result.kind, m.result.notRun, m.result.err)
 	case a != q.answering && q.headSent && !statusOK(m.status):
 		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d when resuming the stream", m.status))
-	case a != q.answering && len(q.live) > 1 && m.status >= http.StatusInternalServerError:
+	case a != q.answering && len(q.live) > 1 && !statusOK(m.status):
 		q.keepFailure(m)
 		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d", m.status))
-	case m.ended && a.stream && statusOK(m.status) && !q.headSent:
+	case m.ended && a.stream && statusOK(m.status) && (!q.headSent || a != q.answering && len(q.live) > 1):
 		return q.fail(a, errkind.ProtocolError, false, errors.New("the stream ended without an event"))
 	}
 	if err := q.relay(a, m); err != nil {
@@ -72,9 +72,9 @@
 	}
 }
 
-// keepFailure keeps the whole response of a server that failed, in case that no other server answers the request.
+// keepFailure keeps the whole response of a server that failed or refused, in case that no other server answers the request.
 func (q *request) keepFailure(m message) {
-	if m.ended && m.status >= http.StatusInternalServerError && m.body != nil && q.failure == nil {
+	if m.ended && m.status != 0 && !statusOK(m.status) && m.body != nil && q.failure == nil {
 		q.failure = &m
 	}
 }
--- a/internal/fleetgateway/silence_test.go
+++ b/internal/fleetgateway/silence_test.go
@@ -68,6 +68,12 @@
 		s.add("i-2", events, fake.ReplicaFaults{})
 		s.stale.Store(true)
 	}
+	answerEmpty := func(s *testGateway) { // the stream ends with its connection
+		s.addBackend("i-2", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
+	}
+	answerWith := func(code int) func(*testGateway) {
+		return func(s *testGateway) { s.addBackend("i-2", status(code)) }
+	}
 	move := func(s *testGateway) {
 		s.add("i-2", events, fake.ReplicaFaults{})
 		moved := route(resumable, 9*time.Second)
@@ -88,6 +94,7 @@
 		Entry("another server does not answer", hang),
 		Entry("another server refuses connections", refuse),
 		Entry("another server breaks off", breakOff),
+		Entry("another server sends a stream without events", answerEmpty),
 		Entry("the configuration cannot be confirmed", stale),
 		Entry("its route moves to another service", move),
 	)
@@ -104,6 +111,7 @@
 		Entry("another server rejects it", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, reject),
 		Entry("another server fails", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, fail),
 		Entry("another server does not answer", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, hang),
+		Entry("another server does not know it", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, answerWith(http.StatusNotFound)),
 		Entry("the configuration cannot be confirmed", fake.ReplicaFaults{SilentHead: 1, Silence: silence}, stale),
 		Entry("another server rejects it, within the body", fake.ReplicaFaults{SilentBody: 1, Silence: silence}, reject),
 		Entry("another server fails, within the body", fake.ReplicaFaults{SilentBody: 1, Silence: silence}, fail),
