Apply the newest route's limits on runs to further attempts

A request that arrived while its route could be repeated ran twice although the configuration in force allowed one run: the limits were taken once, at the request's arrival, since. Each change of the configuration that a request follows now sets them anew, and a route whose type changes counts like one whose service changes while an attempt is live or a response has begun.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -60,6 +60,11 @@
 // New returns a race without attempts.
 func New(opts Options) *Race { return &Race{opts: opts} }
 
+// SetLimits replaces the limits on runs, because the configuration has changed.
+func (r *Race) SetLimits(repeatable bool, maxRuns int) {
+	r.opts.Repeatable, r.opts.MaxRuns = repeatable, maxRuns
+}
+
 // Live returns the attempts that have not ended, in the order in which they began.
 func (r *Race) Live() []int {
 	var live []int
--- a/internal/fleetgateway/change_test.go
+++ b/internal/fleetgateway/change_test.go
@@ -102,3 +102,20 @@
 		Entry("resumable stream, beside a silence", resumable, fake.ReplicaFaults{SilentBody: 1, Silence: silence}),
 	)
 })
+
+// Guards against a second run that the configuration in force does not allow, because the route allowed it when the request arrived.
+var _ = DescribeTable("a route that allows only one run since the request arrived", func(change func(*fleet.Route)) {
+	s := newTestGateway(route(idempotent, 4*time.Second))
+	first := s.add("i-1", fake.ReplicaOptions{}, fake.ReplicaFaults{Drop: 1})
+	second := s.add("i-2", fake.ReplicaOptions{}, fake.ReplicaFaults{Drop: 1})
+	changed := route(idempotent, 4*time.Second)
+	change(&changed)
+	onDial := func() { s.configure(changed) }
+	s.onDial.Store(&onDial)
+	id, a := s.send(http.MethodPost, "/a/", nil, "")
+	Expect(a.status).To(Equal(http.StatusBadGateway))
+	Expect(runsOf(id, first, second)).To(Equal(1))
+},
+	Entry("by its type", func(r *fleet.Route) { r.Repeat = fleet.Once }),
+	Entry("by its number of attempts", func(r *fleet.Route) { r.MaxAttempts = 1 }),
+)
--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -51,8 +51,8 @@
 }
 
 // followConfiguration applies a configuration that came into force while the request waited. It returns an error of one of the
-// kinds of match, OutcomeUnknown if the request belongs to another service or organisation now although a response has begun or an
-// attempt is live, or RateLimited.
+// kinds of match, OutcomeUnknown if the route allows no further attempt now, or has another service, organisation or repetition
+// although a response has begun or an attempt is live, or RateLimited.
 func (q *request) followConfiguration() error {
 	if err := q.checkConfiguration(); err != nil {
 		return err
@@ -69,14 +69,20 @@
 	case err != nil && len(q.live) == 0:
 		q.org = org // the charge is refunded to it
 		return err
-	case err == nil && len(q.live) > 0 && (q.service != service || !sameOrg),
-		err == nil && q.headSent && q.service != service:
-		err = errkind.New(errkind.OutcomeUnknown, "the request belongs to another service or organisation since it was sent")
+	case err == nil && len(q.live) > 0 && (q.service != service || q.route.Repeat != route.Repeat || !sameOrg),
+		err == nil && q.headSent && (q.service != service || q.route.Repeat != route.Repeat):
+		err = errkind.New(errkind.OutcomeUnknown, "the request's service, organisation or repetition has changed since it was sent")
 	}
 	if err != nil {
 		q.config, q.route, q.service, q.org = config, route, service, org
 		return err
 	}
+	if q.race != nil {
+		q.race.SetLimits(q.route.Repeatable(), q.route.MaxAttempts)
+		if !q.race.MayBegin() {
+			return errkind.New(errkind.OutcomeUnknown, "the route allows no further attempt since the configuration changed")
+		}
+	}
 	if q.service != service {
 		q.model, q.modelKey = "", ""
 		q.describePrompt()
