Count the release of the planner's lease as part of the grace period

A planning gateway that stopped while the store was slow closed the connections of requests in progress without an answer, and could overrun its grace period: the wait for requests began after the release of the lease, which may take 0.7 s, and lasted as long as without it.

The test of a request in progress runs with a store that answers after 0.4 s, too, and failed before: no answer.

--- a/cmd/pomelo-fleet-gateway/drain_test.go
+++ b/cmd/pomelo-fleet-gateway/drain_test.go
@@ -17,6 +17,13 @@
 
 // Guards against a planned stop that closes the connection of a request instead of saying what became of it.
 func TestARequestInProgressAtTheEndOfTheGracePeriodIsAnswered(t *testing.T) {
+	for _, storeDelay := range []time.Duration{0, 400 * time.Millisecond} {
+		t.Run("store delay "+storeDelay.String(), func(t *testing.T) { drainWithARequestInProgress(t, storeDelay) })
+	}
+}
+
+// drainWithARequestInProgress drains the planning gateway, which releases its lease in a store that answers after the given delay.
+func drainWithARequestInProgress(t *testing.T, storeDelay time.Duration) {
 	g := NewWithT(t)
 	store := fake.NewStore()
 	configure(store, 1, "/a/")
@@ -28,6 +35,7 @@
 		`{"service":"s","address":%q,"zone":"a","state":"ready","slots":8}`, backend.Listener.Addr()))
 	m := startFleetMember(t, g, "gateway", store)
 	g.Eventually(m.gateway.server.Ready, setupTimeout).Should(BeTrue())
+	g.Eventually(m.gateway.lease.Epoch, setupTimeout).ShouldNot(BeZero())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	arrivals := fleetprocess.NewArrivals()
@@ -49,6 +57,7 @@
 		}
 	}()
 	g.Eventually(replica.Active, setupTimeout).Should(Equal(1))
+	store.SetFaults(fake.StoreFaults{Delay: storeDelay})
 	start := time.Now()
 	m.gateway.drain(context.Background(), server, arrivals, 2*time.Second)
 	g.Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -132,7 +132,7 @@
 	g.server.Drain()
 	g.mesh.AnnounceShutdown()
 	g.lease.Release(ctx)
-	idle := fleetprocess.WaitIdle(ctx, grace-drainReserve, drainIdleTime, func() bool {
+	idle := fleetprocess.WaitIdle(ctx, time.Until(start.Add(grace-drainReserve)), drainIdleTime, func() bool {
 		return arrivals.Pending(time.Now()) == 0
 	})
 	if !idle {
