Return the retry of a second attempt that did not begin

Requests that waited for a silent server used up the retry budget of their service although nothing was sent: a retry is charged before a server is chosen, and nothing took it back when the choice failed or the silent server went on. Afterwards failed requests were not retried. Now an unused charge goes back to the budget at the end of the request, and one whose adapter was not loaded is used for the next attempt. The new spec failed before: 1 run instead of 2 after 60 such requests.

--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -162,12 +162,13 @@
 func (q *request) canContinue() bool { return !q.headSent || q.route.Repeat == fleet.Stream }
 
 // reserveRetry charges the retry budget for one more attempt and reports whether the budget allows it. A reservation
-// that has not been used yet is reused. The organisation's limit is charged later, by countRun.
+// that has not been used yet is reused; endAttempts returns one that is left. The organisation's limit is charged later, by end.
 func (q *request) reserveRetry() bool {
 	if q.retryReserved {
 		return true
 	}
 	_, gateways := q.server.opts.Gateways()
+	q.reservedAt = q.service
 	q.retryReserved = q.server.budget(q.service).TakeRetry(q.server.opts.Clock(), gateways)
 	return q.retryReserved
 }
@@ -225,6 +226,12 @@
 	return l.budget.TakeRetry(now, gateways)
 }
 
+func (l *lockedBudget) ReturnRetry(now time.Duration) {
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.budget.ReturnRetry(now)
+}
+
 func (q *request) logChoice(c *fleetroute.Candidate, candidates int) {
 	q.server.opts.Log.LogAttrs(q.http.Context(), slog.LevelInfo, "server chosen",
 		slog.String("request_id", q.caller.ID), slog.String("server", c.ID), slog.Int("candidates", candidates),
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -46,7 +46,6 @@
 	s := q.server
 	number := q.begun
 	q.begun++
-	q.retryReserved = false
 	q.tried[c.ID] = true
 	if c.AdapterMissing {
 		err := s.opts.Agents.EnsureAdapter(prepare, replica, q.caller.ID, q.model, q.caller.Adapter)
@@ -68,6 +67,7 @@
 		q.race.End(number, failover.Unsent)
 		return q.withdrawn(c), false
 	}
+	q.retryReserved = false
 	s.countColdRequest(c.ID)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	q.race.Begin(number, q.elapsed(), q.silenceTimeout(c))
@@ -268,8 +268,11 @@
 	return r
 }
 
-// endAttempts ends the attempts that are left and waits for their goroutines.
+// endAttempts ends the attempts that are left, waits for their goroutines and returns an unused retry to the budget.
 func (q *request) endAttempts() {
+	if q.retryReserved {
+		q.server.budget(q.reservedAt).ReturnRetry(q.server.opts.Clock())
+	}
 	for _, a := range q.live {
 		q.cancel(a, errEnded, false)
 	}
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -163,6 +163,7 @@
 	answering     *attempt                           // whose response the caller gets
 	failure       *message                           // whole response of a server that failed, or nil
 	retryReserved bool                               // the retry budget has been charged for the next attempt
+	reservedAt    string                             // service whose budget has been charged
 	demandCounted bool                               // the request is counted in the model's demand
 	headSent      bool                               // the status line and header of the response were sent
 	lastEvent     string                             // ID of the last event that was sent to the caller
--- a/internal/fleetgateway/silence_test.go
+++ b/internal/fleetgateway/silence_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -180,4 +182,26 @@
 		Eventually(func() int { return first.Active() + second.Active() }, "500ms", "5ms").Should(BeZero())
 		Eventually(s.server.Active, "1s").Should(BeZero())
 	})
+
+	// Guards against a retry budget that is used up by second attempts that never began.
+	It("costs no retry when no second attempt begins", func() {
+		s := newTestGateway(route(idempotent, 9*time.Second))
+		slow := fake.ReplicaOptions{Slots: 100}
+		first := s.add("i-1", slow, fake.ReplicaFaults{SilentHead: 1, Silence: 2500 * time.Millisecond})
+		var done sync.WaitGroup
+		for i := range 60 {
+			id := fmt.Sprint("waits-", i)
+			done.Go(func() {
+				defer GinkgoRecover()
+				Expect(s.sendAs(id, http.MethodGet, "/a/", nil, "").status).To(Equal(http.StatusOK))
+			})
+		}
+		Eventually(first.Active, "2s", "2ms").Should(Equal(60))
+		s.stale.Store(true)
+		second, third := s.add("i-2", slow, fake.ReplicaFaults{Drop: 1}), s.add("i-3", slow, fake.ReplicaFaults{Drop: 1})
+		done.Wait()
+		s.stale.Store(false)
+		id, _ := s.send(http.MethodGet, "/a/", nil, "")
+		Expect(runsOf(id, second, third)).To(Equal(2))
+	})
 })
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -76,3 +76,14 @@
 	current.retries++
 	return true
 }
+
+// ReturnRetry takes back a retry that TakeRetry allowed and that was not sent.
+func (b *Budget) ReturnRetry(now time.Duration) {
+	b.advance(now)
+	for i := range int64(keptSlices) {
+		if s := &b.slices[(b.current-i+keptSlices)%keptSlices]; s.retries > 0 {
+			s.retries--
+			return
+		}
+	}
+}
