Free a server that started again from an earlier start's sign

A sound server that had started again under its ID got no requests: while only its agent had reported the new start, because the sign was looked up by the list's entry; and for as long as it stayed listed if an answer had named it before it was listed, because the sign counted for any start. Now the newer of list and report counts, and a sign of an unlisted server binds its starts until then.

--- a/internal/fleetgateway/signs.go
+++ b/internal/fleetgateway/signs.go
@@ -42,7 +42,7 @@
 	}
 	from := sentTo
 	if r.Instance != "" && r.Instance != sentTo.ID {
-		from = serversigns.Server{ID: r.Instance}
+		from = serversigns.Server{ID: r.Instance, Born: time.Now().UnixMilli()} // it started before now
 		if listed := s.opts.View.Snapshot().Replicas[r.Instance]; listed != nil {
 			from = s.incarnation(listed)
 		}
@@ -86,14 +86,14 @@
 	}
 	s.signs.mu.Lock()
 	defer s.signs.mu.Unlock()
-	return s.signs.known.Leaving(serversigns.Server{ID: r.ID, Born: r.Born})
+	return s.signs.known.Leaving(s.incarnation(r))
 }
 
 // pause returns how long the server goes on to want no requests from this gateway, or zero.
 func (s *Server) pause(r *fleet.Replica, now time.Duration) time.Duration {
 	s.signs.mu.Lock()
 	defer s.signs.mu.Unlock()
-	return s.signs.known.Pause(serversigns.Server{ID: r.ID, Born: r.Born}, now)
+	return s.signs.known.Pause(s.incarnation(r), now)
 }
 
 // pausedRefusal returns the error with which to refuse the request if all servers that could serve it asked for a pause: those that
