End the streams of a stopping server before their sessions

While a yamux session ends, a read without a deadline spins until the session's reader has returned.

Sessions that end from the other side still spin for a moment.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -96,6 +96,7 @@
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
+	streams  map[net.Conn]struct{}
 	wg       sync.WaitGroup
 	closed   bool
 }
@@ -105,7 +106,8 @@
 	if tlsConfig != nil {
 		l = tls.NewListener(l, tlsConfig)
 	}
-	return &Server{listener: l, handler: handler, log: log, sessions: make(map[*yamux.Session]struct{})}
+	return &Server{listener: l, handler: handler, log: log, sessions: make(map[*yamux.Session]struct{}),
+		streams: make(map[net.Conn]struct{})}
 }
 
 // Addr returns the address that the server listens on.
@@ -177,9 +179,11 @@
 			return
 		}
 		s.wg.Add(1)
+		s.trackStream(conn, true)
 		go func() {
 			defer s.wg.Done()
 			defer func() { _ = conn.Close() }()
+			defer s.trackStream(conn, false)
 			defer s.recoverHandler(conn)
 			streamCtx, cancel := context.WithCancel(ctx)
 			defer cancel()
@@ -188,6 +192,16 @@
 	}
 }
 
+func (s *Server) trackStream(conn net.Conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.streams[conn] = struct{}{}
+	} else {
+		delete(s.streams, conn)
+	}
+}
+
 // recoverHandler ends a stream whose handler panicked, so that one message does not end the process and with it the
 // requests of all other streams.
 func (s *Server) recoverHandler(conn net.Conn) {
@@ -205,6 +219,10 @@
 		return nil
 	}
 	s.closed = true
+	// While a session ends, yamux makes reads without a deadline spin.
+	for conn := range s.streams {
+		_ = conn.SetReadDeadline(time.Now()) // cannot fail
+	}
 	for session := range s.sessions {
 		_ = session.Close()
 	}
