--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -1,5 +1,5 @@
-// Package failover decides when a request is sent to one more backend server, and which of its attempts answers the caller. Use it
-// for each request of a gateway: it has no side effects, and all times are passed in.
+// Package failover decides when a request is sent to one more backend server (retried or hedged), and which of its attempts answers
+// the caller. Use it for each request of a gateway: it has no side effects, and all times are passed in.
 //
 // A server that sends nothing may be sound and go on. An attempt is therefore never given up because of silence alone: another
 // one begins beside it, and replaces it when its server has begun to answer. An attempt that was silent replaces a newer one only
@@ -91,27 +91,27 @@
 	return !r.opts.Repeatable || r.runs+len(r.live) >= r.opts.MaxRuns
 }
 
-// Begin adds an attempt whose server should send something within patience. Its number is higher than those of all earlier ones.
-func (r *Race) Begin(attempt int, now, patience time.Duration) {
+// Begin adds an attempt whose server should send something within timeout. Its number is higher than those of all earlier ones.
+func (r *Race) Begin(attempt int, now, timeout time.Duration) {
 	r.live = append(r.live, state{attempt: attempt})
-	r.wait(now, patience)
+	r.wait(now, timeout)
 }
 
-func (r *Race) wait(now, patience time.Duration) {
-	r.due, r.checkAt = now+patience, now+min(patience, earlyCheck)
+func (r *Race) wait(now, timeout time.Duration) {
+	r.due, r.checkAt = now+timeout, now+min(timeout, earlyCheck)
 }
 
-// Progress records that an attempt's server has sent a part of its response; the next is expected within patience. It returns the
+// Progress records that an attempt's server has sent a part of its response; the next is expected within timeout. It returns the
 // attempts that this one replaces, which must be cancelled: earlier ones, which were silent, and later ones if this one goes on
-// within pace of its last part.
-func (r *Race) Progress(attempt int, now, patience, pace time.Duration) (replaced []int) {
-	r.wait(now, patience)
+// within maxInterval of its last part.
+func (r *Race) Progress(attempt int, now, timeout, maxInterval time.Duration) (replaced []int) {
+	r.wait(now, timeout)
 	i := r.index(attempt)
 	if i < 0 {
 		return nil
 	}
 	s := &r.live[i]
-	timely := s.sent && now-s.sentAt <= pace
+	timely := s.sent && now-s.sentAt <= maxInterval
 	s.sent, s.sentAt = true, now
 	for _, other := range r.live {
 		if other.attempt < attempt || other.attempt > attempt && timely {
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -10,7 +10,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/failover"
 )
 
-const patience = 350 * time.Millisecond
+const timeout = 350 * time.Millisecond
 
 // Guards against more runs, rejections or preparations than allowed, and against an attempt that ends for any other reason than its
 // own end or another one that advances the answer.
@@ -38,14 +38,14 @@
 			switch action := rapid.IntRange(0, 3).Draw(t, "action"); {
 			case action == 0 && len(live) == 0 && r.MayBegin(),
 				action == 1 && r.Replace(now, rapid.Bool().Draw(t, "stalled")):
-				r.Begin(number, now, patience)
+				r.Begin(number, now, timeout)
 				live = append(live, number)
 				number++
 			case action == 2 && len(live) > 0:
 				end(rapid.SampledFrom(live).Draw(t, "ended"), failover.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")))
 			case action == 3 && len(live) > 0:
 				first := rapid.SampledFrom(live).Draw(t, "first")
-				for _, n := range r.Progress(first, now, patience, 100*time.Millisecond) {
+				for _, n := range r.Progress(first, now, timeout, 100*time.Millisecond) {
 					end(n, failover.MayHaveRun)
 				}
 				if live[0] != first {
@@ -103,7 +103,7 @@
 	if next := r.NextCheck(3 * time.Second); next < 300*ms {
 		t.Errorf("asked again after %v although no server took the request", next)
 	}
-	r.Begin(1, 3400*ms, patience)
+	r.Begin(1, 3400*ms, timeout)
 	if r.NextCheck(4*time.Second) < time.Minute || r.Replace(5*time.Second, true) {
 		t.Error("a third run of at most two")
 	}
@@ -122,17 +122,17 @@
 		{"two events at a normal pace", []time.Duration{1100 * ms, 1150 * ms}, []int{1}},
 	} {
 		r := failover.New(failover.Options{Repeatable: true, MaxRuns: 2, MaxNotRun: 4})
-		r.Begin(0, 0, patience)
-		r.Progress(0, 10*ms, patience, 100*ms)
-		r.Begin(1, 1010*ms, patience)
+		r.Begin(0, 0, timeout)
+		r.Progress(0, 10*ms, timeout, 100*ms)
+		r.Begin(1, 1010*ms, timeout)
 		var replaced []int
 		for _, at := range c.at {
-			replaced = r.Progress(0, at, patience, 100*ms)
+			replaced = r.Progress(0, at, timeout, 100*ms)
 		}
 		if !slices.Equal(replaced, c.want) {
 			t.Errorf("%s: %v", c.name, replaced)
 		}
-		if len(c.want) == 0 && !slices.Equal(r.Progress(1, 2*time.Second, patience, 100*ms), []int{0}) {
+		if len(c.want) == 0 && !slices.Equal(r.Progress(1, 2*time.Second, timeout, 100*ms), []int{0}) {
 			t.Errorf("%s: the second attempt began to answer and did not replace the first", c.name)
 		}
 	}
--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -70,17 +70,25 @@
 	return errkind.NoCandidate.Answer().HTTPStatus
 }
 
+// What the caller of a request got, in the log line at its end.
+const (
+	answerWhole = "whole"
+	answerError = "error"
+	answerCut   = "cut"
+	answerNone  = "none" // the caller left, or seemed to
+)
+
 // answer says what the caller of a request with this outcome got.
 func (q *request) answer(kind errkind.Kind) string {
 	switch {
 	case kind == errkind.None:
-		return "whole"
+		return answerWhole
 	case q.headSent:
-		return "cut"
+		return answerCut
 	case kind == errkind.CallerCancelled:
-		return "none"
+		return answerNone
 	}
-	return "error"
+	return answerError
 }
 
 // log writes the log line at the end of a request.
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -102,8 +102,8 @@
 	return max(minGapTimeout, gapTimeoutFactor*q.route.MaxEventGap)
 }
 
-// eventPace returns the longest pause between two events of a server that is not slow.
-func (q *request) eventPace() time.Duration {
+// maxEventInterval returns the longest pause between two events of a server that is not slow.
+func (q *request) maxEventInterval() time.Duration {
 	if q.route.MaxEventGap > 0 {
 		return q.route.MaxEventGap
 	}
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -52,7 +52,7 @@
 func (m *Metrics) record(q *request, kind errkind.Kind) {
 	m.outcomes.Add(kind.String(), 1)
 	m.sends.Add(int64(len(q.tried)))
-	if answer := q.answer(kind); answer == "cut" || answer == "none" {
+	if answer := q.answer(kind); answer == answerCut || answer == answerNone {
 		m.cut.Add(kind.String(), 1)
 	}
 	if kind != errkind.None {
--- a/internal/fleetgateway/relay.go
+++ b/internal/fleetgateway/relay.go
@@ -116,7 +116,7 @@
 			q.longestGap = max(q.longestGap, now.Sub(a.lastEventAt))
 		}
 		a.lastEventAt = now
-		q.replace(a, q.race.Progress(a.number, q.elapsed(), q.gapTimeout(), q.eventPace()))
+		q.replace(a, q.race.Progress(a.number, q.elapsed(), q.gapTimeout(), q.maxEventInterval()))
 	}
 	switch {
 	case e.id != "" && !eventIDAfter(e.id, q.lastEvent):
