--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -170,6 +170,10 @@
 	_, gateways := q.server.opts.Gateways()
 	q.reservedAt = q.service
 	q.retryReserved = q.server.budget(q.service).TakeRetry(q.server.opts.Clock(), gateways)
+	if !q.retryReserved && !q.budgetLogged {
+		q.budgetLogged = true
+		q.server.opts.Log.Info("retry budget used up; not sent to another server", "request_id", q.caller.ID, "service", q.service)
+	}
 	return q.retryReserved
 }
 
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -164,6 +164,7 @@
 	failure       *message                           // whole response of a server that failed, or nil
 	retryReserved bool                               // the retry budget has been charged for the next attempt
 	reservedAt    string                             // service whose budget has been charged
+	budgetLogged  bool                               // a refusal of the retry budget has been logged
 	demandCounted bool                               // the request is counted in the model's demand
 	headSent      bool                               // the status line and header of the response were sent
 	lastEvent     string                             // ID of the last event that was sent to the caller
