Publish in the test of large rows only once the stream to the peer is open

The spec failed once beside load and, with the stream opened 0.3 s later on a scratch copy, each time: rows that were queued before a stream opens are dropped, because both sides then compare hashes, and the spec's peer of an earlier release announces none. What is checked is unchanged.

--- a/internal/peers/transfer_test.go
+++ b/internal/peers/transfer_test.go
@@ -70,13 +70,17 @@
 	It("sends a large row in an update to a peer that requests none", func(ctx SpecContext) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		received := make(chan *wirepb.PeerUpdate, 100)
+		received, opened := make(chan *wirepb.PeerUpdate, 100), make(chan struct{}, 1)
 		server := transport.NewServer(listener, nil, func(_ context.Context, s *transport.Stream) {
 			for {
 				frame, err := s.Recv()
 				if err != nil {
 					return
 				}
+				select {
+				case opened <- struct{}{}:
+				default:
+				}
 				if u := frame.GetPeerUpdate(); len(u.GetRows())+len(u.GetOffers()) > 0 {
 					received <- u
 				}
@@ -93,6 +97,7 @@
 		}))).To(Succeed())
 		Eventually(func() int { n, _ := m.mesh.Count(); return n }, eventuallyTimeout).Should(Equal(2))
 		Expect(m.mesh.HearsOnlyEarlierReleases()).To(BeTrue())
+		Eventually(opened, eventuallyTimeout).Should(Receive())
 		m.publishValue(5, large)
 		var u *wirepb.PeerUpdate
 		Eventually(received, eventuallyTimeout).Should(Receive(&u))
