--- a/internal/fleetgateway/long_answer_test.go
+++ b/internal/fleetgateway/long_answer_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// addLong adds a server whose answer consists of size times the given letter. cut bytes are sent if that is less than size.
+// addLong adds a server whose body is the given letter repeated size times. If cut is less than size, it breaks off after cut bytes.
 func (s *testGateway) addLong(id, letter string, size, cut int, requests *atomic.Int64) {
 	GinkgoHelper()
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/fleetgateway/pauses_test.go
+++ b/internal/fleetgateway/pauses_test.go
@@ -13,7 +13,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 )
 
-// busyFor answers that the server did not run the request and wants none for a time, in the form of Retry-After.
+// busyFor returns a handler that rejects each request with 503 and the given Retry-After.
 func busyFor(retryAfter string) http.HandlerFunc {
 	return status(http.StatusServiceUnavailable, "X-Not-Executed", "1", "Retry-After", retryAfter)
 }
@@ -28,7 +28,7 @@
 	Expect(seconds).To(And(BeNumerically(">", least), BeNumerically("<=", most)))
 }
 
-// Guards against requests that reach a server in the time for which it asked for none, and callers that are told to return in it.
+// Guards against requests to a server during its Retry-After, and against callers that are told to return before it ends.
 var _ = Describe("a server that asks for a pause", func() {
 	DescribeTable("gets no request in that time", func(retryAfter string, pause time.Duration) {
 		s := newTestGateway(route(once, 2*time.Second))
@@ -100,7 +100,7 @@
 		Expect(a.status).To(Equal(http.StatusOK))
 	})
 
-	// Guards against a caller that is told to return at once after as many servers rejected its request as may.
+	// Guards against a caller that is told to return at once after the last allowed attempt was rejected.
 	It("tells the caller when to return after the last attempt, too", func() {
 		s := newTestGateway(route(once, 4*time.Second))
 		for i, pause := range []string{"60", "20", "30", "40"} {
--- a/internal/fleetgateway/signs.go
+++ b/internal/fleetgateway/signs.go
@@ -89,7 +89,7 @@
 	return s.signs.known.Leaving(s.incarnation(r))
 }
 
-// pause returns how long the server goes on to want no requests from this gateway, or zero.
+// pause returns the rest of the server's Retry-After, or zero.
 func (s *Server) pause(r *fleet.Replica, now time.Duration) time.Duration {
 	s.signs.mu.Lock()
 	defer s.signs.mu.Unlock()
--- a/internal/fleetgateway/signs_test.go
+++ b/internal/fleetgateway/signs_test.go
@@ -275,7 +275,7 @@
 	})
 })
 
-// Guards against a server that gets no requests for good because of a sign of another incarnation.
+// Guards against a restarted server that never gets requests, because of an answer of its earlier incarnation.
 var _ = Describe("a sound server that started again", func() {
 	It("gets requests when its agent reports the new start before the list does", func() {
 		var born atomic.Int64
