--- a/cmd/fake-fleet/main.go
+++ b/cmd/fake-fleet/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -57,6 +58,10 @@
 	flags.DurationVar(&o.Pause, "pause", 5*time.Millisecond, "delay before each event")
 	flags.DurationVar(&o.Cold, "cold", 0, "time after the start for which the backend server is cold")
 	flags.Float64Var(&o.ColdPerSecond, "cold-per-s", 0, "requests per second that a cold backend server can take; 0 for no limit")
+	flags.StringVar(&o.Crash.Part, "crash-part", "", "`ID` of the part of a prompt, other than the last, that crashes the backend server")
+	flags.IntVar(&o.Crash.Events, "crash-events", 0, "events of the answer that are sent before such a crash")
+	flags.BoolVar(&o.Crash.Inside, "crash-inside", false, "crash inside the next event")
+	flags.Float64Var(&o.Unframed, "unframed", 0, "fraction of the responses with neither a length nor chunks")
 	records := flags.String("records", "", "`FILE` to which the records of /control/runs are written at the end")
 	orderTime := flags.Duration("order-time", 0, "duration of a model load or unload")
 	if err := flags.Parse(args[1:]); err != nil {
@@ -68,7 +73,18 @@
 	if *models != "" {
 		o.Models = strings.Split(*models, ",")
 	}
-	replica := fleet.NewReplica(o)
+	var replica *fleet.Replica
+	var end sync.Mutex // held from the first crash on
+	o.End = func() {
+		end.Lock()
+		if *records != "" {
+			if err := writeRecords(*records, replica.Records()); err != nil {
+				fmt.Fprintln(os.Stderr, "fake-fleet:", err)
+			}
+		}
+		os.Exit(fleet.CrashStatus)
+	}
+	replica = fleet.NewReplica(o)
 	replica.SetFaults(fleet.ReplicaFaults{OrderTime: *orderTime})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return standin.Serve(ctx, *listen, replica.Handler()) })
--- a/internal/fake/fleet/replica.go
+++ b/internal/fake/fleet/replica.go
@@ -56,6 +56,10 @@
 	// number plus 5. Zero sets no limit.
 	ColdPerSecond float64
 	Cold          time.Duration // time after the start for which the server is cold
+	Crash         PromptCrash
+	Unframed      float64 // fraction of the responses with neither a length nor chunks, which end with their connection
+	// End ends the server when a request crashes it. It need not return.
+	End func()
 }
 
 // Run is a request that an emulated backend server ran. /control/runs lists it as JSON.
@@ -72,6 +76,8 @@
 	Whole        bool   `json:"whole"`    // the whole response was sent
 	EndMS        int64  `json:"end_ms"`   // when the work on it ended, in Unix milliseconds; 0 if it has not
 	Leaving      bool   `json:"leaving"`  // the response says that the server is leaving
+	Crashed      bool   `json:"crashed"`  // the request crashed the server
+	Unframed     bool   `json:"unframed"` // the response has neither a length nor chunks
 }
 
 // Replica is one emulated backend server. It is safe for concurrent use.
@@ -226,6 +232,18 @@
 	if rand.Float64() < f.SilentBody {
 		silence = f.Silence
 	}
+	if rand.Float64() < r.opts.Unframed {
+		unframed, err := newUnframedWriter(w)
+		if err != nil {
+			panic("take over the connection: " + err.Error())
+		}
+		defer unframed.close()
+		w = unframed
+		r.setUnframed(runIndex)
+	}
+	if r.opts.Crash.matches(q) {
+		r.crash(w, q, runIndex)
+	}
 	r.writeResponse(q.Context(), w, q, rand.Float64() < f.Truncate, silence)
 	whole = true
 }
@@ -258,6 +276,12 @@
 	}
 }
 
+func (r *Replica) setUnframed(index int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[index].Unframed = true
+}
+
 // endRun records that the work on a request ended, and whether the whole response was sent.
 func (r *Replica) endRun(index int, whole bool) {
 	r.mu.Lock()
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+	"github.com/pomelowheel/pomelowheel/internal/serversigns"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -25,6 +26,7 @@
 	number    int
 	candidate *fleetroute.Candidate
 	replica   *fleet.Replica
+	server    serversigns.Server // the incarnation that the request is sent to
 	load      *fleetroute.Attempt
 	cancel    context.CancelCauseFunc
 	stream    bool         // a successful response is a stream
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -72,7 +72,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	q.race.Begin(number, q.elapsed(), q.silenceTimeout(c))
 	a := &attempt{
-		number: number, candidate: c, replica: replica, cancel: cancel, stream: q.route.Repeat == fleet.Stream,
+		number: number, candidate: c, replica: replica, server: s.incarnation(replica), cancel: cancel, stream: q.route.Repeat == fleet.Stream,
 		lastRun: q.race.LastRun(), load: s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt),
 	}
 	q.live[number] = a
@@ -115,7 +115,7 @@
 	if q.org != nil {
 		organisation = q.org.Name
 	}
-	config, id, server := q.config, q.caller.ID, q.server.incarnation(a.replica)
+	config, id, server := q.config, q.caller.ID, a.server
 	return upstream.Request{
 		Server: a.candidate.ID, Address: a.replica.Address, Method: q.http.Method, Target: q.http.RequestURI, Host: q.http.Host,
 		Header: platform.ForwardHeader(q.http.Header, platform.Forwarded{
@@ -236,7 +236,12 @@
 
 // fail ends an attempt whose server did not answer the request.
 func (q *request) fail(a *attempt, kind errkind.Kind, notRun bool, err error) (result, bool) {
-	q.server.opts.Log.Warn("attempt failed", "request_id", q.caller.ID, "server", a.candidate.ID, "outcome", kind.String(),
+	log := q.server.opts.Log
+	if brokeOff(kind, notRun, err) {
+		log = log.With(q.promptAttrs()...).With("answer_begun", a.responded.Load())
+		q.server.observeBreak(a)
+	}
+	log.Warn("attempt failed", "request_id", q.caller.ID, "server", a.candidate.ID, "outcome", kind.String(),
 		"not_run", notRun, "last_event", q.lastEvent, "error", err, "others", len(q.live)-1)
 	r := result{server: a.candidate.ID, kind: kind, notRun: notRun, err: errkind.Wrap(kind, err, "server %s", a.candidate.ID)}
 	return q.end(a, r, q.http.Context().Err() == nil)
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -75,6 +75,7 @@
 	active   atomic.Int64
 	excluded *exclusions
 	signs    *signs
+	ends     *endChecks
 	ending   context.Context // ends with EndRequests
 	end      context.CancelFunc
 
@@ -92,7 +93,7 @@
 func New(opts Options) *Server {
 	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(), signs: newSigns(), ending: ending, end: end,
+		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newEndChecks(), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -42,10 +42,13 @@
 	fresh      bool          // sent on a new connection even if an idle one is open
 	pieceDelay time.Duration // between the two halves of the body
 	long       bool          // asks for a long answer and reads it slowly
+	prompt     string        // X-Prompt-Prefix
+	crashing   bool          // the prompt holds the part that crashes engines
 	at         time.Time
 	ended      time.Time
 	reused     bool // sent on a connection on which another request had been answered
 	answer     answer
+	begun      bool   // a part of the body of a successful answer arrived
 	leaving    bool   // the answer says that its server is leaving
 	mismatch   string // how the answer differs from what the server must send, or empty
 }
@@ -98,19 +101,24 @@
 	}
 }
 
-// run sends requests at the average rate of Options.Rate until ctx ends, and waits for their answers.
+// run sends requests at the average rate of Options.Rate until ctx ends, and waits for the answers to all requests.
 func (c *callers) run(ctx context.Context, rng *rand.Rand) {
-	pause := time.Duration(float64(time.Second) / c.system.opts.Rate)
+	c.sendAll(ctx, rng, c.system.opts.Rate, func() *sent { return c.newRequest(rng) })
+	c.wg.Wait()
+}
+
+// sendAll sends requests at an average rate per second until ctx ends.
+func (c *callers) sendAll(ctx context.Context, rng *rand.Rand, rate float64, next func() *sent) {
+	pause := time.Duration(float64(time.Second) / rate)
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(pause)))
-		q := c.newRequest(rng)
+		q := next()
 		c.wg.Add(1)
 		go func() {
 			defer c.wg.Done()
 			c.send(q)
 		}()
 	}
-	c.wg.Wait()
 }
 
 // newRequest draws and records a request.
@@ -138,12 +146,23 @@
 	if q.kind != kindLook && rng.IntN(4) == 0 {
 		q.pieceDelay = time.Duration(1+rng.IntN(200)) * time.Millisecond
 	}
+	c.record(q, rng)
+	return q
+}
+
+// record gives a request an ID and a prompt, and records it.
+func (c *callers) record(q *sent, rng *rand.Rand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
 	q.id = fmt.Sprintf("%x-%d", c.system.opts.Seed, c.lastID)
+	if q.model != "" {
+		q.prompt = fmt.Sprintf("aa:%d,%s:5", q.tokens-15, q.id[len(q.id)-1:])
+		if c.system.opts.Plan == PlanCrashingPrompt {
+			q.prompt = sharedPrompt(q, rng)
+		}
+	}
 	c.sent = append(c.sent, q)
-	return q
 }
 
 // send sends a request without retrying it, and records the answer.
@@ -167,6 +186,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q.at, q.ended, q.mismatch, q.reused = at, ended, mismatch, conn != nil && conn.reused
+	q.begun = a.status == http.StatusOK && len(a.body) > 0
 	q.leaving = a.header.Get("Server-Leaving") != ""
 	a.body = nil // compared above; the long ones would fill the memory
 	q.answer = a
@@ -190,7 +210,7 @@
 	if q.model != "" {
 		req.Header.Set("X-Model", q.model)
 		req.Header.Set("X-Token-Usage", fmt.Sprintf("%d,%d", q.tokens-10, 10))
-		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("aa:%d,%s:5", q.tokens-15, q.id[len(q.id)-1:]))
+		req.Header.Set("X-Prompt-Prefix", q.prompt)
 	}
 	if q.long {
 		req.Header.Set(fake.AnswerBytesHeader, fmt.Sprint(longAnswerBytes))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -48,6 +48,9 @@
 	served, asked := 0, 0
 	for _, q := range requests {
 		r.Requests++
+		if q.mismatch != "" && records.endedUnseen(q) {
+			q.mismatch = ""
+		}
 		checkRequest(q, records.runs[q.id], fail)
 		switch {
 		case q.succeeded():
@@ -57,7 +60,7 @@
 		case q.answer.status != 0 && q.answer.complete:
 			r.OtherAnswers++
 		}
-		if q.at.After(recoveredAt) && q.key == freeKey {
+		if q.at.After(recoveredAt) && q.key == freeKey && !q.crashing {
 			asked++
 			if q.succeeded() {
 				served++
@@ -73,6 +76,11 @@
 		checkLeaving(requests, records, history, fail)
 		checkRetryAfter(requests, records, history, fail)
 	}
+	if s.opts.Plan == PlanCrashingPrompt {
+		late := checkCrashArrivals(requests, records, s.gatewayHistory(), fail)
+		begun := checkSoundRequests(requests, records, s.gatewayHistory(), fail)
+		r.crashes = fmt.Sprintf("%d crashes, %d late arrivals; %s", len(crashTimes(records)), late, begun)
+	}
 	r.checkLimit(records, fail)
 	for _, p := range append(append([]*program{}, s.gateways...), s.agents...) {
 		for _, what := range p.recordedFailures() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -170,6 +170,9 @@
 			collect()
 		}
 		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+		if plan.pause > 0 {
+			time.Sleep(time.Duration(rng.Int64N(int64(plan.pause))))
+		}
 	}
 	for running > 0 {
 		collect()
--- a/internal/soak/losses.go
+++ b/internal/soak/losses.go
@@ -24,17 +24,17 @@
 	maxLossLogLines = 6
 )
 
-// gatewayTimes are the times at which a gateway was started and told to end, in order.
+// gatewayTimes are the times at which a gateway was started, told to end, and stopped, killed, paused or resumed, each in order.
 type gatewayTimes struct {
 	startedAt    []time.Time
 	terminatedAt []time.Time
+	disturbedAt  []time.Time
 }
 
 func (s *system) gatewayHistory() []gatewayTimes {
 	var all []gatewayTimes
 	for _, g := range s.gateways {
-		startedAt, terminatedAt := g.times()
-		all = append(all, gatewayTimes{startedAt, terminatedAt})
+		all = append(all, g.times())
 	}
 	return all
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -11,29 +11,40 @@
 	// PlanPlanned draws from planned work and what sound servers do: silence, leaving, rejections for a stated time. No
 	// request may end without a complete answer in it.
 	PlanPlanned Plan = "planned"
+	// PlanCrashingPrompt sends requests whose prompts hold a part that crashes each engine as it begins to answer, beside sound
+	// requests and a few disruptions of the system's own processes.
+	PlanCrashingPrompt Plan = "crashing-prompt"
 )
 
 // Plans are the known plans.
-var Plans = []Plan{PlanDisruptions, PlanPlanned}
+var Plans = []Plan{PlanDisruptions, PlanPlanned, PlanCrashingPrompt}
 
 // plan is how a Plan is run.
 type plan struct {
 	faults        []fault // chosen with equal probability
 	maxConcurrent int     // number of faults that may affect the system at the same time
 	recoveryTime  time.Duration
+	loadBefore    time.Duration // period of fault-free load at the start
+	pause         time.Duration // longest additional pause between the starts of two faults
 }
 
 func (p Plan) plan() plan {
-	if p == PlanPlanned {
-		return plan{faults: plannedWork, maxConcurrent: 7, recoveryTime: 4 * time.Second}
+	switch p {
+	case PlanPlanned:
+		return plan{faults: plannedWork, maxConcurrent: 7, recoveryTime: 4 * time.Second, loadBefore: loadBeforeFaults}
+	case PlanCrashingPrompt:
+		return plan{faults: besideCrashes, maxConcurrent: 2, recoveryTime: 8 * time.Second, loadBefore: 2 * loadBeforeFaults, pause: 4 * time.Second}
 	}
-	return plan{faults: disruptions, maxConcurrent: 3, recoveryTime: 8 * time.Second}
+	return plan{faults: disruptions, maxConcurrent: 3, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
 }
 
 // eventPause returns the engines' delay before each event of a stream.
 func (p Plan) eventPause() time.Duration {
-	if p == PlanPlanned {
+	switch p {
+	case PlanPlanned:
 		return 40 * time.Millisecond
+	case PlanCrashingPrompt:
+		return 100 * time.Millisecond
 	}
 	return 5 * time.Millisecond
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,7 +25,10 @@
 	stopRequested bool // the current process was told to end
 	startedAt     []time.Time
 	terminatedAt  []time.Time // when SIGTERM was sent
+	disturbedAt   []time.Time // when a signal other than SIGHUP was sent
 	failures      []string
+	crashStatus   int         // exit status of an expected crash; 0 if none is expected
+	crashedAt     []time.Time // expected crashes
 
 	stopping sync.Mutex // held while the process is stopped and started again
 }
@@ -54,7 +57,10 @@
 		err := c.Wait()
 		_ = log.Close()
 		p.mu.Lock()
-		if !p.stopRequested {
+		switch {
+		case p.crashStatus != 0 && c.ProcessState.ExitCode() == p.crashStatus:
+			p.crashedAt = append(p.crashedAt, time.Now())
+		case !p.stopRequested:
 			p.failures = append(p.failures, fmt.Sprintf("%s ended unexpectedly: %v", p.name, err))
 		}
 		p.command = nil
@@ -79,6 +85,9 @@
 		return
 	}
 	p.stopRequested = p.stopRequested || terminates
+	if s != syscall.SIGHUP {
+		p.disturbedAt = append(p.disturbedAt, time.Now())
+	}
 	if s == syscall.SIGTERM {
 		p.terminatedAt = append(p.terminatedAt, time.Now())
 	}
@@ -117,6 +126,13 @@
 	return p.failures
 }
 
+// crashes returns the number of expected crashes.
+func (p *program) crashes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.crashedAt)
+}
+
 // incarnation returns the number of times the process was started.
 func (p *program) incarnation() int {
 	p.mu.Lock()
@@ -124,9 +140,9 @@
 	return len(p.startedAt)
 }
 
-// times returns when the process was started and when it was told to end.
-func (p *program) times() (startedAt, terminatedAt []time.Time) {
+// times returns when the process was started and signalled.
+func (p *program) times() gatewayTimes {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.startedAt), slices.Clone(p.terminatedAt)
+	return gatewayTimes{slices.Clone(p.startedAt), slices.Clone(p.terminatedAt), slices.Clone(p.disturbedAt)}
 }
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -14,6 +14,7 @@
 	runs       map[string][]fake.Run
 	rejections map[string][]fake.Rejection
 	crashes    []string
+	crashed    map[string]bool // servers that a request crashed
 }
 
 // arrival is a request that a server received.
@@ -38,7 +39,8 @@
 
 // records reads the records of all servers. Processes that have ended left theirs in a file.
 func (s *system) records(fail func(string, ...any)) *serverRecords {
-	all := &serverRecords{runs: make(map[string][]fake.Run), rejections: make(map[string][]fake.Rejection)}
+	all := &serverRecords{runs: make(map[string][]fake.Run), rejections: make(map[string][]fake.Rejection),
+		crashed: make(map[string]bool)}
 	for i, p := range s.servers {
 		last := p.incarnation()
 		for start := 1; start <= last; start++ {
@@ -75,6 +77,9 @@
 	}
 	for _, run := range records.Runs {
 		r.runs[run.ID] = append(r.runs[run.ID], run)
+		if run.Crashed {
+			r.crashed[run.Server] = true
+		}
 	}
 	for _, rejection := range records.Rejections {
 		r.rejections[rejection.ID] = append(r.rejections[rejection.ID], rejection)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -16,6 +16,9 @@
 	}
 	fmt.Fprintf(w, "seed %d: %s; %d requests, %d succeeded, %d not run, %d answered otherwise, %d unread, %d late, %d lost, %d faults\n",
 		r.Seed, verdict, r.Requests, r.Succeeded, r.NotRun, r.OtherAnswers, len(r.Unread), len(r.Late), len(r.Losses), len(r.InjectedFaults))
+	if r.crashes != "" {
+		fmt.Fprintf(w, "  %s\n", r.crashes)
+	}
 	if withFaults {
 		for _, e := range r.InjectedFaults {
 			fmt.Fprintf(w, "  %6.2f s for %5.2f s: %s %s\n", e.Start.Seconds(),
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,7 @@
 	// violate a guarantee.
 	Unread, Late, Losses []loss
 	Failures             []string // one message for each violated guarantee
+	crashes              string   // of PlanCrashingPrompt: what was counted
 }
 
 // Run starts the fleet, runs it under load with the faults that o.Seed selects, checks the guarantees and ends all
@@ -49,10 +50,18 @@
 		c.run(loadCtx, rand.New(rand.NewPCG(o.Seed, 3)))
 	}()
 	routeFailures := watchRoutes(loadCtx, s, c)
-	time.Sleep(loadBeforeFaults)
+	time.Sleep(o.Plan.plan().loadBefore)
 	faultCtx, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
 	defer stopFaults()
+	crashesDone := make(chan struct{})
+	go func() {
+		defer close(crashesDone)
+		if o.Plan == PlanCrashingPrompt {
+			c.runCrashing(ctx, faultCtx, rand.New(rand.NewPCG(o.Seed, 4)))
+		}
+	}()
 	r.InjectedFaults = s.injectFaults(faultCtx, rng, start)
+	<-crashesDone
 	s.clearFaults()
 	time.Sleep(o.Plan.plan().recoveryTime)
 	recoveredAt := time.Now()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
 )
 
 // Options configure a run.
@@ -49,6 +51,8 @@
 	// request any more.
 	grace     = 4 * time.Second
 	drainTime = 2 * time.Second
+	// contactTime is the time without a disruption after which the rules with a time bound hold for a gateway.
+	contactTime = 3 * time.Second
 	// tokenRate, in tokens per second, and tokenBurst, in tokens, are the limit of the organisation "watched".
 	tokenRate  = 3000
 	tokenBurst = 6000
@@ -147,6 +151,9 @@
 	}
 	s.serverProxies = append(s.serverProxies, p)
 	server := s.program(fmt.Sprintf("server-%d", i), "fake-fleet", nil, s.serverArgs(i, 1)...)
+	if s.opts.Plan == PlanCrashingPrompt {
+		server.crashStatus = fake.CrashStatus
+	}
 	s.servers = append(s.servers, server)
 	return server.start()
 }
@@ -160,6 +167,9 @@
 	if i >= s.opts.Engines {
 		return args
 	}
+	if s.opts.Plan == PlanCrashingPrompt {
+		args = append(args, crashArgs(i, start)...)
+	}
 	if start == 1 {
 		args = append(args, "-models", strings.Join([]string{modelName(i), modelName(i + 1), modelName(i + 2)}, ","))
 	}
@@ -191,7 +201,7 @@
 		"port_range": []int{portRangeFirst, portRangeLast},
 		"seeds":      []string{fmt.Sprintf("%s:%d", s.opts.ip(1, 0), peerPort)}, "bootstrap": true,
 		"bounds": map[string]any{"grace_s": grace.Seconds(), "drain_ms": drainTime.Milliseconds(), "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 54,
-			"lease_ms": 3000, "ceiling_window_s": 5, "ceiling_overage": 1.1, "contact_ms": 3000},
+			"lease_ms": 3000, "ceiling_window_s": 5, "ceiling_overage": 1.1, "contact_ms": contactTime.Milliseconds()},
 		"provider": map[string]any{"address": p.address(), "row_bytes": 65536},
 	}
 	if subnet == 1 {
