--- a/cmd/fake-fleet/main.go
+++ b/cmd/fake-fleet/main.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -74,9 +73,7 @@
 		o.Models = strings.Split(*models, ",")
 	}
 	var replica *fleet.Replica
-	var end sync.Mutex // held from the first crash on
 	o.End = func() {
-		end.Lock()
 		if *records != "" {
 			if err := writeRecords(*records, replica.Records()); err != nil {
 				fmt.Fprintln(os.Stderr, "fake-fleet:", err)
--- a/internal/fake/fleet/crash.go
+++ b/internal/fake/fleet/crash.go
@@ -46,6 +46,11 @@
 	_ = http.NewResponseController(w).Flush()
 	now := time.Now().UnixMilli()
 	r.mu.Lock()
+	if r.ended {
+		r.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	r.ended = true
 	for i := range r.runs {
 		if r.runs[i].EndMS == 0 {
 			r.runs[i].EndMS = now
--- a/internal/fake/fleet/replica.go
+++ b/internal/fake/fleet/replica.go
@@ -98,6 +98,7 @@
 	active         int
 	runs           []Run
 	rejections     []Rejection
+	ended          bool   // a request has crashed it
 	crashed        string // reason, if an order or the load crashed the server
 	recentRequests []time.Time
 }
@@ -258,6 +259,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ended {
+		panic(http.ErrAbortHandler)
+	}
 	r.runs = append(r.runs, Run{
 		ID: q.Header.Get("X-Request-Id"), Organisation: q.Header.Get("X-Tenant"), Server: r.opts.ID, Method: q.Method,
 		Target: q.RequestURI, Body: body, KeySeen: q.Header.Get("Authorization") != "", AtMS: time.Now().UnixMilli(),
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -153,3 +153,64 @@
 		})
 	}
 }
+
+// crashing adds a request with the part that crashes engines, which arrives at an engine when it is sent.
+func (h *history) crashing(at int, crashed bool) {
+	q := h.request(at)
+	q.crashing = true
+	h.ran(q, at+5, false)
+	h.records.runs[q.id][0].Crashed = crashed
+}
+
+// Guards against a check of arrivals that counts from the wrong crash, or counts gateways that were out of touch.
+func TestCheckCrashArrivals(t *testing.T) {
+	cases := map[string]struct {
+		crashes, late int
+		disturbed     int // when the gateway was disturbed, in milliseconds; 0 if never
+		want          int
+	}{
+		"three late":               {crashes: 5, late: 3},
+		"four late":                {crashes: 5, late: 4, want: 1},
+		"four late, four crashes":  {crashes: 4, late: 4},
+		"four late, disturbed":     {crashes: 5, late: 4, disturbed: 1100},
+		"four late, long in touch": {crashes: 5, late: 4, disturbed: 300, want: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			for i := range c.crashes {
+				h.crashing(100*i, true)
+			}
+			if c.disturbed > 0 {
+				h.gateway.disturbedAt = []time.Time{h.at(c.disturbed)}
+			}
+			h.crashing(3390, false) // in time
+			for i := range c.late {
+				h.crashing(3500+100*i, false)
+			}
+			NewWithT(t).Expect(h.failures(func(q []*sent, r *serverRecords, g []gatewayTimes, fail func(string, ...any)) {
+				checkCrashArrivals(q, r, g, fail)
+			})).To(Equal(c.want))
+		})
+	}
+}
+
+// Guards against a check of sound requests that compares the wrong periods.
+func TestCheckSoundRequests(t *testing.T) {
+	for begun, want := range map[int]int{9: 1, 10: 0} {
+		h := newHistory()
+		h.crashing(3000, true)
+		h.crashing(12000, false)
+		for i := range 20 {
+			h.request(100 * i).model = "m"
+			h.request(9050 + 100*i).model = "m"
+			h.request(5000 + 100*i).model = "m" // in between
+		}
+		for i, q := range h.requests {
+			q.begun = q.at.Before(h.at(3000)) || q.at.After(h.at(9000)) && i < 2+3*begun
+		}
+		NewWithT(t).Expect(h.failures(func(q []*sent, r *serverRecords, g []gatewayTimes, fail func(string, ...any)) {
+			checkSoundRequests(q, r, g, fail)
+		})).To(Equal(want), "%d of 20", begun)
+	}
+}
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -173,10 +173,10 @@
 		shares := q.model != "" && !q.crashing && q.answer.status != http.StatusTooManyRequests
 		period := -1
 		switch {
-		case !shares || !history[q.gateway].inTouch(q.at):
+		case !shares:
 		case q.at.Before(crashing[0].Add(-soundMargin)):
 			period = 0
-		case q.at.After(from) && q.at.Before(crashing[len(crashing)-1]):
+		case history[q.gateway].inTouch(q.at) && q.at.After(from) && q.at.Before(crashing[len(crashing)-1]):
 			period = 1
 		}
 		if period < 0 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -13,8 +13,9 @@
 
 // Every test run runs these seeds of each plan: one for a short run, and each seed that ever violated a guarantee, with its cause.
 var (
-	seeds        = []uint64{1}
-	plannedSeeds = []uint64{11}
+	seeds         = []uint64{1}
+	plannedSeeds  = []uint64{11}
+	crashingSeeds = []uint64{21}
 )
 
 // Checks the guarantees of the real programs under faults: number of executions, complete answers, limits, keys,
@@ -38,7 +39,10 @@
 			t.Fatalf("build %s: %v\n%s", program, err, out)
 		}
 	}
-	o.Gateways, o.Engines, o.PlainServers, o.AddressBase = 3, 3, 2, 11
+	o.PlainServers, o.AddressBase = 2, 11
+	if o.Gateways == 0 {
+		o.Gateways, o.Engines = 3, 3
+	}
 	for _, seed := range seeds {
 		o.Seed, o.WorkDir = seed, t.TempDir()
 		r, err := soak.Run(context.Background(), o)
@@ -52,3 +56,8 @@
 		}
 	}
 }
+
+// Guards against a part of a prompt that ends server after server, and against the refusal of sound requests beside it.
+func TestSoakPromptThatCrashesServers(t *testing.T) {
+	run(t, crashingSeeds, soak.Options{Plan: soak.PlanCrashingPrompt, FaultDuration: 13 * time.Second, Rate: 40, Gateways: 4, Engines: 5})
+}
