Refuse prompts under which servers end as they begin to answer

Cause: nothing connected a server's end with the requests that it ran, so a failed attempt was the server's fault, and the request and each later one with the same part went to the next server.

Now a gateway checks whether a server whose response broke off has ended (a new connection is refused, or closed at once), and tells the others which requests had not gone on for a second by then. internal/fleetguard (pure) decides from that: a feature is a part of a prompt, for one model or for all; an answer with it that was whole, or went on for a second, acquits it of earlier ends; the features that account for the most ends are refused as not run, once there are enough ends, by enough requests, at moments apart. Features that never came one without the other are refused only together. A request that may be to blame gets no second server.

Ruled out: load (never changed in the soak), repeats alone (ends went on with the retry budget used up).

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/discovery"
+	"github.com/pomelowheel/pomelowheel/internal/fleetguard"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -88,6 +89,9 @@
 			},
 		})
 	}
+	if report := u.GetGuard(); report != nil {
+		g.server.Prompts().Receive(func(now time.Duration) fleetguard.Report { return guardFromWire(report, now) })
+	}
 	loads := make(map[string]fleetroute.Load, len(u.GetLoads()))
 	for _, l := range u.GetLoads() {
 		loads[l.GetReplica()] = fleetroute.Load{
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -152,6 +152,7 @@
 	group.Go("planner's lease", g.lease.Run)
 	group.Go("planner", g.planner.Run)
 	group.Go("cleaning", g.cleanUp)
+	group.Go("prompt guard", g.runGuard)
 	group.Go("readiness", func(ctx context.Context) error {
 		return fleetprocess.Serve(ctx, g.settings.ReadinessAddress, g.readiness())
 	})
@@ -188,6 +189,7 @@
 		age, _ := g.freshness.Age(bootclock.Now())
 		return age.Milliseconds()
 	})
+	vars["refused_prompts"] = expvar.Func(func() any { list, _ := g.server.Prompts().Refusals(); return len(list) })
 	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
 	return vars
 }
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -57,7 +57,7 @@
 	group := background.NewGroup(ctx, log)
 	g.start(group)
 	group.Go("metrics", func(ctx context.Context) error {
-		return fleetprocess.ServeMetrics(ctx, g.settings.MetricsAddress, g.vars())
+		return fleetprocess.ServeMetrics(ctx, g.settings.MetricsAddress, g.vars(), g.addRefusedPrompts)
 	})
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -48,6 +48,7 @@
 	CallerCancelled
 	ProtocolError
 	Internal
+	PromptRefused
 	numKinds
 )
 
@@ -116,6 +117,7 @@
 	CallerCancelled:       {"caller_cancelled", 499, RanUnknown, RetryCheck, 0, "the caller cancelled the request"},
 	ProtocolError:         {"protocol_error", 502, RanUnknown, RetryCheck, 0, "a process answered out of protocol"},
 	Internal:              {"internal", 500, RanUnknown, RetryCheck, 0, "internal error"},
+	PromptRefused:         {"prompt_refused", 503, RanNo, RetryLater, time.Minute, "backend servers ended when they answered prompts with a part of this one"},
 }
 
 // Answer returns the row of the error table for k, or that of Internal if k is out of range.
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -96,6 +96,9 @@
 		if err := q.followConfiguration(); err != nil {
 			return nil, nil, err
 		}
+		if err := q.checkPrompt(); err != nil {
+			return nil, nil, err
+		}
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
 		if at := fleetroute.Choose(list, s.opts.DataCentre); at >= 0 {
@@ -155,7 +158,7 @@
 // shouldRetry reports whether the request is sent to another server after its last attempt ended with result r. If so, the retry
 // budget has been charged, unless the attempt sent nothing.
 func (q *request) shouldRetry(ctx context.Context, r result) bool {
-	return ctx.Err() == nil && r.kind != errkind.CallerCancelled && q.race.MayBegin() && q.canContinue() && (r.unsent || q.reserveRetry())
+	return ctx.Err() == nil && r.kind != errkind.CallerCancelled && q.race.MayBegin() && q.canContinue() && (r.unsent || q.mayExposeAnother() && q.reserveRetry())
 }
 
 // canContinue reports whether another server's response could follow what the caller has got: only a stream can go on elsewhere.
--- a/internal/fleetgateway/configuration.go
+++ b/internal/fleetgateway/configuration.go
@@ -100,11 +100,12 @@
 var errChanged = errors.New("the configuration or the server's state has changed since the server was chosen, or the deadline has passed")
 
 // mayStillSend reports whether the request may be sent to server r now: the configuration is still the one by which r was chosen and
-// is not too old, r is listed, in service, not leaving and in no pause that it asked for, and the deadline has not passed.
+// is not too old, r is listed, in service, not leaving and in no pause that it asked for, the prompt is not refused, and the deadline
+// has not passed.
 func (q *request) mayStillSend(config *fleet.Configuration, r *fleet.Replica) bool {
 	s := q.server
 	snapshot := s.opts.View.Snapshot()
 	current, now := snapshot.Replicas[r.ID], s.opts.Clock()
 	return snapshot.Config == config && s.opts.CheckConfiguration() == nil && current != nil && snapshot.Usable(current) &&
-		!s.leaving(current, now) && s.pause(current, now) == 0 && q.timeLeft() > 0
+		!s.leaving(current, now) && s.pause(current, now) == 0 && !q.promptRefused() && q.timeLeft() > 0
 }
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -27,12 +27,14 @@
 	candidate *fleetroute.Candidate
 	replica   *fleet.Replica
 	server    serversigns.Server // the incarnation that the request is sent to
+	begunAt   time.Duration      // on Options.Clock
 	load      *fleetroute.Attempt
 	cancel    context.CancelCauseFunc
 	stream    bool         // a successful response is a stream
 	lastRun   bool         // the request may not run once more
 	sending   atomic.Int32 // sendUndecided, sendAllowed or sendForbidden
 	responded atomic.Bool  // the head of the response has arrived
+	goesOn    atomic.Bool  // the answer has gone on for begunTime
 
 	lastEventAt time.Time // when the last event was relayed; used by the request's goroutine only
 }
@@ -101,6 +103,7 @@
 	}
 	defer resp.Close()
 	a.responded.Store(true)
+	q.server.observeHead(a)
 	answer := platform.ParseResponse(resp.Status, resp.Header)
 	ok := statusOK(resp.Status)
 	last := message{status: resp.Status, header: resp.Header, instance: answer.Instance}
@@ -148,14 +151,21 @@
 // passEvents passes on the complete events of a stream as they arrive.
 func (q *request) passEvents(ctx context.Context, a *attempt, resp *upstream.Response) result {
 	events := newEventReader(resp)
-	for {
+	begunAt := q.server.opts.Clock()
+	for first := true; ; {
 		event, err := events.next()
 		if err == io.EOF {
+			q.server.observeAnswer(a, q.exposure, resp.Framed, begunAt)
 			return result{}
 		}
 		if err == nil {
 			if event.hasData {
-				a.load.RecordProgress(q.server.opts.Clock())
+				now := q.server.opts.Clock()
+				if first {
+					first, begunAt = false, now
+				}
+				a.load.RecordProgress(now)
+				q.server.observeProgress(a, q.exposure, begunAt)
 			}
 			err = q.pass(ctx, a, message{status: resp.Status, header: resp.Header, event: event})
 		}
@@ -180,5 +190,8 @@
 	if err != nil {
 		return nil, result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the response broke off: %w", err)}
 	}
+	if statusOK(resp.Status) {
+		q.server.observeAnswer(a, q.exposure, resp.Framed, q.server.opts.Clock())
+	}
 	return part, result{}
 }
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -72,7 +72,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	q.race.Begin(number, q.elapsed(), q.silenceTimeout(c))
 	a := &attempt{
-		number: number, candidate: c, replica: replica, server: s.incarnation(replica), cancel: cancel, stream: q.route.Repeat == fleet.Stream,
+		number: number, candidate: c, replica: replica, server: s.incarnation(replica), begunAt: s.opts.Clock(), cancel: cancel, stream: q.route.Repeat == fleet.Stream,
 		lastRun: q.race.LastRun(), load: s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt),
 	}
 	q.live[number] = a
@@ -191,7 +191,7 @@
 // canFailOver reports whether the request could be sent to another server now, beside the attempts that have not ended. If so, the
 // retry budget has been charged for the next attempt.
 func (q *request) canFailOver(ctx context.Context) bool {
-	if ctx.Err() != nil || !q.canContinue() {
+	if ctx.Err() != nil || !q.canContinue() || !q.mayExposeAnother() {
 		return false
 	}
 	list, _, _ := q.candidates(q.server.opts.Clock())
@@ -239,7 +239,10 @@
 	log := q.server.opts.Log
 	if brokeOff(kind, notRun, err) {
 		log = log.With(q.promptAttrs()...).With("answer_begun", a.responded.Load())
-		q.server.observeBreak(a)
+		q.server.observeBreak(a, q.exposure)
+	}
+	if notRun {
+		q.server.observeRefusedConnection(a, err)
 	}
 	log.Warn("attempt failed", "request_id", q.caller.ID, "server", a.candidate.ID, "outcome", kind.String(),
 		"not_run", notRun, "last_event", q.lastEvent, "error", err, "others", len(q.live)-1)
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -144,6 +144,13 @@
 		Agents: s.agents,
 	})
 	s.configure(r, change...)
+	tick := time.NewTicker(50 * time.Millisecond)
+	DeferCleanup(tick.Stop)
+	go func() {
+		for range tick.C {
+			s.server.Prompts().Tick()
+		}
+	}()
 	front := httptest.NewServer(s.server)
 	DeferCleanup(front.Close)
 	s.url = front.URL
@@ -171,9 +178,15 @@
 	if opts.Slots == 0 {
 		opts.Slots = 8
 	}
+	backend := httptest.NewUnstartedServer(nil)
+	opts.End = func() {
+		_ = backend.Listener.Close()
+		go backend.CloseClientConnections()
+	}
 	replica := fake.NewReplica(opts)
 	replica.SetFaults(faults)
-	backend := httptest.NewServer(replica.Handler())
+	backend.Config.Handler = replica.Handler()
+	backend.Start()
 	DeferCleanup(backend.Close)
 	s.list(id, backend.Listener.Addr().String(), false)
 	return replica
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -24,6 +24,8 @@
 	sends    *expvar.Int
 	signs    *expvar.Map // signs in servers' responses, by kind
 
+	serversEnded *expvar.Int // servers that ended and broke off a response of this gateway
+
 	mu            sync.Mutex
 	firstEvent    map[string]*hdrhistogram.Histogram // by repeat rule of the route
 	wholeResponse map[string]*hdrhistogram.Histogram
@@ -32,7 +34,7 @@
 // NewMetrics returns metrics without any request.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map),
+		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map), serversEnded: new(expvar.Int),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -44,6 +46,7 @@
 		"answers_cut":         m.cut,
 		"sends":               m.sends,
 		"server_signs":        m.signs,
+		"servers_ended":       m.serversEnded,
 		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
 		"whole_answer_ms":     expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
 	}
--- a/internal/fleetgateway/relay.go
+++ b/internal/fleetgateway/relay.go
@@ -1,7 +1,6 @@
 package fleetgateway
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -32,7 +31,7 @@
 		q.keepFailure(m)
 		return q.fail(a, errkind.BackendFailed, false, fmt.Errorf("status %d", m.status))
 	case m.ended && a.stream && statusOK(m.status) && (!q.headSent || a != q.answering && len(q.live) > 1):
-		return q.fail(a, errkind.ProtocolError, false, errors.New("the stream ended without an event"))
+		return q.fail(a, errkind.ProtocolError, false, errNoEvent)
 	}
 	if err := q.relay(a, m); err != nil {
 		r, _ = q.fail(a, errkind.CallerCancelled, false, err)
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -21,6 +21,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/failover"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/fleetguard"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
@@ -75,7 +76,8 @@
 	active   atomic.Int64
 	excluded *exclusions
 	signs    *signs
-	ends     *endChecks
+	ends     *serverEnds
+	prompts  *PromptGuard
 	ending   context.Context // ends with EndRequests
 	end      context.CancelFunc
 
@@ -93,7 +95,7 @@
 func New(opts Options) *Server {
 	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newEndChecks(), ending: ending, end: end,
+		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
@@ -109,6 +111,9 @@
 // EndRequests ends all requests, because the process is about to end. Their callers get a response unless one has begun.
 func (s *Server) EndRequests() { s.end() }
 
+// Prompts returns the guard that decides which prompts are refused.
+func (s *Server) Prompts() *PromptGuard { return s.prompts }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -152,7 +157,10 @@
 	model        string        // base model; empty for plain services
 	modelKey     string        // model and adapter; empty for plain services
 	prompt       fleetroute.Prompt
-	outputTokens float64 // expected output tokens
+	exposure     fleetguard.Exposure // what a server is exposed to
+	trial        bool                // sent although its prompt is refused
+	suspect      bool                // its prompt may make servers end
+	outputTokens float64             // expected output tokens
 
 	tried         map[string]bool                    // IDs of the servers that this request was sent to
 	race          *failover.Race                     // decides which attempts begin, and which of them answers
@@ -227,6 +235,10 @@
 	if err := q.readBody(); err != nil {
 		return err
 	}
+	q.setExposure()
+	if err := q.checkPrompt(); err != nil {
+		return err
+	}
 	q.describePrompt()
 	return q.charge()
 }
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -133,11 +133,14 @@
 	return signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 }
 
-// ServeMetrics publishes vars and serves all published variables as JSON at /debug/vars on a TCP address until ctx ends.
-// It returns an error as Serve does.
-func ServeMetrics(ctx context.Context, address string, vars map[string]expvar.Var) error {
+// ServeMetrics publishes vars and serves all published variables as JSON at /debug/vars on a TCP address, beside the paths that
+// routes add, until ctx ends. It returns an error as Serve does.
+func ServeMetrics(ctx context.Context, address string, vars map[string]expvar.Var, routes ...func(*mux.Router)) error {
 	process.Publish(vars)
 	router := mux.NewRouter()
+	for _, add := range routes {
+		add(router)
+	}
 	router.Handle("/debug/vars", expvar.Handler())
 	return Serve(ctx, address, router)
 }
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -67,6 +67,10 @@
 	// Freshness returns what this gateway knows about the age of the operator's rows, or nil, and whether all peers need it,
 	// because this gateway reads the store.
 	Freshness() (f *wirepb.Freshness, toAll bool)
+	// Guard returns what has changed, after a position that it returned before or zero, about prompts under which backend servers
+	// end, and the position up to which it reports. It returns nil if nothing has. Without relay, what came from other gateways
+	// is left out.
+	Guard(after uint64, relay bool) (*wirepb.GuardReport, uint64)
 	// PlannerEpoch returns the epoch of the planner's lease if this gateway holds it, or zero.
 	PlannerEpoch() int64
 }
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -89,6 +89,8 @@
 func (m *member) Demand() []*wirepb.ModelDemand { return nil }
 func (m *member) PlannerEpoch() int64           { return 0 }
 
+func (m *member) Guard(after uint64, _ bool) (*wirepb.GuardReport, uint64) { return nil, after }
+
 func (m *member) Freshness() (*wirepb.Freshness, bool) { return nil, false }
 
 func (m *member) StoreUnavailable() bool { return false }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -144,7 +144,7 @@
 // unchanged reports whether u contains nothing new since the last call.
 func (s *sentState) unchanged(u *wirepb.PeerUpdate) bool {
 	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
-		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
+		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && u.GetGuard() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
 		u.GetStoreAway() == s.storeUnreachable && u.GetKnowledge() == s.rowsHash
 	s.plannerEpoch, s.storeUnreachable, s.rowsHash = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetKnowledge()
 	return same
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -58,12 +58,14 @@
 	lastSend := time.Now()
 	differsSince := time.Now()
 	var lastFreshness time.Time
+	guardPosition := uint64(0)
 	for {
 		own := m.currentState()
 		sent.addChanges(u, own, m.peerIsPlanner(p))
 		if time.Since(lastFreshness) >= freshnessInterval && (own.readsStore || m.provides(p)) {
 			u.Freshness, lastFreshness = own.freshness, time.Now()
 		}
+		u.Guard, guardPosition = source.Guard(guardPosition, m.provides(p))
 		if u.GetKnowledge() == 0 || u.GetKnowledge() == m.peerRowsHash(p) {
 			differsSince = time.Now()
 		} else if time.Since(differsSince) >= m.resyncDelayFor(p) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,11 +40,8 @@
 
 // eventPause returns the engines' delay before each event of a stream.
 func (p Plan) eventPause() time.Duration {
-	switch p {
-	case PlanPlanned:
+	if p == PlanPlanned || p == PlanCrashingPrompt {
 		return 40 * time.Millisecond
-	case PlanCrashingPrompt:
-		return 100 * time.Millisecond
 	}
 	return 5 * time.Millisecond
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,6 +44,7 @@
 type Response struct {
 	Status int
 	Header http.Header
+	Framed bool // the body has a length or comes in chunks, so that its end can be told from the end of the connection
 
 	pool        *Pool
 	conn        *conn
@@ -86,7 +87,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header,
+		Status: resp.StatusCode, Header: resp.Header, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		pool: p, conn: c, body: resp.Body, idleTimeout: keepAliveTimeout(resp), written: written, stopCancel: stopCancel,
 	}, nil
 }
