Let operators see and clear the prompts that are refused

pomeloctl prompt refused and prompt clear PART talk to any fleet gateway's metrics address; a clearing reaches the other gateways as an acquittal of the part, and of the requests that the same ends broke off, so that none of these is blamed in its place. While nothing has changed for 30 s, a gateway reviews its refusals every 5 s only.

--- a/internal/fleetguard/fleetguard.go
+++ b/internal/fleetguard/fleetguard.go
@@ -25,6 +25,8 @@
 	endRetention = time.Hour
 	// updateInterval is the least time between two updates that reports cause. Ends come in bursts.
 	updateInterval = 40 * time.Millisecond
+	// quietInterval is the time between two updates when nothing has changed for long.
+	quietInterval = 5 * time.Second
 )
 
 // Options configure a Guard.
@@ -59,6 +61,7 @@
 	suspects  map[Feature]bool // features that no second server is exposed to for the same request
 	seq       uint64
 	updatedAt time.Duration
+	changedAt time.Duration // when an end or a report brought something new
 	events    []Event
 }
 
@@ -110,10 +113,10 @@
 	c.seq = g.seq
 }
 
-// Tick does what is due. Call it several times a second while Busy.
+// Tick does what is due. Call it several times a second.
 func (g *Guard) Tick(now time.Duration) {
 	g.settle(now)
-	if !g.Busy() {
+	if len(g.ends)+len(g.refusals) == 0 || now-g.changedAt > shareTime && now-g.updatedAt < quietInterval {
 		return
 	}
 	g.ends = slices.DeleteFunc(g.ends, func(e *end) bool {
@@ -126,11 +129,9 @@
 	g.update(now)
 }
 
-// Busy reports whether there are ends of servers or refusals.
-func (g *Guard) Busy() bool { return len(g.ends)+len(g.refusals) > 0 }
-
 // updateSoon updates now, or with the next Tick if the last update was a moment ago.
 func (g *Guard) updateSoon(now time.Duration) {
+	g.changedAt = now
 	if now-g.updatedAt >= updateInterval {
 		g.update(now)
 	}
--- a/internal/fleetguard/refusal.go
+++ b/internal/fleetguard/refusal.go
@@ -292,34 +292,29 @@
 	if r.founded() {
 		r.FoundedTrials++
 	}
-	r.LastTrial, r.own = now, true
+	r.LastTrial, r.own, g.changedAt = now, true, now
 	g.changed(&r.change)
 	g.event(TrialBegan, e.RequestID, r)
 }
 
-// Clear ends the refusals with a part of a prompt, at all gateways, and acquits all requests that were broken off together with one
-// that has the part. It reports whether the part was refused.
+// Clear ends the refusals with a part of a prompt, at all gateways, and acquits all requests that were broken off by the ends that
+// these account for. It reports whether there were any.
 func (g *Guard) Clear(part string, now time.Duration) bool {
-	has := func(f Feature) bool { return f.Part == part }
-	cleared := false
-	for _, r := range g.refusals {
-		if slices.ContainsFunc(r.Features, has) {
-			cleared = true
-			for _, f := range r.Features {
-				g.acquit(f, now)
-			}
-		}
-	}
-	for _, e := range g.ends {
-		if !slices.ContainsFunc(e.exposures, func(x Exposure) bool { return slices.Contains(x.Parts, part) }) {
-			continue
+	cleared := slices.DeleteFunc(slices.Clone(g.refusals), func(r *Refusal) bool {
+		return !slices.ContainsFunc(r.Features, func(f Feature) bool { return f.Part == part })
+	})
+	for _, r := range cleared {
+		for _, f := range r.Features {
+			g.acquit(f, now)
 		}
-		for i := range e.exposures {
-			e.exposures[i].features(func(f Feature) { g.acquit(f, now) })
+		for _, e := range g.endsOf(r) {
+			for i := range e.exposures {
+				e.exposures[i].features(func(f Feature) { g.acquit(f, now) })
+			}
 		}
 	}
 	g.update(now)
-	return cleared
+	return len(cleared) > 0
 }
 
 // acquit records, here and at the other gateways, that a feature is sound.
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -33,7 +33,7 @@
 			all = append(all, dataCentreCommand("out", true), dataCentreCommand("in", false))
 		}
 	}
-	return append(all, ungroupedCommands()...)
+	return append(append(all, promptCommands()...), ungroupedCommands()...)
 }
 
 // entityCommands returns the subcommands that change entities of a kind other than keys.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -79,6 +79,7 @@
 	keyID                    string
 	count                    int
 	logs                     listFlag
+	gateway                  string
 }
 
 // listFlag collects the values of a flag that may be repeated and whose values are separated by commas.
