Lose engines together in the soak of crashing prompts, and count refused sound streams

The rule about sound requests allows half of them to be lost; no sound request should be refused because of its prompt at all.

--- a/internal/fake/fleet/control.go
+++ b/internal/fake/fleet/control.go
@@ -26,6 +26,7 @@
 	router.HandleFunc("/control/restart", func(http.ResponseWriter, *http.Request) { r.Restart() }).Methods(http.MethodPost)
 	router.HandleFunc("/control/drain", func(http.ResponseWriter, *http.Request) { r.Drain() }).Methods(http.MethodPost)
 	router.HandleFunc("/control/leave", func(http.ResponseWriter, *http.Request) { r.Leave() }).Methods(http.MethodPost)
+	router.HandleFunc("/control/end", func(http.ResponseWriter, *http.Request) { r.end(-1) }).Methods(http.MethodPost)
 	router.HandleFunc("/control/runs", func(w http.ResponseWriter, _ *http.Request) {
 		standin.WriteJSON(w, http.StatusOK, r.Records())
 	}).Methods(http.MethodGet)
@@ -39,13 +40,18 @@
 	Rejections []Rejection `json:"rejections"`
 	Crashed    string      `json:"crashed"` // reason, if an order or the load crashed the server
 	Active     int         `json:"active"`  // requests that it is working on
+	Ended      string      `json:"ended"`   // ID of the server if a request crashed it or it was told to end
 }
 
 // Records returns what the backend server recorded so far.
 func (r *Replica) Records() Records {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Records{Runs: slices.Clone(r.runs), Rejections: slices.Clone(r.rejections), Crashed: r.crashed, Active: r.active}
+	records := Records{Runs: slices.Clone(r.runs), Rejections: slices.Clone(r.rejections), Crashed: r.crashed, Active: r.active}
+	if r.ended {
+		records.Ended = r.opts.ID
+	}
+	return records
 }
 
 // Runs returns the requests that the backend server ran, and the reason if it crashed.
--- a/internal/fake/fleet/crash.go
+++ b/internal/fake/fleet/crash.go
@@ -44,6 +44,11 @@
 		_, _ = io.WriteString(w, event[:len(event)/2])
 	}
 	_ = http.NewResponseController(w).Flush()
+	r.end(index)
+}
+
+// end ends the backend server. index is that of the request that crashed it, or -1.
+func (r *Replica) end(index int) {
 	now := time.Now().UnixMilli()
 	r.mu.Lock()
 	if r.ended {
@@ -56,7 +61,9 @@
 			r.runs[i].EndMS = now
 		}
 	}
-	r.runs[index].Crashed = true
+	if index >= 0 {
+		r.runs[index].Crashed = true
+	}
 	r.mu.Unlock()
 	r.opts.End()
 	panic(http.ErrAbortHandler)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -32,25 +33,26 @@
 
 // sent is one request and what its caller saw of the answer.
 type sent struct {
-	id         string
-	kind       string
-	org        string
-	key        string
-	model      string // with an adapter, or empty
-	tokens     int
-	gateway    int
-	fresh      bool          // sent on a new connection even if an idle one is open
-	pieceDelay time.Duration // between the two halves of the body
-	long       bool          // asks for a long answer and reads it slowly
-	prompt     string        // X-Prompt-Prefix
-	crashing   bool          // the prompt holds the part that crashes engines
-	at         time.Time
-	ended      time.Time
-	reused     bool // sent on a connection on which another request had been answered
-	answer     answer
-	begun      bool   // a part of the body of a successful answer arrived
-	leaving    bool   // the answer says that its server is leaving
-	mismatch   string // how the answer differs from what the server must send, or empty
+	id            string
+	kind          string
+	org           string
+	key           string
+	model         string // with an adapter, or empty
+	tokens        int
+	gateway       int
+	fresh         bool          // sent on a new connection even if an idle one is open
+	pieceDelay    time.Duration // between the two halves of the body
+	long          bool          // asks for a long answer and reads it slowly
+	prompt        string        // X-Prompt-Prefix
+	crashing      bool          // the prompt holds the part that crashes engines
+	at            time.Time
+	ended         time.Time
+	reused        bool // sent on a connection on which another request had been answered
+	answer        answer
+	begun         bool   // a part of the body of a successful answer arrived
+	promptRefused bool   // refused because of the prompt
+	leaving       bool   // the answer says that its server is leaving
+	mismatch      string // how the answer differs from what the server must send, or empty
 }
 
 // notRun reports whether the status guarantees that the request did not and will not run.
@@ -186,6 +188,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q.at, q.ended, q.mismatch, q.reused = at, ended, mismatch, conn != nil && conn.reused
+	q.promptRefused = bytes.Contains(a.body, []byte(`"prompt_refused"`))
 	q.begun = a.status == http.StatusOK && len(a.body) > 0
 	q.leaving = a.header.Get("Server-Leaving") != ""
 	a.body = nil // compared above; the long ones would fill the memory
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -79,7 +79,9 @@
 	if s.opts.Plan == PlanCrashingPrompt {
 		late := checkCrashArrivals(requests, records, s.gatewayHistory(), fail)
 		begun := checkSoundRequests(requests, records, s.gatewayHistory(), fail)
-		r.crashes = fmt.Sprintf("%d crashes, %d late arrivals; %s", len(crashTimes(records)), late, begun)
+		refused := checkRefusedPrompts(requests, fail)
+		r.crashes = fmt.Sprintf("%d crashes, %d late arrivals; %s; %d sound streams refused because of their prompts",
+			len(crashTimes(records)), late, begun, refused)
 	}
 	r.checkLimit(records, fail)
 	for _, p := range append(append([]*program{}, s.gateways...), s.agents...) {
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -28,6 +28,8 @@
 	maxLateArrivals = 3
 	// minSoundRequests is the number of sound requests before the first crash, and after the rule holds, that are compared.
 	minSoundRequests = 20
+	// maxRefusedFraction bounds the sound streams that are refused because of their prompts.
+	maxRefusedFraction = 0.02
 	// soundMargin is the time within which a sound request that nothing disturbs begins.
 	soundMargin = 500 * time.Millisecond
 )
@@ -38,6 +40,12 @@
 	{"gateway stopped", func(s *system, rng *rand.Rand) error { return stopGateway(pick(s.gateways, rng), rng) }},
 	{"gateway paused", func(s *system, rng *rand.Rand) error { return pause(pick(s.gateways, rng), rng) }},
 	{"agent killed", func(s *system, rng *rand.Rand) error { return restart(pick(s.agents, rng), syscall.SIGKILL, rng) }},
+	{"engines lost together", func(s *system, rng *rand.Rand) error {
+		for _, i := range rng.Perm(s.opts.Engines)[:s.opts.Engines/3] {
+			_ = s.sendControl(s.serverAddress(i), "/control/end", nil) // it ends before it answers, or is down already
+		}
+		return nil
+	}},
 	{"SIGHUP sent in series", sendHangups},
 	{"configuration changed", func(s *system, _ *rand.Rand) error { return s.configOperator.writeConfig() }},
 	{"network fault on the way to the store", func(s *system, rng *rand.Rand) error {
@@ -100,7 +108,7 @@
 // endedUnseen reports whether the answer looks whole because its server crashed between two events of an answer with neither
 // a length nor chunks.
 func (r *serverRecords) endedUnseen(q *sent) bool {
-	return slices.ContainsFunc(r.runs[q.id], func(run fake.Run) bool { return run.Unframed && !run.Whole && r.crashed[run.Server] })
+	return slices.ContainsFunc(r.runs[q.id], func(run fake.Run) bool { return run.Unframed && !run.Whole && r.ended[run.Server] })
 }
 
 // inTouch reports whether no disruption of a gateway's process began or ended in the time before at that the rules excuse.
@@ -152,6 +160,24 @@
 	return len(late)
 }
 
+// checkRefusedPrompts checks that almost no sound stream was refused because of its prompt. It returns their number.
+func checkRefusedPrompts(requests []*sent, fail func(string, ...any)) int {
+	sound, refused := 0, 0
+	for _, q := range requests {
+		if q.model == "" || q.crashing {
+			continue
+		}
+		sound++
+		if q.promptRefused {
+			refused++
+		}
+	}
+	if float64(refused) > maxRefusedFraction*float64(sound) {
+		fail("%d of %d sound streams were refused because of their prompts", refused, sound)
+	}
+	return refused
+}
+
 // checkSoundRequests checks that sound streams which share the caller's key or the first part with those that crash engines begin
 // at least half as often as before, from twice contactTime after the fifth crash or the last one if there are fewer. It returns what it
 // counted, as text.
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -14,7 +14,7 @@
 	runs       map[string][]fake.Run
 	rejections map[string][]fake.Rejection
 	crashes    []string
-	crashed    map[string]bool // servers that a request crashed
+	ended      map[string]bool // servers that ended without being told to by a signal
 }
 
 // arrival is a request that a server received.
@@ -40,7 +40,7 @@
 // records reads the records of all servers. Processes that have ended left theirs in a file.
 func (s *system) records(fail func(string, ...any)) *serverRecords {
 	all := &serverRecords{runs: make(map[string][]fake.Run), rejections: make(map[string][]fake.Rejection),
-		crashed: make(map[string]bool)}
+		ended: make(map[string]bool)}
 	for i, p := range s.servers {
 		last := p.incarnation()
 		for start := 1; start <= last; start++ {
@@ -75,11 +75,11 @@
 	if records.Crashed != "" {
 		r.crashes = append(r.crashes, fmt.Sprintf("server %d: %s", server, records.Crashed))
 	}
+	if records.Ended != "" {
+		r.ended[records.Ended] = true
+	}
 	for _, run := range records.Runs {
 		r.runs[run.ID] = append(r.runs[run.ID], run)
-		if run.Crashed {
-			r.crashed[run.Server] = true
-		}
 	}
 	for _, rejection := range records.Rejections {
 		r.rejections[rejection.ID] = append(r.rejections[rejection.ID], rejection)
