End the outage of a gateway that stopped reading the store in it

A peer that reads no store then keeps each server that is no longer listed for the grace period of 2 s (kept: true at 24.95 s, removed at 26.95 s on edge-kamloops-a-2). A gateway that stops reading does so because others can read the store, so its outage ends then, with the same grace period as after an answer. The spec fails without the change.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -143,6 +143,7 @@
 				return err
 			}
 			f.lastAnswer.Store(int64(f.opts.Clock())) // time as a non-reader does not count as an outage
+			f.endOutage("it is read by other gateways")
 			continue
 		}
 		page, err := f.readTable(ctx, table, version, wait)
@@ -226,10 +227,14 @@
 func (f *Follower) recordAnswer(table string) {
 	now := f.opts.Clock()
 	silence := now - time.Duration(f.lastAnswer.Swap(int64(now)))
+	f.endOutage("it answered", "table", table, "silence", silence)
+}
+
+// endOutage ends an outage, if there is one, and delays the removal of missing servers.
+func (f *Follower) endOutage(reason string, attrs ...any) {
 	if f.outage.CompareAndSwap(true, false) {
-		f.opts.View.StoreRecovered(now + f.opts.RemovalGrace)
-		f.opts.Log.Info("store reachable again; keeping missing servers for the grace period", "table", table,
-			"silence", silence)
+		f.opts.View.StoreRecovered(f.opts.Clock() + f.opts.RemovalGrace)
+		f.opts.Log.With(attrs...).Info("store reachable again; keeping missing servers for the grace period", "reason", reason)
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -175,6 +175,18 @@
 		Expect(g.view.Snapshot().Replicas).To(HaveKey("back"))
 	})
 
+	// Guards against servers that leave and are kept for the grace period of an outage that ended long ago.
+	It("ends the outage of a gateway that stopped reading the store in it", func() {
+		configure(store, 1)
+		store.Put("servers", "i-1", entry("10.0.0.1:80"))
+		g := newGateway(store)
+		Eventually(g.servers, eventuallyTimeout).Should(Equal(1))
+		store.SetFaults(fake.StoreFaults{Refuse: true})
+		Eventually(g.follower.StoreUnavailable, eventuallyTimeout).Should(BeTrue())
+		g.reads.Store(false) // others can read the store again
+		Eventually(g.follower.StoreUnavailable, eventuallyTimeout).Should(BeFalse())
+	})
+
 	It("applies rows from peers at gateways that the store refuses, in any order and once", func() {
 		configure(store, 3)
 		store.Put("servers", "i-1", entry("10.0.0.1:80"))
