Blame what is uncommon among sound answers, and weigh a part that was sound before

Three causes: an answer counted up to a second after its begin, so that answers begun before the first crash acquitted the part of later ones; ends that a part with one model accounts for did not count against the part itself; and between a common part and an uncommon one in the same ends nothing decided. Now an answer counts as of its begin; ends speak against the general case of what is blamed for them; ends are weighed by how uncommon the part is among sound answers, and a tie waits until sound answers could decide it. A part with one model counts as sound before if the part does.

--- a/internal/fleetgateway/ends.go
+++ b/internal/fleetgateway/ends.go
@@ -32,7 +32,8 @@
 // brokenRequest is a request whose response its server may have broken off by ending.
 type brokenRequest struct {
 	exposure fleetguard.Exposure
-	at       time.Duration
+	begun    time.Duration // when the response began
+	at       time.Duration // when it broke off
 }
 
 // serverEnds finds out which servers have ended. It is safe for concurrent use.
@@ -118,7 +119,7 @@
 	if a.goesOn.Load() {
 		e.Parts = nil // the request has not made the server end
 	}
-	if !s.ends.startCheck(a.server, brokenRequest{e, s.opts.Clock()}) {
+	if !s.ends.startCheck(a.server, brokenRequest{exposure: e, at: s.opts.Clock()}) {
 		return
 	}
 	go func() {
@@ -155,27 +156,25 @@
 // observeHead records that a server responds. Its earlier responses with neither a length nor chunks were whole then.
 func (s *Server) observeHead(a *attempt) {
 	for _, b := range s.ends.takeUnframed(a.server, a.begunAt, s.opts.Clock()) {
-		s.prompts.answered(a.server, b.exposure, b.at)
+		s.prompts.answered(a.server, b.exposure, b.begun)
 	}
 }
 
-// observeAnswer records a response that ended whole as far as can be told. An answer that began at begunAt has shown that its server
-// does not end as it begins it.
-func (s *Server) observeAnswer(a *attempt, e fleetguard.Exposure, framed bool, begunAt time.Duration) {
-	now := s.opts.Clock()
+// observeAnswer records a response that ended whole as far as can be told.
+func (s *Server) observeAnswer(a *attempt, e fleetguard.Exposure, framed bool, begun time.Duration) {
 	switch {
 	case len(e.Parts) == 0 || a.goesOn.Load():
 	case framed:
-		s.prompts.answered(a.server, e, min(now, begunAt+begunTime))
+		s.prompts.answered(a.server, e, begun)
 	default:
-		s.ends.addUnframed(a.server, brokenRequest{e, now})
+		s.ends.addUnframed(a.server, brokenRequest{e, begun, s.opts.Clock()})
 	}
 }
 
-// observeProgress records that an answer which began at begunAt goes on.
-func (s *Server) observeProgress(a *attempt, e fleetguard.Exposure, begunAt time.Duration) {
-	if s.opts.Clock()-begunAt >= begunTime && a.goesOn.CompareAndSwap(false, true) {
-		s.prompts.answered(a.server, e, begunAt+begunTime)
+// observeProgress records that a response which began at the given time goes on.
+func (s *Server) observeProgress(a *attempt, e fleetguard.Exposure, begun time.Duration) {
+	if s.opts.Clock()-begun >= fleetguard.BeginTime && a.goesOn.CompareAndSwap(false, true) {
+		s.prompts.answered(a.server, e, begun)
 	}
 }
 
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -34,7 +34,7 @@
 	lastRun   bool         // the request may not run once more
 	sending   atomic.Int32 // sendUndecided, sendAllowed or sendForbidden
 	responded atomic.Bool  // the head of the response has arrived
-	goesOn    atomic.Bool  // the answer has gone on for begunTime
+	goesOn    atomic.Bool  // the answer has gone on for fleetguard.BeginTime
 
 	lastEventAt time.Time // when the last event was relayed; used by the request's goroutine only
 }
@@ -151,21 +151,21 @@
 // passEvents passes on the complete events of a stream as they arrive.
 func (q *request) passEvents(ctx context.Context, a *attempt, resp *upstream.Response) result {
 	events := newEventReader(resp)
-	begunAt := q.server.opts.Clock()
+	begun := q.server.opts.Clock()
 	for first := true; ; {
 		event, err := events.next()
 		if err == io.EOF {
-			q.server.observeAnswer(a, q.exposure, resp.Framed, begunAt)
+			q.server.observeAnswer(a, q.exposure, resp.Framed, begun)
 			return result{}
 		}
 		if err == nil {
 			if event.hasData {
 				now := q.server.opts.Clock()
 				if first {
-					first, begunAt = false, now
+					first, begun = false, now
 				}
 				a.load.RecordProgress(now)
-				q.server.observeProgress(a, q.exposure, begunAt)
+				q.server.observeProgress(a, q.exposure, begun)
 			}
 			err = q.pass(ctx, a, message{status: resp.Status, header: resp.Header, event: event})
 		}
@@ -178,6 +178,7 @@
 // passBody reads a response before it is relayed, so that an incomplete one can be retried or reported, and returns it. Of one
 // longer than maxBufferedBytes it passes on all but the last part as it arrives.
 func (q *request) passBody(ctx context.Context, a *attempt, resp *upstream.Response) ([]byte, result) {
+	begun := q.server.opts.Clock()
 	part, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
 	if err == nil {
 		a.load.RecordProgress(q.server.opts.Clock())
@@ -191,7 +192,7 @@
 		return nil, result{kind: errkind.OutcomeUnknown, err: fmt.Errorf("the response broke off: %w", err)}
 	}
 	if statusOK(resp.Status) {
-		q.server.observeAnswer(a, q.exposure, resp.Framed, q.server.opts.Clock())
+		q.server.observeAnswer(a, q.exposure, resp.Framed, begun)
 	}
 	return part, result{}
 }
--- a/internal/fleetgateway/guard.go
+++ b/internal/fleetgateway/guard.go
@@ -12,9 +12,6 @@
 	"github.com/pomelowheel/pomelowheel/internal/serversigns"
 )
 
-// begunTime is how long an answer must go on after its first event, so that its request cannot have made its server end as it began.
-const begunTime = time.Second
-
 // PromptGuard is a fleetguard.Guard that logs its decisions. It is safe for concurrent use.
 type PromptGuard struct {
 	clock bootclock.Clock
@@ -103,9 +100,9 @@
 	})
 }
 
-func (p *PromptGuard) answered(server serversigns.Server, e fleetguard.Exposure, at time.Duration) {
+func (p *PromptGuard) answered(server serversigns.Server, e fleetguard.Exposure, begun time.Duration) {
 	if len(e.Parts) > 0 {
-		p.do(func(g *fleetguard.Guard, _ time.Duration) { g.Answered(server, e, at) })
+		p.do(func(g *fleetguard.Guard, now time.Duration) { g.Answered(server, e, begun, now) })
 	}
 }
 
--- a/internal/fleetguard/blame.go
+++ b/internal/fleetguard/blame.go
@@ -16,8 +16,10 @@
 	exchangeTime = 600 * time.Millisecond
 	// suspectEnds is the number of ends from which on a feature that was never sound is a suspect.
 	suspectEnds = 2
-	// ambiguousEnds is the number of ends at which features are refused although others account for the same ends.
-	ambiguousEnds = 6
+	// clearFactor is the factor by which more must speak against features than against others that account for the same ends.
+	clearFactor = 1.5
+	// ambiguousTime is the time after the first end at which features are refused although others account for the same ends.
+	ambiguousTime = 2500 * time.Millisecond
 )
 
 // tally is what speaks against a feature.
@@ -25,9 +27,13 @@
 	feature   Feature
 	ends      []*end // oldest first
 	exposures []*Exposure
-	wasSound  bool // before these ends
+	wasSound  bool // before these ends, also for another model
+	surprise  float64
 }
 
+// weight is how much speaks against the feature. A common one is in requests at most servers that end, whatever the cause is.
+func (t *tally) weight() float64 { return float64(len(t.ends)) * t.surprise }
+
 func (t *tally) add(e *end, x *Exposure) {
 	if len(t.ends) == 0 || t.ends[len(t.ends)-1] != e {
 		t.ends = append(t.ends, e)
@@ -78,19 +84,22 @@
 	return !slices.ContainsFunc(t.exposures, func(x *Exposure) bool { return !other.feature.in(x) })
 }
 
-// tallies returns what speaks against each feature at the given ends, the most ends first.
+// tallies returns what speaks against each feature at the given ends, the most weight first. An end that is accounted for speaks
+// only against features of which the one to blame is a special case.
 func (g *Guard) tallies(ends []*end) []*tally {
 	byFeature := make(map[Feature]*tally)
 	for _, e := range ends {
+		blamed := g.blamedFor(e)
 		for i := range e.exposures {
 			x := &e.exposures[i]
 			x.features(func(f Feature) {
 				at, wasSound := g.sound.at(f)
-				if wasSound && at >= e.at {
+				if wasSound && at >= e.at || !f.mayReplace(blamed) {
 					return
 				}
 				if byFeature[f] == nil {
-					byFeature[f] = &tally{feature: f, wasSound: wasSound}
+					_, soundElsewhere := g.sound.at(Feature{"", f.Part})
+					byFeature[f] = &tally{feature: f, wasSound: wasSound || soundElsewhere, surprise: g.sound.surprise(f)}
 				}
 				byFeature[f].add(e, x)
 			})
@@ -101,16 +110,16 @@
 		list = append(list, t)
 	}
 	slices.SortFunc(list, func(a, b *tally) int {
-		return cmp.Or(cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(len(b.exposures), len(a.exposures)),
+		return cmp.Or(cmp.Compare(b.weight(), a.weight()), cmp.Compare(len(b.ends), len(a.ends)),
 			strings.Compare(a.feature.Part, b.feature.Part), strings.Compare(a.feature.Model, b.feature.Model))
 	})
 	return list
 }
 
-// blame refuses the features that account for the most ends, then those that account for the most of the others, and so on, and
-// sets the suspects.
+// blame refuses the features against which most speaks, then those against which most speaks at the other ends, and so on, and sets
+// the suspects.
 func (g *Guard) blame(now time.Duration) {
-	remaining := slices.DeleteFunc(slices.Clone(g.ends), func(e *end) bool { return now-e.at < exchangeTime || g.settled(e) })
+	remaining := slices.DeleteFunc(slices.Clone(g.ends), func(e *end) bool { return now-e.at < exchangeTime })
 	for {
 		list := g.tallies(remaining)
 		first := slices.IndexFunc(list, (*tally).enough)
@@ -118,7 +127,7 @@
 			break
 		}
 		top := list[first]
-		for _, features := range culprits(list, top) {
+		for _, features := range culprits(list, top, now) {
 			g.refuse(features, top, now)
 		}
 		remaining = slices.DeleteFunc(remaining, func(e *end) bool { return slices.Contains(top.ends, e) })
@@ -131,12 +140,12 @@
 	}
 }
 
-// culprits returns the sets of features that may account for the ends of top, each to be refused together. It returns none while
-// different requests could be to blame.
-func culprits(list []*tally, top *tally) [][]Feature {
+// culprits returns the sets of features that may account for the ends of top, each to be refused together. It returns none for a
+// time while different requests could be to blame.
+func culprits(list []*tally, top *tally, now time.Duration) [][]Feature {
 	var sets [][]Feature
 	for _, t := range list {
-		if !t.sameEnds(top) || !t.enough() {
+		if !t.sameEnds(top) || !t.enough() || t.weight()*clearFactor <= top.weight() {
 			continue
 		}
 		var set []Feature
@@ -153,7 +162,7 @@
 	sets = slices.DeleteFunc(slices.Clone(sets), func(s []Feature) bool {
 		return slices.ContainsFunc(sets, func(other []Feature) bool { return len(other) > len(s) && containsAll(other, s) })
 	})
-	if len(sets) > 1 && len(top.ends) < ambiguousEnds {
+	if len(sets) > 1 && now-top.ends[0].at < ambiguousTime {
 		return nil
 	}
 	return sets
--- a/internal/fleetguard/exchange.go
+++ b/internal/fleetguard/exchange.go
@@ -59,7 +59,7 @@
 // share shares the soundness of features that others may blame for ends.
 func (g *Guard) share(now time.Duration) {
 	for _, e := range g.ends {
-		if now-e.at > shareTime || g.settled(e) {
+		if now-e.at > shareTime || len(g.blamedFor(e)) > 0 {
 			continue
 		}
 		for i := range e.exposures {
@@ -91,9 +91,15 @@
 	}
 }
 
-// settled reports whether an end is accounted for by a single feature, so that the soundness of others does not matter.
-func (g *Guard) settled(e *end) bool {
-	return slices.ContainsFunc(g.refusals, func(r *Refusal) bool { return len(r.Features) == 1 && r.explains(e) })
+// blamedFor returns the features that account for an end by themselves.
+func (g *Guard) blamedFor(e *end) []Feature {
+	var blamed []Feature
+	for _, r := range g.refusals {
+		if len(r.Features) == 1 && r.explains(e) {
+			blamed = append(blamed, r.Features[0])
+		}
+	}
+	return blamed
 }
 
 // setShared records that all gateways know, or get to know from this one, that a feature was sound.
@@ -172,7 +178,7 @@
 		if known := g.shared[f]; known != nil && known.known && known.at >= at || len(g.shared) >= 2*maxShared {
 			continue
 		}
-		g.sound.set(f, at)
+		g.sound.set(f, at, 0)
 		g.setShared(f, at, false)
 		changed = true
 	}
--- a/internal/fleetguard/exposure.go
+++ b/internal/fleetguard/exposure.go
@@ -60,6 +60,24 @@
 	return f.Part + " with model " + f.Model
 }
 
+// covers reports whether each request with the other feature has this one.
+func (f Feature) covers(other Feature) bool {
+	return f == other || f.Model == "" && f.Part == other.Part
+}
+
+// mayReplace reports whether the feature may be blamed for what others are blamed for now, none or special cases of it.
+func (f Feature) mayReplace(blamed []Feature) bool {
+	if len(blamed) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(blamed, func(b Feature) bool { return f != b && f.covers(b) })
+}
+
+// coverAll reports whether each request with all of the other features has all of these.
+func coverAll(features, others []Feature) bool {
+	return !slices.ContainsFunc(features, func(f Feature) bool { return !slices.ContainsFunc(others, f.covers) })
+}
+
 // in reports whether the request has the feature.
 func (f Feature) in(e *Exposure) bool {
 	return (f.Model == "" || f.Model == e.Model) && slices.Contains(e.Parts, f.Part)
--- a/internal/fleetguard/refusal.go
+++ b/internal/fleetguard/refusal.go
@@ -129,11 +129,11 @@
 func (g *Guard) insert(r *Refusal) bool {
 	slices.SortFunc(r.Features, func(a, b Feature) int { return strings.Compare(a.String(), b.String()) })
 	for _, other := range g.refusals {
-		if containsAll(r.Features, other.Features) {
+		if coverAll(other.Features, r.Features) {
 			return false
 		}
 	}
-	g.refusals = slices.DeleteFunc(g.refusals, func(other *Refusal) bool { return containsAll(other.Features, r.Features) })
+	g.refusals = slices.DeleteFunc(g.refusals, func(other *Refusal) bool { return coverAll(r.Features, other.Features) })
 	if len(g.refusals) >= maxRefusals {
 		g.event(RefusalEnded, "too many refusals", g.refusals[0])
 		g.refusals = g.refusals[1:]
@@ -319,6 +319,6 @@
 
 // acquit records, here and at the other gateways, that a feature is sound.
 func (g *Guard) acquit(f Feature, at time.Duration) {
-	g.sound.set(f, at)
+	g.sound.set(f, at, 0)
 	g.setShared(f, at, true)
 }
