Tell gateways what acquits a prompt together with the ends it was in

Two causes: a gateway told others of an answer only if it was a second newer than what they knew, although it acquitted of an end in between; and a gateway that had just started got the ends before what acquits of them. Beside it, a common part needs more ends than an uncommon one (minWeight), a part that was sound before is blamed only 2.8 s after the first end, and refusals of such parts are tried again after 5 and 20 s, since answers in progress may no longer acquit them. TestAcquittalsAreTold fails on the code before.

--- a/cmd/pomelo-fleet-gateway/guard.go
+++ b/cmd/pomelo-fleet-gateway/guard.go
@@ -52,7 +52,7 @@
 		one := &wirepb.PromptRefusal{
 			AgeMs: age(refusal.Since), FirstEndAgeMs: age(refusal.FirstEnd), LastEndAgeMs: age(refusal.LastEnd), LastTrialAgeMs: -1,
 			Ends: int32(refusal.Ends), Moments: int32(refusal.Moments), Trials: int32(refusal.Trials), FoundedTrials: int32(refusal.FoundedTrials),
-			Servers: refusal.Servers, Requests: refusal.Requests,
+			Servers: refusal.Servers, Requests: refusal.Requests, SoundBefore: refusal.SoundBefore,
 		}
 		if refusal.Trials > 0 {
 			one.LastTrialAgeMs = age(refusal.LastTrial)
@@ -91,7 +91,7 @@
 		one := fleetguard.Refusal{
 			Since: at(refusal.GetAgeMs()), FirstEnd: at(refusal.GetFirstEndAgeMs()), LastEnd: at(refusal.GetLastEndAgeMs()),
 			Ends: int(refusal.GetEnds()), Moments: int(refusal.GetMoments()), Trials: int(refusal.GetTrials()),
-			FoundedTrials: int(refusal.GetFoundedTrials()), Servers: refusal.GetServers(), Requests: refusal.GetRequests(),
+			FoundedTrials: int(refusal.GetFoundedTrials()), Servers: refusal.GetServers(), Requests: refusal.GetRequests(), SoundBefore: refusal.GetSoundBefore(),
 		}
 		if refusal.GetLastTrialAgeMs() >= 0 && one.Trials > 0 {
 			one.LastTrial = at(refusal.GetLastTrialAgeMs())
--- a/internal/fleetguard/blame.go
+++ b/internal/fleetguard/blame.go
@@ -16,6 +16,10 @@
 	exchangeTime = 600 * time.Millisecond
 	// suspectEnds is the number of ends from which on a feature that was never sound is a suspect.
 	suspectEnds = 2
+	// minWeight is the least weight of what speaks against a feature that is refused.
+	minWeight = 6.5
+	// soundTime is the time within which answers that begin after an end are known to be sound at all gateways, with a second to begin.
+	soundTime = 2800 * time.Millisecond
 	// clearFactor is the factor by which more must speak against features than against others that account for the same ends.
 	clearFactor = 1.5
 	// ambiguousTime is the time after the first end at which features are refused although others account for the same ends.
@@ -64,14 +68,14 @@
 }
 
 // enough reports whether the feature may be refused. One that was sound before may have been in requests at servers that ended by
-// another cause.
-func (t *tally) enough() bool {
-	if len(t.ends) <= suspectEnds {
+// another cause, and then answers show within soundTime that it still is.
+func (t *tally) enough(now time.Duration) bool {
+	if len(t.ends) <= suspectEnds || t.weight() < minWeight {
 		return false
 	}
 	ends, sessions, moments := len(t.ends), t.sessions(), moments(t.ends)
 	if t.wasSound {
-		return ends >= 4 && sessions >= 3 && moments >= 4
+		return ends >= 4 && sessions >= 3 && moments >= 4 && now-t.ends[0].at >= soundTime
 	}
 	return ends >= 3 && sessions >= 3 && moments >= 2 || ends >= 4 && sessions >= 2 && moments >= 3
 }
@@ -122,7 +126,7 @@
 	remaining := slices.DeleteFunc(slices.Clone(g.ends), func(e *end) bool { return now-e.at < exchangeTime })
 	for {
 		list := g.tallies(remaining)
-		first := slices.IndexFunc(list, (*tally).enough)
+		first := slices.IndexFunc(list, func(t *tally) bool { return t.enough(now) })
 		if first < 0 {
 			break
 		}
@@ -145,12 +149,12 @@
 func culprits(list []*tally, top *tally, now time.Duration) [][]Feature {
 	var sets [][]Feature
 	for _, t := range list {
-		if !t.sameEnds(top) || !t.enough() || t.weight()*clearFactor <= top.weight() {
+		if !t.sameEnds(top) || !t.enough(now) || t.weight()*clearFactor <= top.weight() {
 			continue
 		}
 		var set []Feature
 		for _, other := range list {
-			if other.sameEnds(top) && other.enough() && t.alwaysWith(other) {
+			if other.sameEnds(top) && other.enough(now) && t.alwaysWith(other) {
 				set = append(set, other.feature)
 			}
 		}
--- a/internal/fleetguard/exchange.go
+++ b/internal/fleetguard/exchange.go
@@ -21,8 +21,8 @@
 	shareInterval = time.Second
 	// shareTime is how long after an end the soundness of features that it concerns is shared.
 	shareTime = 30 * time.Second
-	// maxReported bounds the items in one report, so that it fits into an update between gateways.
-	maxReported = 24
+	// maxReportedEnds bounds the ends in one report, so that it fits into an update between gateways.
+	maxReportedEnds = 24
 )
 
 // sharedSoundness is what all gateways know of the soundness of a feature.
@@ -69,8 +69,8 @@
 					return
 				}
 				s := g.shared[f]
-				if s != nil && s.known && (s.at >= e.at || at < s.at+shareInterval) {
-					return // it acquits of this end, or nothing newer is known
+				if s != nil && s.known && (s.at >= e.at || at < e.at && at < s.at+shareInterval) {
+					return // what is known acquits of this end, or this gateway does not know much more
 				}
 				if s == nil {
 					s = &sharedSoundness{}
@@ -131,40 +131,34 @@
 	}
 }
 
-// Report returns what has changed after a position, at most maxReported items, and the position up to which it reports. Items that
-// came from other gateways are left out unless relay is set.
+// Report returns what has changed after a position, and the position up to which it reports. Items that came from other gateways are
+// left out unless relay is set. If there are more than maxReportedEnds ends, the rest follows with the next report, but all that
+// acquits of them is in this one.
 func (g *Guard) Report(after uint64, relay bool) (Report, uint64) {
 	var r Report
 	if g.seq <= after {
 		return r, after
 	}
-	type item struct {
-		seq uint64
-		add func()
-	}
-	var items []item
-	due := func(c change, add func()) {
-		if c.seq > after && (c.own || relay) {
-			items = append(items, item{c.seq, add})
-		}
-	}
-	for _, e := range g.ends {
-		due(e.change, func() { r.Ends = append(r.Ends, EndReport{e.server, e.at, slices.Clone(e.exposures)}) })
-	}
+	due := func(c change) bool { return c.seq > after && (c.own || relay) }
 	for f, s := range g.shared {
-		due(s.change, func() { r.Sound = append(r.Sound, SoundReport{f, s.at}) })
+		if due(s.change) {
+			r.Sound = append(r.Sound, SoundReport{f, s.at})
+		}
 	}
 	for _, refusal := range g.refusals {
-		due(refusal.change, func() { r.Refusals = append(r.Refusals, refusal.copy()) })
+		if due(refusal.change) {
+			r.Refusals = append(r.Refusals, refusal.copy())
+		}
 	}
-	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.seq, b.seq) })
+	ends := slices.DeleteFunc(slices.Clone(g.ends), func(e *end) bool { return !due(e.change) })
+	slices.SortFunc(ends, func(a, b *end) int { return cmp.Compare(a.seq, b.seq) })
 	until := g.seq
-	if len(items) > maxReported {
-		items = items[:maxReported]
-		until = items[maxReported-1].seq
+	if len(ends) > maxReportedEnds {
+		ends = ends[:maxReportedEnds]
+		until = ends[maxReportedEnds-1].seq
 	}
-	for _, i := range items {
-		i.add()
+	for _, e := range ends {
+		r.Ends = append(r.Ends, EndReport{e.server, e.at, slices.Clone(e.exposures)})
 	}
 	return r, until
 }
--- a/internal/fleetguard/fleetguard_test.go
+++ b/internal/fleetguard/fleetguard_test.go
@@ -47,6 +47,12 @@
 	f.answered(gateway, serversigns.Server{ID: "sound", Born: 1}, r, f.now, f.now)
 }
 
+// reportOf returns what a gateway tells one that has just started.
+func (f *fleetOf) reportOf(i int) fleetguard.Report {
+	r, _ := f.all[i].Report(0, true)
+	return r
+}
+
 // refused reports whether each gateway refuses a request, without a trial.
 func (f *fleetOf) refused(r fleetguard.Exposure) []bool {
 	var list []bool
@@ -211,6 +217,44 @@
 	})
 }
 
+// Guards against a part that other gateways blame for ends after which this one saw a sound answer, also gateways that have just started.
+func TestAcquittalsAreTold(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	known := func(i int) (at time.Duration) {
+		for _, s := range f.reportOf(i).Sound {
+			if s.Feature == (fleetguard.Feature{Part: "a"}) {
+				at = s.At
+			}
+		}
+		return at
+	}
+	for range 30 {
+		f.end(0, f.exposure("m", "a"))
+		ended := f.now
+		f.pass(100 * time.Millisecond)
+		f.answer(1, f.exposure("m", "a"))
+		f.pass(1700 * time.Millisecond)
+		g.Expect(known(0)).To(BeNumerically(">", ended))
+		g.Expect(known(1)).To(BeNumerically(">", ended))
+	}
+	first := f.reportOf(1)
+	g.Expect(len(first.Ends)).To(BeNumerically("<", 30))
+	g.Expect(first.Sound).NotTo(BeEmpty(), "an end is never told without what acquits of it")
+
+	// Two ends and answers in quick succession.
+	f = newFleet(2)
+	f.end(0, f.exposure("m", "a"))
+	f.answer(1, f.exposure("m", "a"))
+	f.pass(400 * time.Millisecond)
+	f.end(0, f.exposure("m", "a"))
+	ended := f.now
+	f.pass(100 * time.Millisecond)
+	f.answer(1, f.exposure("m", "a"))
+	f.pass(1700 * time.Millisecond)
+	g.Expect(known(0)).To(BeNumerically(">", ended))
+}
+
 // Guards against reports that arrive late, twice or not at all, and against made-up parts that fill the memory.
 func TestReportsMerge(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/fleetguard/refusal.go
+++ b/internal/fleetguard/refusal.go
@@ -13,7 +13,7 @@
 	refusalRetention = 24 * time.Hour
 	// maxNamed bounds the servers and the requests that a refusal names.
 	maxNamed = 8
-	// A refusal is well-founded with this many ends at this many moments.
+	// A refusal is well-founded with this many ends at this many moments, and after two trials if the features were sound before.
 	foundedEnds, foundedMoments = 5, 3
 	// firstTrialDelay and secondTrialDelay are the times after the last end, or the last trial, at which one request is let through
 	// to see whether a refusal that is not well-founded is right.
@@ -33,6 +33,7 @@
 	FirstEnd      time.Duration // of the servers that it accounts for
 	LastEnd       time.Duration
 	Ends, Moments int           // how many servers, and at how many moments
+	SoundBefore   bool          // answers to requests with the features were sound before
 	Servers       []string      // IDs of some of them
 	Requests      []string      // IDs of some requests that they broke off
 	Trials        int           // requests that were let through
@@ -56,7 +57,9 @@
 	return slices.ContainsFunc(e.exposures, func(x Exposure) bool { return x.hasAll(r.Features) })
 }
 
-func (r *Refusal) founded() bool { return r.Ends >= foundedEnds && r.Moments >= foundedMoments }
+func (r *Refusal) founded() bool {
+	return r.Ends >= foundedEnds && r.Moments >= foundedMoments && (!r.SoundBefore || r.Trials >= 2)
+}
 
 // nextTrial returns when one request may be let through, and whether that is ever.
 func (r *Refusal) nextTrial() (time.Duration, bool) {
@@ -116,7 +119,7 @@
 
 // refuse adds a refusal because of what speaks against its features.
 func (g *Guard) refuse(features []Feature, t *tally, now time.Duration) {
-	r := &Refusal{Features: features, Since: now}
+	r := &Refusal{Features: features, Since: now, SoundBefore: t.wasSound}
 	if g.insert(r) {
 		// All gateways come to the same result. A few tell it to those that missed an end or start later.
 		r.own = g.opts.Rank(r.key()) < sharersAtOnce
--- a/internal/fleetguard/soundness.go
+++ b/internal/fleetguard/soundness.go
@@ -13,6 +13,8 @@
 	BeginTime = time.Second
 	// settleTime is how long after that an end of the server may become known.
 	settleTime = 500 * time.Millisecond
+	// assumedAnswers are sound answers that are assumed before any is known, one of them to a request with any given feature.
+	assumedAnswers = 10
 	// maxUnsettled bounds the answers that wait for that. Above it, the oldest are dropped.
 	maxUnsettled = 4096
 	// maxSoundFeatures bounds each of the two generations of features that are known to be sound.
@@ -68,7 +70,7 @@
 // surprise says how little is expected, from the sound answers, that a request has f: the logarithm of the inverse of its share.
 func (s *soundness) surprise(f Feature) float64 {
 	known, _ := s.get(f)
-	return math.Log((s.answers + 2) / (known.answers + 1))
+	return math.Log((s.answers + assumedAnswers) / (known.answers + 1))
 }
 
 // unsettled is an answer that counts as sound unless its server ended as it began.
