Answer every request that pomelo-gateway has read when it stops

TestAStopOverTLSWaitsForRequestsOnly failed before (a request that had arrived in part was cut off).

--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/platform"
@@ -50,8 +51,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	arrivals := fleetprocess.NewArrivals()
-	server := g.newCallerServer(arrivals)
+	tracker := arrivals.New()
+	server := g.newCallerServer(tracker)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := background.NewGroup(ctx, log)
@@ -62,42 +63,42 @@
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
 	})
-	group.Go("idle connections", func(ctx context.Context) error { return g.endIdleConnections(ctx, arrivals) })
+	group.Go("idle connections", func(ctx context.Context) error { return g.endIdleConnections(ctx, tracker) })
 	group.Go("callers", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(arrivals.Listener(callers)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(tracker.Listener(callers)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve callers: %w", err)
 		}
 		return ctx.Err()
 	})
 	log.Info("started", "address", g.settings.CallerAddress, "peers", g.settings.ControlAddress,
 		"data_centre", g.settings.DataCentre, "store", g.settings.Store.Address, "first_start", g.settings.FirstStart)
-	g.drainOnSignal(group.Context(), server, arrivals)
+	g.drainOnSignal(group.Context(), server, tracker)
 	cancel()
 	return group.Wait()
 }
 
-// newCallerServer returns the server for callers, whose connections are tracked by arrivals. Its limits are above those that
+// newCallerServer returns the server for callers, whose connections are tracked by tracker. Its limits are above those that
 // configurations set for callers; idle connections are ended by endIdleConnections.
-func (g *gateway) newCallerServer(arrivals *fleetprocess.Arrivals) *http.Server {
+func (g *gateway) newCallerServer(tracker *arrivals.Tracker) *http.Server {
 	server := &http.Server{
 		Handler: g.server, ReadHeaderTimeout: callerHeaderTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
-	arrivals.Attach(server)
+	tracker.Attach(server)
 	return server
 }
 
 // endIdleConnections ends connections of callers that have been idle for longer than any configuration has allowed.
-func (g *gateway) endIdleConnections(ctx context.Context, arrivals *fleetprocess.Arrivals) error {
+func (g *gateway) endIdleConnections(ctx context.Context, tracker *arrivals.Tracker) error {
 	timeout := minCallerIdleTimeout
 	for {
 		if err := background.Sleep(ctx, cleanupInterval); err != nil {
 			return err
 		}
 		timeout = g.callerIdleTimeout(timeout)
-		arrivals.EndIdle(time.Now(), timeout)
+		tracker.EndIdle(time.Now(), timeout)
 	}
 }
 
@@ -111,7 +112,7 @@
 }
 
 // drainOnSignal waits for a signal and drains the gateway. It returns when that is done or when ctx ends.
-func (g *gateway) drainOnSignal(ctx context.Context, server *http.Server, arrivals *fleetprocess.Arrivals) {
+func (g *gateway) drainOnSignal(ctx context.Context, server *http.Server, tracker *arrivals.Tracker) {
 	signalled, stop := fleetprocess.NotifyTermination(ctx)
 	defer stop()
 	<-signalled.Done()
@@ -122,18 +123,18 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	g.drain(ctx, server, arrivals, grace)
+	g.drain(ctx, server, tracker, grace)
 }
 
 // drain ends the connections of callers within the grace period, as soon as no requests come any longer.
-func (g *gateway) drain(ctx context.Context, server *http.Server, arrivals *fleetprocess.Arrivals, grace time.Duration) {
+func (g *gateway) drain(ctx context.Context, server *http.Server, tracker *arrivals.Tracker, grace time.Duration) {
 	start := time.Now()
 	g.log.Info("stopping", "grace", grace, "active", g.server.Active())
 	g.server.Drain()
 	g.mesh.AnnounceShutdown()
 	g.lease.Release(ctx)
 	idle := fleetprocess.WaitIdle(ctx, time.Until(start.Add(grace-drainReserve)), drainIdleTime, func() bool {
-		return arrivals.Pending(time.Now()) == 0
+		return tracker.Pending(time.Now()) == 0
 	})
 	if !idle {
 		g.log.Warn("grace period is about to end with requests in progress", "active", g.server.Active())
@@ -141,7 +142,7 @@
 	left := time.Until(start.Add(grace - drainReserve/2))
 	timer := time.AfterFunc(left-endAnswerTime, g.server.EndRequests)
 	defer timer.Stop()
-	if err := arrivals.End(ctx, server, left); err != nil {
+	if err := tracker.End(ctx, server, left); err != nil {
 		g.log.Warn("connections closed with requests in progress", "active", g.server.Active(), "error", err)
 	}
 }
--- a/internal/fleetprocess/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -1,7 +1,10 @@
-package fleetprocess
+// Package arrivals ends the connections of an HTTP server without the loss of an answer. Use a Tracker for each server that callers
+// connect to.
+package arrivals
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -23,41 +26,52 @@
 // endPollInterval is the pause between two checks whether the connections have ended.
 const endPollInterval = 5 * time.Millisecond
 
-// Arrivals tracks the connections of one http.Server, so that the process can end without the loss of an answer. The methods
+// Tracker tracks the connections of one http.Server, so that the process can end without the loss of an answer. The methods
 // Shutdown and Close of http.Server do not serve that: both close connections on which a part of a request has been read,
 // and after a call of one of them the server answers no request whose header it reads.
-type Arrivals struct {
+type Tracker struct {
 	mu       sync.Mutex
 	conns    map[*arrivalConn]struct{}
 	refusing bool // new connections are closed
 }
 
-// NewArrivals returns an Arrivals without connections.
-func NewArrivals() *Arrivals { return &Arrivals{conns: make(map[*arrivalConn]struct{})} }
+// New returns a Tracker without connections.
+func New() *Tracker { return &Tracker{conns: make(map[*arrivalConn]struct{})} }
 
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
 // Attach sets the hooks of a server and wraps its handler. The server must use a listener of Listener.
-func (a *Arrivals) Attach(server *http.Server) {
+func (a *Tracker) Attach(server *http.Server) {
 	handler := server.Handler
 	server.ConnState = a.connState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*arrivalConn); ok {
-			defer a.handled(c)
+		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+			if c := tracked(conn); c != nil {
+				defer a.handled(c)
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
 // Listener returns a listener whose connections are tracked.
-func (a *Arrivals) Listener(l net.Listener) net.Listener { return &arrivalListener{l, a} }
+func (a *Tracker) Listener(l net.Listener) net.Listener { return &arrivalListener{l, a} }
+
+// tracked returns the tracked connection below conn, which may add TLS to it, or nil.
+func tracked(conn net.Conn) *arrivalConn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	c, _ := conn.(*arrivalConn)
+	return c
+}
 
 // connState is the hook for http.Server.ConnState.
-func (a *Arrivals) connState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*arrivalConn)
-	if !ok {
+func (a *Tracker) connState(conn net.Conn, state http.ConnState) {
+	c := tracked(conn)
+	if c == nil {
 		return
 	}
 	a.mu.Lock()
@@ -73,7 +87,7 @@
 }
 
 // add begins to track a connection, unless new connections are refused.
-func (a *Arrivals) add(c *arrivalConn) bool {
+func (a *Tracker) add(c *arrivalConn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.refusing {
@@ -83,7 +97,7 @@
 }
 
 // handled records that the handler of a request has returned.
-func (a *Arrivals) handled(c *arrivalConn) {
+func (a *Tracker) handled(c *arrivalConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.handledAt = time.Now()
@@ -91,7 +105,7 @@
 
 // Pending returns the number of connections with a request that is being served or that has arrived in part. One whose bytes
 // stopped to arrive arrivalTimeout before now is left out, unless its handler has not returned.
-func (a *Arrivals) Pending(now time.Time) int {
+func (a *Tracker) Pending(now time.Time) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := 0
@@ -106,7 +120,7 @@
 // End ends all connections and closes the server. No further request begins on an idle connection, nor on a new one after
 // firstRequestTimeout. End waits for the pending requests until limit has passed or ctx ends, and returns an error if some
 // are left then.
-func (a *Arrivals) End(ctx context.Context, server *http.Server, limit time.Duration) error {
+func (a *Tracker) End(ctx context.Context, server *http.Server, limit time.Duration) error {
 	start := time.Now()
 	left := a.endUnused(start, false)
 	for refusing := false; !refusing || left > 0; {
@@ -131,7 +145,7 @@
 
 // endUnused lets the server close the connections on which nothing of a request has been read; those on which nothing has ever
 // been read are included, and new connections refused, if first is set. It returns the number of connections to wait for.
-func (a *Arrivals) endUnused(now time.Time, first bool) (left int) {
+func (a *Tracker) endUnused(now time.Time, first bool) (left int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refusing = first
@@ -151,7 +165,7 @@
 
 // EndIdle ends the connections that have been idle for longer than timeout before now and on which nothing of a request has been
 // read.
-func (a *Arrivals) EndIdle(now time.Time, timeout time.Duration) {
+func (a *Tracker) EndIdle(now time.Time, timeout time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
@@ -162,7 +176,7 @@
 }
 
 // mayRead reports whether the server may read from a connection.
-func (a *Arrivals) mayRead(c *arrivalConn) bool {
+func (a *Tracker) mayRead(c *arrivalConn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return !c.ended
@@ -170,7 +184,7 @@
 
 // recordBytes records that bytes were read from a connection. One that was ended at the same time goes on, because the bytes
 // may be a whole request.
-func (a *Arrivals) recordBytes(c *arrivalConn) {
+func (a *Tracker) recordBytes(c *arrivalConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.lastByteAt = time.Now()
@@ -182,7 +196,7 @@
 
 type arrivalListener struct {
 	net.Listener
-	arrivals *Arrivals
+	arrivals *Tracker
 }
 
 // Accept implements net.Listener.
@@ -203,7 +217,7 @@
 // arrivalConn is a connection of a caller. Its state is protected by the mutex of arrivals.
 type arrivalConn struct {
 	net.Conn
-	arrivals   *Arrivals
+	arrivals   *Tracker
 	used       bool      // a request was read from it
 	serving    bool      // the server has read the header of a request and has not ended its response
 	handledAt  time.Time // when the handler of that request returned; zero before
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 )
@@ -28,6 +29,9 @@
 // idleTimeout is the time after which an idle keep-alive connection is closed.
 const idleTimeout = 2 * time.Minute
 
+// maxShutdownTime bounds a shutdown whose context has no deadline.
+const maxShutdownTime = time.Hour
+
 // Options configures a Server.
 type Options struct {
 	Gateway        *gateway.Gateway
@@ -47,11 +51,12 @@
 	slots        chan struct{}
 	shuttingDown atomic.Bool
 	http         *http.Server
+	arrivals     *arrivals.Tracker
 }
 
 // New returns a server. It accepts connections once Serve is called.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency)}
+	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New()}
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		TLSConfig:         opts.TLS,
@@ -61,6 +66,7 @@
 		// net/http logs the request lines of malformed requests, whose query may contain a key.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
+	s.arrivals.Attach(s.http)
 	return s
 }
 
@@ -160,6 +166,7 @@
 
 // Serve accepts connections on l until Shutdown or Close, after which it returns nil.
 func (s *Server) Serve(l net.Listener) error {
+	l = s.arrivals.Listener(l)
 	var err error
 	if s.opts.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
@@ -176,9 +183,15 @@
 // closes its connection.
 func (s *Server) AnnounceShutdown() { s.shuttingDown.Store(true) }
 
-// Shutdown stops accepting connections, closes idle ones and waits for running requests. It returns the error of ctx if
-// ctx ends first.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown ends idle connections, waits for running requests and for those that have arrived in part, and closes the server. It
+// returns an error if some are left when ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	limit := maxShutdownTime
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = time.Until(deadline)
+	}
+	return s.arrivals.End(ctx, s.http, limit)
+}
 
 // Close closes the listener and all connections immediately.
 func (s *Server) Close() error { return s.http.Close() }
