--- a/internal/fleetguard/blame.go
+++ b/internal/fleetguard/blame.go
@@ -26,6 +26,20 @@
 	ambiguousTime = 2500 * time.Millisecond
 )
 
+// evidence counts what speaks against a feature: ends, sessions of the requests that these broke off, and moments.
+type evidence struct{ ends, sessions, moments int }
+
+var (
+	// newEvidence is what suffices against a feature that was never sound: any of these.
+	newEvidence = []evidence{{3, 3, 2}, {4, 2, 3}}
+	// soundEvidence is what it takes against a feature that was sound before.
+	soundEvidence = evidence{4, 3, 4}
+)
+
+func (e evidence) reaches(least evidence) bool {
+	return e.ends >= least.ends && e.sessions >= least.sessions && e.moments >= least.moments
+}
+
 // tally is what speaks against a feature.
 type tally struct {
 	feature   Feature
@@ -73,11 +87,11 @@
 	if len(t.ends) <= suspectEnds || t.weight() < minWeight {
 		return false
 	}
-	ends, sessions, moments := len(t.ends), t.sessions(), moments(t.ends)
+	found := evidence{len(t.ends), t.sessions(), moments(t.ends)}
 	if t.wasSound {
-		return ends >= 4 && sessions >= 3 && moments >= 4 && now-t.ends[0].at >= soundTime
+		return found.reaches(soundEvidence) && now-t.ends[0].at >= soundTime
 	}
-	return ends >= 3 && sessions >= 3 && moments >= 2 || ends >= 4 && sessions >= 2 && moments >= 3
+	return slices.ContainsFunc(newEvidence, found.reaches)
 }
 
 // sameEnds reports whether two features account for the same ends.
--- a/internal/fleetguard/fleetguard.go
+++ b/internal/fleetguard/fleetguard.go
@@ -2,10 +2,10 @@
 // gateway: it gets the ends of servers with the requests that they broke off and the answers that were sound, and exchanges what
 // matters with the Guards of the other gateways. It has no side effects, and times are passed in as readings of one clock.
 //
-// A feature of a request is a part of its prompt, for one model or for all. A feature is to blame for an end if a request with it
-// broke off, and no answer to a request with it was sound since. The features that account for the most ends are refused, as
-// soon as there are enough ends, by enough requests, at enough different moments. Features that no request has had one without
-// the other are refused only together.
+// A feature of a request is a part of its prompt, for one model or for all. An end speaks against a feature if a request with it broke
+// off and no answer to a request with it was sound since. The feature against which most speaks is refused, as soon as there are
+// enough ends, in enough sessions, at enough different moments; then the one against which most speaks at the other ends.
+// Features that no request has had one without the other are refused only together.
 package fleetguard
 
 import (
