--- a/internal/fleetguard/refusal.go
+++ b/internal/fleetguard/refusal.go
@@ -79,7 +79,7 @@
 // The kinds of events.
 const (
 	RefusalBegan   EventKind = "began"
-	RefusalChanged EventKind = "changed" // it has fewer features, or accounts for more ends
+	RefusalChanged EventKind = "changed" // it has fewer features
 	RefusalEnded   EventKind = "ended"
 	TrialBegan     EventKind = "trial"
 )
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -206,7 +206,7 @@
 			h.request(9050 + 100*i).model = "m"
 			h.request(5000 + 100*i).model = "m" // in between
 		}
-		for i, q := range h.requests {
+		for i, q := range h.requests { // two crashing ones, then one of each period in turn
 			q.begun = q.at.Before(h.at(3000)) || q.at.After(h.at(9000)) && i < 2+3*begun
 		}
 		NewWithT(t).Expect(h.failures(func(q []*sent, r *serverRecords, g []gatewayTimes, fail func(string, ...any)) {
