--- a/review/_standin/bodies.go
+++ b/review/_standin/bodies.go
@@ -12,11 +12,12 @@
 	bodyRate      = 2 << 20 // bytes a second of one caller
 	usualUploads  = 14
 	burstUploads  = 40
-	shortBookings = 20
+	shortBookings = 30
 	burstAt       = 8 * time.Second
 	burstFor      = 3 * time.Second
 	caseLength    = 20 * time.Second
 	deadline      = 4 * time.Second
+	bookingWork   = 300 * time.Millisecond // of a server for each booking
 	allowedLost   = 3
 )
 
@@ -76,7 +77,7 @@
 	}
 	var servers []*server
 	for i := range 3 {
-		s, err := h.startServer(fmt.Sprintf("i-ledger%d", i), "lantern-ledger", 12, 60*time.Millisecond)
+		s, err := h.startServer(fmt.Sprintf("i-ledger%d", i), "lantern-ledger", 32, bookingWork)
 		if err != nil {
 			return false, err
 		}
--- a/review/_standin/connections.go
+++ b/review/_standin/connections.go
@@ -24,7 +24,6 @@
 	openFiles       = 16   // files that are not sockets
 	minDriverFiles  = 8192
 	keptBookings    = 30
-	bookingWork     = 300 * time.Millisecond
 	bookingDeadline = 4 * time.Second
 )
 
--- a/review/_standin/events.go
+++ b/review/_standin/events.go
@@ -123,7 +123,7 @@
 	}
 	var servers []*server
 	for i := range 3 {
-		s, err := h.startServer(fmt.Sprintf("i-ledger%d", i), "lantern-ledger", 12, 60*time.Millisecond)
+		s, err := h.startServer(fmt.Sprintf("i-ledger%d", i), "lantern-ledger", 32, bookingWork)
 		if err != nil {
 			return false, err
 		}
