--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
 go build -o review/bin/fake-fleet ./cmd/fake-fleet
-go build -o review/bin/standin ./review/_standin
+go build -o review/bin/standin ./review/standin
--- a/review/_standin/bodies.go
+++ b/review/standin/bodies.go
@@ -151,11 +151,11 @@
 		for _, server := range servers {
 			runs += server.ran(s.id)
 		}
+		h.note("%v, runs %d", s, runs)
 		if s.status == 200 {
 			answered++
 			continue
 		}
-		h.note("%v, runs %d", s, runs)
 		if s.err != nil && s.kept && runs > 0 {
 			lost++
 		}
--- a/review/_standin/connections.go
+++ b/review/standin/connections.go
@@ -79,6 +79,7 @@
 		})
 	}
 	var open []*caller
+	var single []*sent // requests of the callers that open a connection for each
 	unanswered := 0
 	rate := func() float64 {
 		if at := time.Since(begun); h.trouble && at >= newBurstAt && at < newBurstAt+3*time.Second {
@@ -97,6 +98,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				open = append(open, c)
+				single = append(single, s)
 				if s.status != http.StatusOK {
 					unanswered++
 				}
@@ -130,5 +132,12 @@
 	for _, c := range open {
 		c.close()
 	}
+	for _, s := range single {
+		runs := 0
+		for _, server := range servers {
+			runs += server.ran(s.id)
+		}
+		h.note("%v, runs %d", s, runs)
+	}
 	return judgeLost(h, g, servers, all, kills, peak), nil
 }
--- a/review/_standin/events.go
+++ b/review/standin/events.go
@@ -35,17 +35,18 @@
 type engine struct {
 	id, address string
 	sick        *atomic.Bool
+	runs        *sync.Map // number of runs, an *atomic.Int64, by request ID
 	born        int64
 	listed      map[string]any
 }
 
 // startEngine starts an engine that holds the model.
-func (h *harness) startEngine(id string, sick *atomic.Bool) error {
+func (h *harness) startEngine(id string, sick *atomic.Bool, runs *sync.Map) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	e := &engine{id: id, address: l.Addr().String(), sick: sick, born: time.Now().UnixMilli()}
+	e := &engine{id: id, address: l.Addr().String(), sick: sick, runs: runs, born: time.Now().UnixMilli()}
 	e.listed = map[string]any{
 		"service": "brush-assistant", "address": e.address, "zone": "walled-city", "version": "v1", "slots": 64, "state": "ready",
 		"warmup_left_ms": 0, "born": e.born, "sequence": 0,
@@ -75,6 +76,8 @@
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
+	n, _ := e.runs.LoadOrStore(id, new(atomic.Int64))
+	n.(*atomic.Int64).Add(1)
 	sum := sha256.Sum256([]byte(id))
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Response-Signature", hex.EncodeToString(sum[:8]))
@@ -130,8 +133,9 @@
 		servers = append(servers, s)
 	}
 	var sick atomic.Bool
+	var runs sync.Map
 	for i := range engines {
-		if err := h.startEngine(fmt.Sprintf("i-brush%d", i), &sick); err != nil {
+		if err := h.startEngine(fmt.Sprintf("i-brush%d", i), &sick, &runs); err != nil {
 			return false, err
 		}
 	}
@@ -173,6 +177,7 @@
 			}
 		})
 	}
+	var streams []*sent
 	statuses := make(map[string]int)
 	wg.Go(func() {
 		var one sync.WaitGroup
@@ -194,6 +199,7 @@
 				defer mu.Unlock()
 				key := fmt.Sprintf("%s status %d, error %v", map[bool]string{true: "in trouble", false: "before"}[s.at > sickAt], s.status, s.err != nil)
 				statuses[key]++
+				streams = append(streams, s)
 			})
 		}
 		one.Wait()
@@ -212,5 +218,12 @@
 	for key, n := range statuses {
 		h.note("streams %s: %d", key, n)
 	}
+	for _, s := range streams {
+		n := int64(0)
+		if v, ok := runs.Load(s.id); ok {
+			n = v.(*atomic.Int64).Load()
+		}
+		h.note("%v, runs %d", s, n)
+	}
 	return judgeLost(h, g, servers, all, kills, peak), nil
 }
