Keep accepting connections after errors of Accept that pass

Cause: transport.Server.Serve returned every error of Accept. A gateway or an agent without a free descriptor ended when another process connected: the duty failed, the group cancelled the others, and the process exited without a drain. The servers for readiness, metrics, callers and debug lost only what net/http calls temporary; ENOBUFS, ENOMEM, EPROTO and EPERM ended their processes, too.

Looked for elsewhere: every function that is given to background.Group in the four programs was read; all others return only the error of their context, or an error of the start or the end.

Change: internal/listener accepts again after a pause unless the listener is closed or its socket is unusable. All listeners of all programs use it, the stand-ins and the soak's proxies as well.

--- a/cmd/pomelo-fleet-agent/main.go
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -47,7 +47,7 @@
 		return settings.Watch(ctx, func(s *platform.Settings) { store.SetAddress(s.Store.Address) })
 	})
 	group.Go("metrics", func(ctx context.Context) error {
-		return fleetprocess.ServeMetrics(ctx, s.MetricsAddress, vars(settings.Sink, store))
+		return fleetprocess.ServeMetrics(ctx, log, s.MetricsAddress, vars(settings.Sink, store))
 	})
 	log.Info("started", "address", s.PeerAddress, "engine", s.EngineAddress, "service", s.EngineService)
 	return group.Wait()
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -154,7 +154,7 @@
 	group.Go("cleaning", g.cleanUp)
 	group.Go("prompt guard", g.runGuard)
 	group.Go("readiness", func(ctx context.Context) error {
-		return fleetprocess.Serve(ctx, g.settings.ReadinessAddress, g.readiness())
+		return fleetprocess.Serve(ctx, g.log, g.settings.ReadinessAddress, g.readiness())
 	})
 }
 
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -15,6 +15,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
@@ -51,6 +52,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	callers = listener.Persistent(callers, listener.Options{Name: "callers", Log: log})
 	tracker := arrivals.New()
 	server := g.newCallerServer(tracker)
 	ctx, cancel := context.WithCancel(ctx)
@@ -58,7 +60,7 @@
 	group := background.NewGroup(ctx, log)
 	g.start(group)
 	group.Go("metrics", func(ctx context.Context) error {
-		return fleetprocess.ServeMetrics(ctx, g.settings.MetricsAddress, g.vars(), g.addRefusedPrompts)
+		return fleetprocess.ServeMetrics(ctx, log, g.settings.MetricsAddress, g.vars(), g.addRefusedPrompts)
 	})
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -63,7 +63,7 @@
 	group.Go("backend server", server.Run)
 	group.Go("idle sessions", func(ctx context.Context) error { return process.CloseIdleSessions(ctx, pool) })
 	if debug != nil {
-		group.Go("debug", func(ctx context.Context) error { return serveDebug(ctx, debug, debugHandler(server.Ready)) })
+		group.Go("debug", func(ctx context.Context) error { return serveDebug(ctx, log, debug, debugHandler(server.Ready)) })
 	}
 	log.Info("sidecar started", "address", identity.GetAddress(), "service", s.Backend.Service)
 	err = drainOnSignal(group.Context(), server, log)
--- a/cmd/pomelo-sidecar/vars.go
+++ b/cmd/pomelo-sidecar/vars.go
@@ -6,10 +6,12 @@
 	"expvar"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/internal/sidecar"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
@@ -43,11 +45,11 @@
 }
 
 // serveDebug serves h on listener until ctx ends.
-func serveDebug(ctx context.Context, listener net.Listener, h http.Handler) error {
+func serveDebug(ctx context.Context, log *slog.Logger, l net.Listener, h http.Handler) error {
 	debug := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = debug.Close() })
 	defer stop()
-	if err := debug.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := debug.Serve(listener.Persistent(l, listener.Options{Name: "debug", Log: log})); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve debug: %w", err)
 	}
 	return nil
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -21,6 +21,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 )
 
 // writeTimeout limits one write to a caller. The request of a caller that reads nothing for this time fails.
@@ -166,7 +167,7 @@
 
 // Serve accepts connections on l until Shutdown or Close, after which it returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	l = s.arrivals.Listener(l)
+	l = s.arrivals.Listener(listener.Persistent(l, listener.Options{Name: "callers", Log: s.opts.Log}))
 	var err error
 	if s.opts.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
--- a/internal/fake/standin/standin.go
+++ b/internal/fake/standin/standin.go
@@ -7,9 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 )
 
 const (
@@ -22,7 +26,11 @@
 // Serve serves HTTP at listen (IP:port) until ctx is done. Then it waits for running requests, for at most 5 s, and returns
 // an error if they have not ended.
 func Serve(ctx context.Context, listen string, handler http.Handler) error {
-	server := &http.Server{Addr: listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	shutdownErr := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
@@ -30,7 +38,8 @@
 		defer cancel()
 		shutdownErr <- server.Shutdown(ctx)
 	}()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	l = listener.Persistent(l, listener.Options{Name: listen, Log: slog.Default()})
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve %s: %w", listen, err)
 	}
 	return <-shutdownErr
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -21,6 +21,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/platform"
@@ -135,20 +136,20 @@
 
 // ServeMetrics publishes vars and serves all published variables as JSON at /debug/vars on a TCP address, beside the paths that
 // routes add, until ctx ends. It returns an error as Serve does.
-func ServeMetrics(ctx context.Context, address string, vars map[string]expvar.Var, routes ...func(*mux.Router)) error {
+func ServeMetrics(ctx context.Context, log *slog.Logger, address string, vars map[string]expvar.Var, routes ...func(*mux.Router)) error {
 	process.Publish(vars)
 	router := mux.NewRouter()
 	for _, add := range routes {
 		add(router)
 	}
 	router.Handle("/debug/vars", expvar.Handler())
-	return Serve(ctx, address, router)
+	return Serve(ctx, log, address, router)
 }
 
 // Serve runs an HTTP server for handler on a TCP address until ctx ends. It returns an error if it can't listen or serve,
 // and the error of ctx otherwise.
-func Serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+func Serve(ctx context.Context, log *slog.Logger, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -159,7 +160,7 @@
 		_ = server.Shutdown(end) // connections that remain end with the process
 	})
 	defer stop()
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener.Persistent(l, listener.Options{Name: address, Log: log})); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve %s: %w", address, err)
 	}
 	return ctx.Err()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 )
 
 // proxyMode is what a proxy does with the connections that pass through it.
@@ -35,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{})}
+	p := &proxy{listener: listener.Persistent(l, listener.Options{Name: "proxy", Log: slog.Default()}), target: target, conns: make(map[net.Conn]struct{})}
 	go p.run()
 	return p, nil
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -103,6 +104,7 @@
 
 // NewServer returns a server that accepts connections from l. A nil tlsConfig means plain TCP.
 func NewServer(l net.Listener, tlsConfig *tls.Config, handler Handler, log *slog.Logger) *Server {
+	l = listener.Persistent(l, listener.Options{Name: "peers", Log: log})
 	if tlsConfig != nil {
 		l = tls.NewListener(l, tlsConfig)
 	}
@@ -113,7 +115,8 @@
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
-// Serve accepts sessions until Close is called or ctx is done, and then returns nil.
+// Serve accepts sessions until Close is called or ctx is done, and then returns nil. It returns an error only if the listening
+// socket becomes unusable.
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
