--- a/cmd/fake-fleet/main.go
+++ b/cmd/fake-fleet/main.go
@@ -41,7 +41,7 @@
 		}
 		store := fleet.NewStore()
 		go store.ExpireEntries(ctx)
-		return standin.Serve(ctx, *listen, store.Handler())
+		return standin.Serve(ctx, *listen, store.Handler(), store.Listener)
 	}
 	var o fleet.ReplicaOptions
 	store := flags.String("store", "", "`ADDRESS` (IP:port) of the store")
@@ -84,7 +84,7 @@
 	replica = fleet.NewReplica(o)
 	replica.SetFaults(fleet.ReplicaFaults{OrderTime: *orderTime})
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return standin.Serve(ctx, *listen, replica.Handler()) })
+	group.Go(func() error { return standin.Serve(ctx, *listen, replica.Handler(), replica.Listener) })
 	group.Go(func() error { return replica.RenewEntry(ctx, *store) })
 	err := group.Wait()
 	if *records != "" {
--- a/cmd/pomelo-fleet-agent/main.go
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/agent"
 	"github.com/pomelowheel/pomelowheel/internal/background"
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -32,11 +33,14 @@
 	if err != nil {
 		return fmt.Errorf("listen for gateways: %w", err)
 	}
-	store := platform.NewStore(s.Store.Address)
+	reclaimer := descriptors.NewReclaimer(log)
+	shares := descriptors.Divide(descriptors.Allowance(s.Connections))
+	store := platform.NewStore(s.Store.Address, reclaimer)
 	a := agent.New(agent.Options{
-		Host: s.Host, Engine: platform.NewEngineClient(s.EngineAddress), Store: store, Log: log,
+		Host: s.Host, Engine: platform.NewEngineClient(s.EngineAddress, reclaimer), Store: store, Log: log,
 	})
-	gateways := transport.NewServer(listener, nil, a.Handle, log)
+	gateways := transport.NewServer(listener, nil, a.Handle, log, transport.WithDescriptors(shares.PeerSessions, reclaimer))
+	reclaimer.Add("sessions without a stream", gateways.CloseIdle)
 
 	ctx, stop := fleetprocess.NotifyTermination(ctx)
 	defer stop()
@@ -47,15 +51,17 @@
 		return settings.Watch(ctx, func(s *platform.Settings) { store.SetAddress(s.Store.Address) })
 	})
 	group.Go("metrics", func(ctx context.Context) error {
-		return fleetprocess.ServeMetrics(ctx, log, s.MetricsAddress, vars(settings.Sink, store))
+		endpoint := fleetprocess.Endpoint{Address: s.MetricsAddress, MaxConnections: shares.Operators, Reclaim: reclaimer, Log: log}
+		return endpoint.ServeMetrics(ctx, vars(settings.Sink, store, reclaimer))
 	})
 	log.Info("started", "address", s.PeerAddress, "engine", s.EngineAddress, "service", s.EngineService)
 	return group.Wait()
 }
 
-func vars(sink *logsink.Sink, store *platform.Store) map[string]expvar.Var {
+func vars(sink *logsink.Sink, store *platform.Store, reclaimer *descriptors.Reclaimer) map[string]expvar.Var {
 	return map[string]expvar.Var{
 		"log_lines_dropped": sink.Dropped(),
+		"descriptors_short": expvar.Func(func() any { return reclaimer.Short() }),
 		"store_calls":       expvar.Func(func() any { all, _ := store.Calls(); return all }),
 		"store_failures":    expvar.Func(func() any { _, failed := store.Calls(); return failed }),
 	}
--- a/cmd/pomelo-fleet-agent/main_test.go
+++ b/cmd/pomelo-fleet-agent/main_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/process"
@@ -26,7 +27,7 @@
 	sink, _ := logsink.New(io.Discard, slog.LevelInfo)
 	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Metrics of the fleet agent")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(slices.Collect(maps.Keys(vars(sink, platform.NewStore("127.0.0.1:1"))))).To(ConsistOf(documented))
+	g.Expect(slices.Collect(maps.Keys(vars(sink, platform.NewStore("127.0.0.1:1", nil), descriptors.NewReclaimer(slog.New(slog.DiscardHandler)))))).To(ConsistOf(documented))
 }
 
 // Guards against a process that opens sockets although its settings are invalid or although it was started with -check.
--- a/cmd/pomelo-fleet-gateway/drain_test.go
+++ b/cmd/pomelo-fleet-gateway/drain_test.go
@@ -38,7 +38,7 @@
 	g.Eventually(m.gateway.lease.Epoch, setupTimeout).ShouldNot(BeZero())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	tracker := arrivals.New()
+	tracker := arrivals.New(arrivals.Options{})
 	server := &http.Server{Handler: m.gateway.server}
 	tracker.Attach(server)
 	go func() { _ = server.Serve(tracker.Listener(listener)) }() // returns when the server is closed
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -14,8 +14,10 @@
 	"github.com/gorilla/mux"
 
 	"github.com/pomelowheel/pomelowheel/internal/agentclient"
+	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/discovery"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetgateway"
@@ -72,6 +74,9 @@
 	planner      *fleetplanner.Planner
 	server       *fleetgateway.Server
 	logSink      interface{ Dropped() expvar.Var }
+	callers      *arrivals.Tracker // connections of callers
+	shares       descriptors.Shares
+	reclaimer    *descriptors.Reclaimer
 	peerListener net.Listener
 }
 
@@ -88,15 +93,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("port of the agents in the peer address: %w", err)
 	}
+	reclaimer := descriptors.NewReclaimer(log)
+	shares := descriptors.Divide(descriptors.Allowance(s.Connections))
 	g := &gateway{
-		settings: s, log: log, store: platform.NewStore(s.Store.Address), view: fleet.NewView(), table: fleetroute.NewTable(),
+		shares: shares, reclaimer: reclaimer, callers: arrivals.New(arrivals.Options{MaxConnections: shares.Callers, Log: log}),
+		settings: s, log: log, store: platform.NewStore(s.Store.Address, reclaimer), view: fleet.NewView(), table: fleetroute.NewTable(),
 		freshness: freshness.New(s.Bounds.Configuration), demand: fleetgateway.NewDemand(), metrics: fleetgateway.NewMetrics(),
 		sessions: transport.NewPoolWithControl(platform.SetTCPUserTimeout),
 		pool: upstream.NewPool(upstream.Options{
-			DialTimeout: backendDialTimeout, MaxIdle: maxIdlePerServer, Control: platform.SetTCPUserTimeout,
+			DialTimeout: backendDialTimeout, MaxIdle: maxIdlePerServer, MaxIdleAll: shares.IdleServers,
+			Control: platform.SetTCPUserTimeout, Reclaim: reclaimer,
 		}),
 		logSink: settings.Sink, peerListener: listener,
 	}
+	g.sessions.ReclaimWith(reclaimer)
+	reclaimer.Add("idle connections to servers", g.pool.CloseIdle)
+	reclaimer.Add("idle connections of callers", g.callers.EndLongestIdle)
 	identity := &wirepb.Identity{
 		Host: s.Host, DataCentre: s.DataCentre, Role: "gateway", Incarnation: uuid.NewString(), Address: s.ControlAddress,
 	}
@@ -146,7 +158,10 @@
 func (g *gateway) start(group *background.Group) {
 	group.Go("discovery", g.follower.Run)
 	group.Go("peers", g.mesh.Run)
-	group.Go("peer sessions", transport.NewServer(g.peerListener, nil, g.handlePeer, g.log).Serve)
+	peerSessions := transport.NewServer(g.peerListener, nil, g.handlePeer, g.log,
+		transport.WithDescriptors(g.shares.PeerSessions, g.reclaimer))
+	g.reclaimer.Add("peer sessions without a stream", peerSessions.CloseIdle)
+	group.Go("peer sessions", peerSessions.Serve)
 	group.Go("registration", g.register)
 	group.Go("agents", g.agents.Run)
 	group.Go("planner's lease", g.lease.Run)
@@ -154,10 +169,15 @@
 	group.Go("cleaning", g.cleanUp)
 	group.Go("prompt guard", g.runGuard)
 	group.Go("readiness", func(ctx context.Context) error {
-		return fleetprocess.Serve(ctx, g.log, g.settings.ReadinessAddress, g.readiness())
+		return g.endpoint(g.settings.ReadinessAddress).Serve(ctx, g.readiness())
 	})
 }
 
+// endpoint returns a server for the platform or for operators.
+func (g *gateway) endpoint(address string) fleetprocess.Endpoint {
+	return fleetprocess.Endpoint{Address: address, MaxConnections: g.shares.Operators, Reclaim: g.reclaimer, Log: g.log}
+}
+
 // readiness returns the handler of readiness checks. It responds on every path, because the platform requests only
 // one path. The status is 200 if the gateway accepts requests and 503 otherwise.
 func (g *gateway) readiness() http.Handler {
@@ -173,6 +193,10 @@
 func (g *gateway) vars() map[string]expvar.Var {
 	vars := g.metrics.Vars()
 	vars["log_lines_dropped"] = g.logSink.Dropped()
+	vars["descriptors_short"] = expvar.Func(func() any { return g.reclaimer.Short() })
+	vars["caller_connections"] = expvar.Func(func() any { open, _, _ := g.callers.Counts(); return open })
+	vars["caller_connections_ended"] = expvar.Func(func() any { _, ended, _ := g.callers.Counts(); return ended })
+	vars["caller_connections_refused"] = expvar.Func(func() any { _, _, refused := g.callers.Counts(); return refused })
 	vars["store_calls"] = expvar.Func(func() any { all, _ := g.store.Calls(); return all })
 	vars["store_failures"] = expvar.Func(func() any { _, failed := g.store.Calls(); return failed })
 	vars["backend_connections_opened"] = expvar.Func(func() any { return g.pool.Dials() })
--- a/cmd/pomelo-fleet-gateway/limits_test.go
+++ b/cmd/pomelo-fleet-gateway/limits_test.go
@@ -30,7 +30,7 @@
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	tracker := arrivals.New()
+	tracker := arrivals.New(arrivals.Options{})
 	server := m.gateway.newCallerServer(tracker)
 	go func() { _ = server.Serve(tracker.Listener(listener)) }() // returns when the server is closed
 	t.Cleanup(func() { _ = server.Close() })
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -52,15 +52,15 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	callers = listener.Persistent(callers, listener.Options{Name: "callers", Log: log})
-	tracker := arrivals.New()
+	callers = listener.Persistent(callers, listener.Options{Name: "callers", Reclaim: g.reclaimer, Log: log})
+	tracker := g.callers
 	server := g.newCallerServer(tracker)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group := background.NewGroup(ctx, log)
 	g.start(group)
 	group.Go("metrics", func(ctx context.Context) error {
-		return fleetprocess.ServeMetrics(ctx, log, g.settings.MetricsAddress, g.vars(), g.addRefusedPrompts)
+		return g.endpoint(g.settings.MetricsAddress).ServeMetrics(ctx, g.vars(), g.addRefusedPrompts)
 	})
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -12,6 +12,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/callerapi"
 	"github.com/pomelowheel/pomelowheel/internal/configsync"
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/hostlist"
 	"github.com/pomelowheel/pomelowheel/internal/limitholder"
@@ -34,6 +35,8 @@
 	log            *slog.Logger
 	identity       *wirepb.Identity
 	pool           *transport.Pool
+	shares         descriptors.Shares
+	reclaimer      *descriptors.Reclaimer
 	store          *tablestore.CountingStore
 	hosts          *hostlist.List
 	config         *configsync.Copy
@@ -99,7 +102,10 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.identity = process.NewIdentity(s.Process, "gateway", peerListener.Addr().String())
+	p.shares = descriptors.Divide(descriptors.Allowance(0))
+	p.reclaimer = descriptors.NewReclaimer(p.log)
 	p.pool = transport.NewPool(peerCertificates.PeerTLSConfig())
+	p.pool.ReclaimWith(p.reclaimer)
 	p.store = process.NewTableStore(s.TableService)
 	p.hosts = hostlist.New(hostlist.Options{URL: s.HostList.URL, Interval: s.HostList.Interval.D(), Log: p.log})
 	p.config = configsync.New(configsync.Options{
@@ -114,7 +120,10 @@
 	if s.Planner.Enabled {
 		p.planner = p.newPlanner()
 	}
-	p.peers = transport.NewServer(peerListener, peerCertificates.PeerTLSConfig(), handlers.Handler(p.log), p.log)
+	p.peers = transport.NewServer(peerListener, peerCertificates.PeerTLSConfig(), handlers.Handler(p.log), p.log,
+		transport.WithDescriptors(p.shares.PeerSessions, p.reclaimer))
+	p.reclaimer.Add("idle connections of callers", p.callers.EndLongestIdle)
+	p.reclaimer.Add("peer sessions without a stream", p.peers.CloseIdle)
 	return nil
 }
 
@@ -136,6 +145,7 @@
 		Gateway: p.gateway, DefaultService: s.Callers.DefaultService, MaxBody: int64(s.Callers.MaxBody),
 		MaxHeader: int64(s.Callers.MaxHeader), HeaderTimeout: s.Callers.HeaderTimeout.D(),
 		BodyTimeout: s.Callers.BodyTimeout.D(), MaxConcurrency: s.Callers.MaxConcurrency,
+		MaxConnections: p.shares.Callers, Reclaim: p.reclaimer,
 		TLS: callerCertificates.CallerTLSConfig(), Log: p.log,
 	})
 }
--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/configsync"
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 	"github.com/pomelowheel/pomelowheel/internal/sidecar"
@@ -39,7 +40,10 @@
 			return fmt.Errorf("listen for debug: %w", err)
 		}
 	}
+	shares := descriptors.Divide(descriptors.Allowance(0))
+	reclaimer := descriptors.NewReclaimer(log)
 	pool := transport.NewPool(certificates.PeerTLSConfig())
+	pool.ReclaimWith(reclaimer)
 	defer pool.Close()
 	identity := process.NewIdentity(s.Process, "sidecar", listener.Addr().String())
 	configuration := configsync.New(configsync.Options{
@@ -53,7 +57,9 @@
 		PeerServes: sidecar.NewPeerServes(pool, identity),
 	})
 	process.Publish(vars(server, store, certificates))
-	peers := transport.NewServer(listener, certificates.PeerTLSConfig(), server.Handle, log)
+	peers := transport.NewServer(listener, certificates.PeerTLSConfig(), server.Handle, log,
+		transport.WithDescriptors(shares.PeerSessions, reclaimer))
+	reclaimer.Add("peer sessions without a stream", peers.CloseIdle)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -45,7 +45,7 @@
 	storeServer := httptest.NewServer(h.store.Handler())
 	DeferCleanup(storeServer.Close)
 	DeferCleanup(h.server.Close)
-	h.client = platform.NewStore(storeServer.Listener.Addr().String())
+	h.client = platform.NewStore(storeServer.Listener.Addr().String(), nil)
 	h.start()
 	DeferCleanup(func() { h.stop() })
 	return h
@@ -55,7 +55,7 @@
 func (h *host) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.agent = agent.New(agent.Options{
-		Host: "side-1", Engine: platform.NewEngineClient(h.server.Listener.Addr().String()), Store: h.client,
+		Host: "side-1", Engine: platform.NewEngineClient(h.server.Listener.Addr().String(), nil), Store: h.client,
 		Log: slog.New(slog.DiscardHandler),
 	})
 	a := h.agent
@@ -77,7 +77,7 @@
 }
 
 func (h *host) models() []string {
-	report, err := platform.NewEngineClient(h.server.Listener.Addr().String()).Report(context.Background())
+	report, err := platform.NewEngineClient(h.server.Listener.Addr().String(), nil).Report(context.Background())
 	if err != nil {
 		return nil
 	}
@@ -155,7 +155,7 @@
 		h.agent.SetTarget(larger)
 		h.agent.SetTarget(target(6))
 		Expect(errkind.Of(h.propose(1, "load", "b"))).To(Equal(errkind.MemoryFull))
-		report, err := platform.NewEngineClient(h.server.Listener.Addr().String()).Report(context.Background())
+		report, err := platform.NewEngineClient(h.server.Listener.Addr().String(), nil).Report(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		listed := target(6)
 		listed.Born = report.Born
--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -6,10 +6,13 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
@@ -26,17 +29,44 @@
 // endPollInterval is the pause between two checks whether the connections have ended.
 const endPollInterval = 5 * time.Millisecond
 
+// idleBatchFraction is the part of the connections, as a divisor, that is ended at a time at Options.MaxConnections.
+const idleBatchFraction = 16
+
+// fullLogInterval is the shortest time between two log lines about connections at their bound.
+const fullLogInterval = time.Second
+
 // Tracker tracks the connections of one http.Server, so that the process can end without the loss of an answer. The methods
 // Shutdown and Close of http.Server do not serve that: both close connections on which a part of a request has been read,
 // and after a call of one of them the server answers no request whose header it reads.
 type Tracker struct {
+	opts  Options
+	ended atomic.Int64 // idle connections ended because of Options.MaxConnections or EndLongestIdle
+	full  atomic.Int64 // connections refused because of Options.MaxConnections
+
 	mu       sync.Mutex
 	conns    map[*arrivalConn]struct{}
 	refusing bool // new connections are closed
+	fullAt   time.Time
+}
+
+// Options configure a Tracker.
+type Options struct {
+	// MaxConnections bounds the connections; zero means no limit. At the bound, the connections that have been idle for longest
+	// are ended. If there is none, new connections are closed before anything is read from them.
+	MaxConnections int
+	Log            *slog.Logger // may be nil without MaxConnections
 }
 
 // New returns a Tracker without connections.
-func New() *Tracker { return &Tracker{conns: make(map[*arrivalConn]struct{})} }
+func New(opts Options) *Tracker { return &Tracker{opts: opts, conns: make(map[*arrivalConn]struct{})} }
+
+// Counts returns the number of open connections, and since the start of those that were ended while idle and of those that
+// were refused to keep to the bound.
+func (a *Tracker) Counts() (open int, ended, refused int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns), a.ended.Load(), a.full.Load()
+}
 
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
@@ -90,10 +120,66 @@
 func (a *Tracker) add(c *arrivalConn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.refusing {
-		a.conns[c] = struct{}{}
+	if a.refusing || !a.makeRoom() {
+		return false
+	}
+	c.idleSince = time.Now()
+	a.conns[c] = struct{}{}
+	return true
+}
+
+// makeRoom reports whether one more connection may be accepted. At the bound it first ends a batch of idle connections. Those
+// that are being closed no longer count. The caller holds a.mu.
+func (a *Tracker) makeRoom() bool {
+	if a.opts.MaxConnections <= 0 || len(a.conns) < a.opts.MaxConnections {
+		return true
+	}
+	open := 0
+	for c := range a.conns {
+		if !c.ended {
+			open++
+		}
+	}
+	if open < a.opts.MaxConnections {
+		return true
+	}
+	ended := a.endLongestIdle(a.opts.MaxConnections/idleBatchFraction + 1)
+	if ended == 0 {
+		a.full.Add(1)
+	}
+	if now := time.Now(); now.Sub(a.fullAt) >= fullLogInterval {
+		a.fullAt = now
+		a.opts.Log.Warn("connections are at their bound", "most", a.opts.MaxConnections, "idle_ended", ended,
+			"idle_ended_total", a.ended.Load(), "refused_total", a.full.Load())
+	}
+	return ended > 0
+}
+
+// EndLongestIdle ends up to n connections on which nothing of a request has been read, those that have been idle for longest
+// first, and returns their number.
+func (a *Tracker) EndLongestIdle(n int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.endLongestIdle(n)
+}
+
+// endLongestIdle is EndLongestIdle for a caller that holds a.mu. A connection that has had no request yet counts as idle after
+// the time within which a first request arrives.
+func (a *Tracker) endLongestIdle(n int) int {
+	var idle []*arrivalConn
+	now := time.Now()
+	for c := range a.conns {
+		if !c.ended && !c.serving && c.lastByteAt.IsZero() && (c.used || now.Sub(c.idleSince) > firstRequestTimeout) {
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *arrivalConn) int { return a.idleSince.Compare(b.idleSince) })
+	idle = idle[:min(n, len(idle))]
+	for _, c := range idle {
+		c.endReads()
 	}
-	return !a.refusing
+	a.ended.Add(int64(len(idle)))
+	return len(idle)
 }
 
 // handled records that the handler of a request has returned.
@@ -222,7 +308,7 @@
 	serving    bool      // the server has read the header of a request and has not ended its response
 	handledAt  time.Time // when the handler of that request returned; zero before
 	lastByteAt time.Time // of the current request; zero if nothing of it was read since its header, or none arrives
-	idleSince  time.Time // when the last response ended
+	idleSince  time.Time // when the last response ended, or the connection was accepted
 	ended      bool      // no further request may begin
 }
 
--- a/internal/arrivals/drain_test.go
+++ b/internal/arrivals/drain_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracker := arrivals.New()
+	tracker := arrivals.New(arrivals.Options{})
 	server := &http.Server{Handler: http.NotFoundHandler()}
 	tracker.Attach(server)
 	go func() { _ = server.Serve(tracker.Listener(listener)) }() // returns when the server is closed
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracker := arrivals.New()
+	tracker := arrivals.New(arrivals.Options{})
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
 	}
@@ -114,7 +114,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracker := arrivals.New()
+	tracker := arrivals.New(arrivals.Options{})
 	server := &http.Server{Handler: http.NotFoundHandler()}
 	tracker.Attach(server)
 	go func() { _ = server.Serve(tracker.Listener(listener)) }() // returns when the server is closed
--- a/internal/arrivals/end_test.go
+++ b/internal/arrivals/end_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracker = arrivals.New()
+	tracker = arrivals.New(arrivals.Options{})
 	server := &http.Server{Handler: handler}
 	tracker.Attach(server)
 	go func() { _ = server.Serve(tracker.Listener(listener)) }() // returns when the server is closed
@@ -180,7 +180,7 @@
 		t.Fatal(err)
 	}
 	counting := &countingListener{Listener: listener}
-	tracker := arrivals.New()
+	tracker := arrivals.New(arrivals.Options{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(time.Millisecond) // longer than a switch of goroutines
 		w.WriteHeader(http.StatusNoContent)
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -19,6 +19,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/pomelowheel/pomelowheel/internal/arrivals"
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/listener"
@@ -42,7 +43,9 @@
 	HeaderTimeout  time.Duration
 	BodyTimeout    time.Duration // measured from the arrival of the request
 	MaxConcurrency int           // requests at once
-	TLS            *tls.Config   // nil for plain HTTP
+	MaxConnections int           // of callers; zero for no limit
+	Reclaim        *descriptors.Reclaimer
+	TLS            *tls.Config // nil for plain HTTP
 	Log            *slog.Logger
 }
 
@@ -57,7 +60,7 @@
 
 // New returns a server. It accepts connections once Serve is called.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New()}
+	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New(arrivals.Options{MaxConnections: opts.MaxConnections, Log: opts.Log})}
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		TLSConfig:         opts.TLS,
@@ -167,7 +170,7 @@
 
 // Serve accepts connections on l until Shutdown or Close, after which it returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	l = s.arrivals.Listener(listener.Persistent(l, listener.Options{Name: "callers", Log: s.opts.Log}))
+	l = s.arrivals.Listener(listener.Persistent(l, listener.Options{Name: "callers", Reclaim: s.opts.Reclaim, Log: s.opts.Log}))
 	var err error
 	if s.opts.TLS != nil {
 		err = s.http.ServeTLS(l, "", "")
@@ -194,5 +197,8 @@
 	return s.arrivals.End(ctx, s.http, limit)
 }
 
+// EndLongestIdle ends up to n idle connections of callers and returns their number.
+func (s *Server) EndLongestIdle(n int) int { return s.arrivals.EndLongestIdle(n) }
+
 // Close closes the listener and all connections immediately.
 func (s *Server) Close() error { return s.http.Close() }
--- a/internal/fake/fleet/replica.go
+++ b/internal/fake/fleet/replica.go
@@ -34,6 +34,8 @@
 	SilentHead float64       `json:"silent_head"`
 	SilentBody float64       `json:"silent_body"`
 	Silence    time.Duration `json:"silence"`
+	// ShortFor is the time for which the server accepts no connection, as if it had no free file descriptor.
+	ShortFor time.Duration `json:"short_for"`
 	// LateOrders is the fraction of the orders that get no response and are executed one second later.
 	LateOrders float64 `json:"late_orders"`
 	// OrderTime is the duration of a load or unload. With zero, orders take effect immediately.
@@ -87,6 +89,7 @@
 
 	mu             sync.Mutex
 	faults         ReplicaFaults
+	shortUntil     time.Time           // end of ReplicaFaults.ShortFor
 	models         map[string][]string // adapters of each model in memory
 	onDisk         []string
 	busy           bool
@@ -150,7 +153,7 @@
 func (r *Replica) SetFaults(f ReplicaFaults) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.faults = f
+	r.faults, r.shortUntil = f, time.Now().Add(f.ShortFor)
 }
 
 // Leave makes the backend server say in each of its responses that it is leaving. It does not change the state in the
--- a/internal/fake/fleet/store.go
+++ b/internal/fake/fleet/store.go
@@ -31,6 +31,8 @@
 	Hosts  []string      `json:"hosts"`  // IP addresses of the clients to which the three faults above apply; all if empty
 	Delay  time.Duration `json:"delay"`  // delay before each response
 	Lose   float64       `json:"lose"`   // fraction (0 to 1) of the writes that are executed and get no response
+	// ShortFor is the time for which the store accepts no connection, as if it had no free file descriptor.
+	ShortFor time.Duration `json:"short_for"`
 }
 
 type row struct {
@@ -53,6 +55,7 @@
 	version      int64
 	changed      chan struct{}
 	faults       StoreFaults
+	shortUntil   time.Time // end of StoreFaults.ShortFor
 	calls        int64
 	start        time.Time
 }
@@ -88,7 +91,7 @@
 func (s *Store) SetFaults(f StoreFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = f
+	s.faults, s.shortUntil = f, time.Now().Add(f.ShortFor)
 	close(s.changed) // wakes waiting feed calls, which check the faults
 	s.changed = make(chan struct{})
 }
--- a/internal/fake/standin/standin.go
+++ b/internal/fake/standin/standin.go
@@ -24,8 +24,8 @@
 )
 
 // Serve serves HTTP at listen (IP:port) until ctx is done. Then it waits for running requests, for at most 5 s, and returns
-// an error if they have not ended.
-func Serve(ctx context.Context, listen string, handler http.Handler) error {
+// an error if they have not ended. Each function of wrap is applied to the listener.
+func Serve(ctx context.Context, listen string, handler http.Handler, wrap ...func(net.Listener) net.Listener) error {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -38,6 +38,9 @@
 		defer cancel()
 		shutdownErr <- server.Shutdown(ctx)
 	}()
+	for _, w := range wrap {
+		l = w(l)
+	}
 	l = listener.Persistent(l, listener.Options{Name: listen, Log: slog.Default()})
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve %s: %w", listen, err)
--- a/internal/fleetplanner/fleetplanner_test.go
+++ b/internal/fleetplanner/fleetplanner_test.go
@@ -43,7 +43,7 @@
 func newCandidate(address, name string) *candidate {
 	c := new(candidate)
 	c.lease = fleetplanner.NewLease(fleetplanner.LeaseOptions{
-		Store: platform.NewStore(address), Host: name, Incarnation: fmt.Sprint(name, time.Now().UnixNano()),
+		Store: platform.NewStore(address, nil), Host: name, Incarnation: fmt.Sprint(name, time.Now().UnixNano()),
 		Clock:  bootclock.Now,
 		Demand: func() map[string]float64 { return map[string]float64{"s\x00m": 7} },
 		OnAcquired: func(d map[string]float64) {
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -20,7 +20,9 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/background"
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/process"
@@ -30,11 +32,11 @@
 const (
 	// settingsPollInterval is the pause between two reads of the settings file, which may change without a signal.
 	settingsPollInterval = 2 * time.Second
-	// shutdownTimeout limits the shutdown of a server started by Serve.
+	// shutdownTimeout limits the shutdown of a server started by Endpoint.Serve.
 	shutdownTimeout = 200 * time.Millisecond
 	// minPause is the time between two polls from which the process counts as paused.
 	minPause = 500 * time.Millisecond
-	// headerTimeout limits reading the header of a request to a server started by Serve.
+	// headerTimeout limits reading the header of a request to a server started by Endpoint.Serve.
 	headerTimeout = 2 * time.Second
 )
 
@@ -134,34 +136,45 @@
 	return signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 }
 
-// ServeMetrics publishes vars and serves all published variables as JSON at /debug/vars on a TCP address, beside the paths that
-// routes add, until ctx ends. It returns an error as Serve does.
-func ServeMetrics(ctx context.Context, log *slog.Logger, address string, vars map[string]expvar.Var, routes ...func(*mux.Router)) error {
+// Endpoint is an HTTP server for operators or the platform.
+type Endpoint struct {
+	Address        string // IP:port to listen on
+	MaxConnections int    // zero for no limit
+	Reclaim        *descriptors.Reclaimer
+	Log            *slog.Logger
+}
+
+// ServeMetrics publishes vars and serves all published variables as JSON at /debug/vars, beside the paths that routes add, until
+// ctx ends. It returns an error as Serve does.
+func (e Endpoint) ServeMetrics(ctx context.Context, vars map[string]expvar.Var, routes ...func(*mux.Router)) error {
 	process.Publish(vars)
 	router := mux.NewRouter()
 	for _, add := range routes {
 		add(router)
 	}
 	router.Handle("/debug/vars", expvar.Handler())
-	return Serve(ctx, log, address, router)
+	return e.Serve(ctx, router)
 }
 
-// Serve runs an HTTP server for handler on a TCP address until ctx ends. It returns an error if it can't listen or serve,
-// and the error of ctx otherwise.
-func Serve(ctx context.Context, log *slog.Logger, address string, handler http.Handler) error {
-	l, err := net.Listen("tcp", address)
+// Serve runs an HTTP server for handler until ctx ends. It returns an error if it can't listen or the listening socket becomes
+// unusable, and the error of ctx otherwise.
+func (e Endpoint) Serve(ctx context.Context, handler http.Handler) error {
+	l, err := net.Listen("tcp", e.Address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	tracker := arrivals.New(arrivals.Options{MaxConnections: e.MaxConnections, Log: e.Log})
+	tracker.Attach(server)
 	stop := context.AfterFunc(ctx, func() {
 		end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = server.Shutdown(end) // connections that remain end with the process
 	})
 	defer stop()
-	if err := server.Serve(listener.Persistent(l, listener.Options{Name: address, Log: log})); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", address, err)
+	l = tracker.Listener(listener.Persistent(l, listener.Options{Name: e.Address, Reclaim: e.Reclaim, Log: e.Log}))
+	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", e.Address, err)
 	}
 	return ctx.Err()
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 )
 
 const (
@@ -25,8 +27,9 @@
 
 // Options configure a persistent listener.
 type Options struct {
-	Name string // of what the listener is for, in the log
-	Log  *slog.Logger
+	Name    string                 // of what the listener is for, in the log
+	Reclaim *descriptors.Reclaimer // asked for descriptors when none is free; may be nil
+	Log     *slog.Logger
 }
 
 // Persistent returns a listener whose Accept fails only once it is closed or the listening socket is unusable. After other
@@ -59,6 +62,9 @@
 			p.opts.Log.Warn("connection not accepted; trying again", "listener", p.opts.Name, "failures", failures, "error", err)
 			lastLog = now
 		}
+		if descriptors.Exhausted(err) {
+			p.opts.Reclaim.Reclaim()
+		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -84,6 +84,7 @@
 			len(crashTimes(records)), late, begun, refused)
 	}
 	r.checkLimit(records, fail)
+	r.retries = checkRetries(requests, records, fail)
 	for _, p := range append(append([]*program{}, s.gateways...), s.agents...) {
 		for _, what := range p.recordedFailures() {
 			fail("%s", what)
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -214,3 +214,22 @@
 		})).To(Equal(want), "%d of 20", begun)
 	}
 }
+
+// Guards against a check of retries that allows more than the bound, or counts first arrivals.
+func TestCheckRetries(t *testing.T) {
+	for _, c := range []struct{ requests, retried, failures int }{{300, 57, 0}, {300, 114, 0}, {300, 115, 1}, {500, 115, 0}, {0, 0, 0}} {
+		h := newHistory()
+		for i := range c.requests {
+			q := h.request(i * 10)
+			for range 1 + min(1, max(0, c.retried-i)) {
+				h.rejected(q, 503, 0)
+			}
+		}
+		failures := h.failures(func(requests []*sent, records *serverRecords, _ []gatewayTimes, fail func(string, ...any)) {
+			checkRetries(requests, records, fail)
+		})
+		if failures != c.failures {
+			t.Errorf("%d retries of %d requests: %d failures, expected %d", c.retried, c.requests, failures, c.failures)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -14,10 +14,12 @@
 	// PlanCrashingPrompt sends requests whose prompts hold a part that crashes each engine as it begins to answer, beside sound
 	// requests and a few disruptions of the system's own processes.
 	PlanCrashingPrompt Plan = "crashing-prompt"
+	// PlanScarce draws from what uses up the descriptors of processes, and from kills of all gateways beside failing servers.
+	PlanScarce Plan = "scarce"
 )
 
 // Plans are the known plans.
-var Plans = []Plan{PlanDisruptions, PlanPlanned, PlanCrashingPrompt}
+var Plans = []Plan{PlanDisruptions, PlanPlanned, PlanCrashingPrompt, PlanScarce}
 
 // plan is how a Plan is run.
 type plan struct {
@@ -35,9 +37,20 @@
 	case PlanCrashingPrompt:
 		return plan{faults: besideCrashes, maxConcurrent: 2, recoveryTime: 8 * time.Second, loadBefore: 2 * loadBeforeFaults, pause: 4 * time.Second}
 	}
+	if p == PlanScarce {
+		return plan{faults: scarce, maxConcurrent: 3, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
+	}
 	return plan{faults: disruptions, maxConcurrent: 3, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
 }
 
+// openFiles returns the number of descriptors that a gateway or an agent may have, or 0 if they are not scarce.
+func (p Plan) openFiles() int {
+	if p == PlanScarce {
+		return openFiles
+	}
+	return 0
+}
+
 // eventPause returns the engines' delay before each event of a stream.
 func (p Plan) eventPause() time.Duration {
 	if p == PlanPlanned || p == PlanCrashingPrompt {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // program is one process of the run, which may be started many times.
@@ -19,6 +21,8 @@
 	env    []string
 	logDir string // directory of the log files
 
+	openFiles int // descriptors that the process may have; 0 for no limit of its own
+
 	mu            sync.Mutex
 	command       *exec.Cmd
 	exited        chan struct{}
@@ -51,6 +55,12 @@
 		_ = log.Close()
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
+	if p.openFiles > 0 {
+		limit := unix.Rlimit{Cur: uint64(p.openFiles), Max: uint64(p.openFiles)}
+		if err := unix.Prlimit(c.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+			p.failures = append(p.failures, fmt.Sprintf("%s has no limit of descriptors: %v", p.name, err))
+		}
+	}
 	exited := make(chan struct{})
 	p.command, p.exited, p.stopRequested = c, exited, false
 	go func() {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -19,6 +19,7 @@
 	if r.crashes != "" {
 		fmt.Fprintf(w, "  %s\n", r.crashes)
 	}
+	fmt.Fprintf(w, "  %s\n", r.retries)
 	if withFaults {
 		for _, e := range r.InjectedFaults {
 			fmt.Fprintf(w, "  %6.2f s for %5.2f s: %s %s\n", e.Start.Seconds(),
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,6 +28,7 @@
 	Unread, Late, Losses []loss
 	Failures             []string // one message for each violated guarantee
 	crashes              string   // of PlanCrashingPrompt: what was counted
+	retries              string   // in the window that used most of the bound
 }
 
 // Run starts the fleet, runs it under load with the faults that o.Seed selects, checks the guarantees and ends all
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	seeds         = []uint64{1}
 	plannedSeeds  = []uint64{11}
 	crashingSeeds = []uint64{21}
+	scarceSeeds   = []uint64{31}
 )
 
 // Checks the guarantees of the real programs under faults: number of executions, complete answers, limits, keys,
@@ -29,6 +30,12 @@
 	run(t, plannedSeeds, soak.Options{Plan: soak.PlanPlanned, FaultDuration: 6 * time.Second, Rate: 40})
 }
 
+// Guards against processes that end when they are short of descriptors, and against gateways that spend the retry budget again
+// after they were killed.
+func TestSoakScarceDescriptorsAndKills(t *testing.T) {
+	run(t, scarceSeeds, soak.Options{Plan: soak.PlanScarce, FaultDuration: 12 * time.Second, Rate: 200})
+}
+
 // run runs the real programs once with each seed.
 func run(t *testing.T, seeds []uint64, o soak.Options) {
 	o.BinDir = t.TempDir()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -81,6 +81,8 @@
 	client         *http.Client
 	configOperator *operator
 
+	laterSettings []func() error // write the settings of each process for its starts after the first one of the fleet
+
 	serverFaults []sync.Mutex           // by server: held while a fault affects it
 	leaving      map[string]*sync.Mutex // by service: held while one of its servers leaves
 }
@@ -130,14 +132,22 @@
 			return s, err
 		}
 	}
-	return s, s.waitFor(ctx, func() error {
+	if err := s.waitFor(ctx, func() error {
 		for i := range s.gateways {
 			if err := s.ready(i); err != nil {
 				return err
 			}
 		}
 		return nil
-	})
+	}); err != nil {
+		return s, err
+	}
+	for _, write := range s.laterSettings {
+		if err := write(); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
 }
 
 func (s *system) program(name, binary string, env []string, args ...string) *program {
@@ -200,7 +210,7 @@
 		"node_name": name, "role": name, "ip": ip, "zone": dataCentres[i%len(dataCentres)],
 		"port_range": []int{portRangeFirst, portRangeLast},
 		"seeds":      []string{fmt.Sprintf("%s:%d", s.opts.ip(1, 0), peerPort)}, "bootstrap": true,
-		"bounds": map[string]any{"grace_s": grace.Seconds(), "drain_ms": drainTime.Milliseconds(), "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 54,
+		"bounds": map[string]any{"grace_s": grace.Seconds(), "drain_ms": drainTime.Milliseconds(), "retry_budget_ratio": retryRatio, "budget_window_s": retryWindow.Seconds(), "retry_budget_slack": retrySlack,
 			"lease_ms": 3000, "ceiling_window_s": 5, "ceiling_overage": 1.1, "contact_ms": contactTime.Milliseconds()},
 		"provider": map[string]any{"address": p.address(), "row_bytes": 65536},
 	}
@@ -211,24 +221,40 @@
 	} else {
 		settings["app"], settings["service"] = s.serverAddress(i), engineService
 	}
-	data, err := json.Marshal(settings)
-	if err != nil {
-		return err
+	if n := s.opts.Plan.openFiles(); n > 0 {
+		settings["limits"] = map[string]any{"max_fds": n + reservedFiles}
 	}
 	path := filepath.Join(s.opts.WorkDir, name+".json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	if err := writeSettings(path, settings); err != nil {
 		return err
 	}
+	s.laterSettings = append(s.laterSettings, func() error {
+		settings["bootstrap"] = false
+		return writeSettings(path, settings)
+	})
 	env := []string{"POMELOWHEEL_BOOT=" + path}
 	if s.opts.Plan == PlanPlanned {
 		// Without this, a program that was built with the race detector runs on for a second after the end of main.
 		env = append(env, "GORACE=atexit_sleep_ms=0")
 	}
 	program := s.program(name, binary, env)
+	program.openFiles = s.opts.Plan.openFiles()
 	*list = append(*list, program)
 	return program.start()
 }
 
+// writeSettings replaces a settings file at once, because processes read it at any time.
+func writeSettings(path string, settings map[string]any) error {
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path+".new", data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 func (s *system) ready(i int) error {
 	resp, err := s.client.Get(fmt.Sprintf("http://%s:%d/", s.opts.ip(1, i), readyPort))
 	if err != nil {
--- a/internal/transport/accept_test.go
+++ b/internal/transport/accept_test.go
@@ -50,4 +50,54 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ended).NotTo(Receive())
 	})
+
+	// Guards against sessions that nobody uses and that take the descriptors of those that are needed.
+	It("closes the sessions without a stream at the bound, and refuses new ones only if there is none", func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := transport.NewServer(inner, nil, func(_ context.Context, s *transport.Stream) {
+			for {
+				e, err := s.Recv()
+				if err != nil || s.Send(e) != nil {
+					return
+				}
+			}
+		}, slog.New(slog.DiscardHandler), transport.WithDescriptors(2, nil))
+		go func() { _ = server.Serve(context.Background()) }()
+		DeferCleanup(server.Close)
+		echo := func(s *transport.Stream) error {
+			if err := s.Send(cancelFrame("a")); err != nil {
+				return err
+			}
+			_, err := s.Recv()
+			return err
+		}
+		open := func() *transport.Stream {
+			pool := transport.NewPool(nil)
+			DeferCleanup(pool.Close)
+			stream, err := pool.Open(context.Background(), server.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			return stream
+		}
+		used := open()
+		Expect(echo(used)).To(Succeed())
+		unused, err := net.Dial("tcp", server.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(unused.Close)
+		third := open()
+		Expect(echo(third)).To(Succeed())
+		_, err = unused.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		pool := transport.NewPool(nil)
+		DeferCleanup(pool.Close)
+		Eventually(func() error {
+			refused, err := pool.Open(context.Background(), server.Addr().String())
+			if err == nil {
+				err = echo(refused)
+			}
+			return err
+		}).Should(HaveOccurred())
+		Expect(echo(used)).To(Succeed())
+		Expect(echo(third)).To(Succeed())
+	})
 })
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 )
 
 // Pool keeps at most one client session per peer address and opens streams on it. A session is dialled on first
@@ -17,6 +19,7 @@
 type Pool struct {
 	tlsConfig *tls.Config
 	control   func(network, address string, c syscall.RawConn) error
+	reclaim   *descriptors.Reclaimer
 
 	mu       sync.Mutex
 	sessions map[string]*pooledSession
@@ -41,6 +44,9 @@
 	return p
 }
 
+// ReclaimWith makes the pool ask r for descriptors when none is free. It must be called before the first Open.
+func (p *Pool) ReclaimWith(r *descriptors.Reclaimer) { p.reclaim = r }
+
 // Open opens a stream to the peer at address (IP:port), and dials the peer if there is no open session. If it returns an
 // error, no data was sent on the stream.
 func (p *Pool) Open(ctx context.Context, address string) (*Stream, error) {
@@ -78,12 +84,9 @@
 func (p *Pool) dial(ctx context.Context, address string) (*yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var conn net.Conn
-	var err error
-	if p.tlsConfig != nil {
-		conn, err = (&tls.Dialer{Config: p.tlsConfig}).DialContext(ctx, "tcp", address)
-	} else {
-		conn, err = (&net.Dialer{Control: p.control}).DialContext(ctx, "tcp", address)
+	conn, err := p.reclaim.Dial(&net.Dialer{Control: p.control})(ctx, "tcp", address)
+	if err == nil && p.tlsConfig != nil {
+		conn, err = secure(ctx, conn, p.tlsConfig, address)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
@@ -96,6 +99,25 @@
 	return session, nil
 }
 
+// secure completes a TLS handshake with the peer at address (IP:port) on conn. It closes conn if that fails.
+func secure(ctx context.Context, conn net.Conn, config *tls.Config, address string) (net.Conn, error) {
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	secured := tls.Client(conn, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 // Drop closes the session to address, so that the next Open dials again. Call it after an exchange with the peer timed
 // out: as sessions have no keep-alive, such a time-out is the only sign of a dead peer.
 func (p *Pool) Drop(address string) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,11 +12,13 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -26,6 +28,8 @@
 	dialTimeout   = time.Second
 	writeTimeout  = 5 * time.Second
 	acceptBacklog = 1024
+	// idleBatchFraction is the part of the sessions, as a divisor, that is closed at a time when all are in use.
+	idleBatchFraction = 16
 	// streamWindowBytes bounds the receive buffer of one stream, in bytes.
 	streamWindowBytes = 256 << 10
 )
@@ -95,21 +99,36 @@
 	handler  Handler
 	log      *slog.Logger
 
+	maxSessions int // zero for no limit
+	reclaim     *descriptors.Reclaimer
+
 	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+	sessions map[*yamux.Session]time.Time // when a stream was last accepted, or the session
 	streams  map[net.Conn]struct{}
 	wg       sync.WaitGroup
 	closed   bool
 }
 
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithDescriptors bounds the sessions of a server and makes it ask r for descriptors when none is free. At the bound, sessions
+// without a stream are closed, those without one for longest first; if there is none, new sessions are refused.
+func WithDescriptors(maxSessions int, r *descriptors.Reclaimer) ServerOption {
+	return func(s *Server) { s.maxSessions, s.reclaim = maxSessions, r }
+}
+
 // NewServer returns a server that accepts connections from l. A nil tlsConfig means plain TCP.
-func NewServer(l net.Listener, tlsConfig *tls.Config, handler Handler, log *slog.Logger) *Server {
-	l = listener.Persistent(l, listener.Options{Name: "peers", Log: log})
+func NewServer(l net.Listener, tlsConfig *tls.Config, handler Handler, log *slog.Logger, opts ...ServerOption) *Server {
+	s := &Server{handler: handler, log: log, sessions: make(map[*yamux.Session]time.Time), streams: make(map[net.Conn]struct{})}
+	for _, set := range opts {
+		set(s)
+	}
+	s.listener = listener.Persistent(l, listener.Options{Name: "peers", Reclaim: s.reclaim, Log: log})
 	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
+		s.listener = tls.NewListener(s.listener, tlsConfig)
 	}
-	return &Server{listener: l, handler: handler, log: log, sessions: make(map[*yamux.Session]struct{}),
-		streams: make(map[net.Conn]struct{})}
+	return s
 }
 
 // Addr returns the address that the server listens on.
@@ -134,7 +153,12 @@
 			s.log.Warn("peer session refused", "peer", conn.RemoteAddr().String(), "error", err)
 			continue
 		}
-		if !s.add(session) {
+		switch s.add(session) {
+		case refused:
+			_ = session.Close()
+			s.log.Warn("peer session refused: all sessions are in use", "peer", conn.RemoteAddr().String(), "most", s.maxSessions)
+			continue
+		case ended:
 			_ = session.Close()
 			return nil
 		}
@@ -142,15 +166,51 @@
 	}
 }
 
-func (s *Server) add(session *yamux.Session) bool {
+// admission is what happens with a new session.
+type admission int
+
+const (
+	accepted admission = iota
+	refused
+	ended // the server is closed
+)
+
+func (s *Server) add(session *yamux.Session) admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
-		return false
+	switch {
+	case s.closed:
+		return ended
+	case s.maxSessions > 0 && len(s.sessions) >= s.maxSessions && s.closeIdle(s.maxSessions/idleBatchFraction+1) == 0:
+		return refused
 	}
-	s.sessions[session] = struct{}{}
+	s.sessions[session] = time.Now()
 	s.wg.Add(1)
-	return true
+	return accepted
+}
+
+// CloseIdle closes up to n sessions that have no stream, those without one for longest first, and returns their number.
+func (s *Server) CloseIdle(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeIdle(n)
+}
+
+// closeIdle is CloseIdle for a caller that holds s.mu. A closed session no longer counts.
+func (s *Server) closeIdle(n int) int {
+	var idle []*yamux.Session
+	for session := range s.sessions {
+		if session.NumStreams() == 0 {
+			idle = append(idle, session)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *yamux.Session) int { return s.sessions[a].Compare(s.sessions[b]) })
+	idle = idle[:min(n, len(idle))]
+	for _, session := range idle {
+		delete(s.sessions, session)
+		_ = session.Close()
+	}
+	return len(idle)
 }
 
 // handshake completes the TLS handshake with a peer within dialTimeout. It returns nil for plain TCP.
@@ -182,6 +242,7 @@
 			return
 		}
 		s.wg.Add(1)
+		s.recordUse(session)
 		s.trackStream(conn, true)
 		go func() {
 			defer s.wg.Done()
@@ -195,6 +256,15 @@
 	}
 }
 
+// recordUse records that a stream of the session was accepted.
+func (s *Server) recordUse(session *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.sessions[session]; open {
+		s.sessions[session] = time.Now()
+	}
+}
+
 func (s *Server) trackStream(conn net.Conn, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/upstream/export_test.go
+++ b/internal/upstream/export_test.go
@@ -12,3 +12,13 @@
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	p.putIdle(c, time.Minute)
 }
+
+// IdleCount returns the counted and the actual number of idle connections.
+func (p *Pool) IdleCount() (counted, actual int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		actual += len(list)
+	}
+	return p.idleCount, actual
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,12 +10,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 )
 
 const (
@@ -26,6 +29,8 @@
 	idleTimeoutFactor = 0.85
 	// readBufferBytes is the size of a connection's read buffer in bytes.
 	readBufferBytes = 4 << 10
+	// idleBatchFraction is the part of the idle connections, as a divisor, that is closed at a time at Options.MaxIdleAll.
+	idleBatchFraction = 16
 	// maxHeadBytes bounds the status line and header of a response, in bytes.
 	maxHeadBytes = 64 << 10
 )
@@ -40,24 +45,26 @@
 type Options struct {
 	DialTimeout time.Duration
 	MaxIdle     int // idle connections to one server
+	MaxIdleAll  int // idle connections to all servers together; zero for no limit
 	Control     func(network, address string, c syscall.RawConn) error
+	Reclaim     *descriptors.Reclaimer // asked for descriptors when none is free; may be nil
 }
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	opts   Options
-	dialer net.Dialer
-	dials  atomic.Int64
+	opts  Options
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	dials atomic.Int64
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by server ID, the most recently used last
+	mu        sync.Mutex
+	idle      map[string][]*conn // by server ID, the most recently used last
+	idleCount int                // over all servers
 }
 
 // NewPool returns a pool without connections.
 func NewPool(opts Options) *Pool {
-	return &Pool{
-		opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout, Control: opts.Control}, idle: make(map[string][]*conn),
-	}
+	dialer := &net.Dialer{Timeout: opts.DialTimeout, Control: opts.Control}
+	return &Pool{opts: opts, dial: opts.Reclaim.Dial(dialer), idle: make(map[string][]*conn)}
 }
 
 // Dials returns the number of connections that the pool has tried to open since it was created.
@@ -68,6 +75,7 @@
 	reader   *bufio.Reader
 	server   string
 	expires  time.Time // when it is too old to be reused; zero before the first response
+	idleAt   time.Time // when it last became idle
 	headLeft int       // bytes that may still be read while the header of a response is read
 	inHead   bool
 }
@@ -128,6 +136,7 @@
 		}
 		c := list[len(list)-1]
 		p.idle[server] = list[:len(list)-1]
+		p.idleCount--
 		p.mu.Unlock()
 		if now.Before(c.expires) && c.empty() {
 			return c
@@ -141,7 +150,7 @@
 		return c, nil
 	}
 	p.dials.Add(1)
-	netConn, err := p.dialer.DialContext(ctx, "tcp", address)
+	netConn, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -151,15 +160,48 @@
 }
 
 func (p *Pool) putIdle(c *conn, idle time.Duration) {
-	c.expires = time.Now().Add(idle)
+	c.idleAt = time.Now()
+	c.expires = c.idleAt.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.opts.MaxIdleAll > 0 && p.idleCount >= p.opts.MaxIdleAll {
+		p.closeIdle(p.opts.MaxIdleAll/idleBatchFraction + 1)
+	}
 	list := p.idle[c.server]
 	if len(list) >= p.opts.MaxIdle {
 		_ = list[0].Close()
 		list = list[1:]
+		p.idleCount--
 	}
 	p.idle[c.server] = append(list, c)
+	p.idleCount++
+}
+
+// CloseIdle closes up to n idle connections, those that have been idle for longest first, and returns their number.
+func (p *Pool) CloseIdle(n int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closeIdle(n)
+}
+
+// closeIdle is CloseIdle for a caller that holds p.mu.
+func (p *Pool) closeIdle(n int) int {
+	all := make([]*conn, 0, p.idleCount)
+	for _, list := range p.idle {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *conn) int { return a.idleAt.Compare(b.idleAt) })
+	all = all[:min(n, len(all))]
+	for _, c := range all {
+		_ = c.Close()
+		list := p.idle[c.server]
+		p.idle[c.server] = slices.Delete(list, slices.Index(list, c), slices.Index(list, c)+1)
+		if len(p.idle[c.server]) == 0 {
+			delete(p.idle, c.server)
+		}
+	}
+	p.idleCount -= len(all)
+	return len(all)
 }
 
 // putBack returns a connection on which nothing was sent since get. A new one is closed: its server has not said how long it
@@ -179,6 +221,7 @@
 	for _, c := range p.idle[server] {
 		_ = c.Close()
 	}
+	p.idleCount -= len(p.idle[server])
 	delete(p.idle, server)
 }
 
@@ -193,6 +236,7 @@
 				kept = append(kept, c)
 			} else {
 				_ = c.Close()
+				p.idleCount--
 			}
 		}
 		if len(kept) == 0 {
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -16,7 +16,7 @@
 // that cannot be told, for example because the address does not answer.
 func (p *Pool) Ended(ctx context.Context, address string) (bool, error) {
 	p.dials.Add(1)
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dial(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return true, nil
 	}
