Leave a restarted gateway only the margin of the retry budget in its first window

Cause: a gateway's budget is in the memory of its process. One that starts again has counted nothing and takes its whole part of the slack, and a ratio of the new requests, once more: up to 0.8 of the bound before the kill and 0.8 of it after.

Change: until a window after its start, a process that is not started with the fleet uses half of the margin of 0.2 that the budget keeps free, in proportion to its age. Several processes that follow each other within a window use no more together, as their ages add up to at most the window.

Test: retrybudget TestRestartsDoNotRenewTheBudget. With Restarted not set it fails on its first draw (209 retries of 208 allowed); it passes with the change.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -149,6 +149,7 @@
 		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
+			StartedAt: clock(), Restarted: !s.FirstStart,
 		},
 	})
 	return g, nil
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -23,6 +23,9 @@
 	// UsedFraction is the fraction of the bound, 0 to 1, that may be used. The rest is a safety margin for retries at
 	// the edges of a window and for gateways whose counts differ.
 	UsedFraction float64
+	// StartedAt is when the process started. If Restarted is set, earlier processes may have used the bound until then.
+	StartedAt time.Duration
+	Restarted bool
 }
 
 type slice struct{ requests, retries float64 }
@@ -59,6 +62,17 @@
 // CountRequest counts a new request, without its retries.
 func (b *Budget) CountRequest(now time.Duration) { b.advance(now).requests++ }
 
+// usedFraction returns the fraction of the bound that may be used. Nothing tells a restarted process which retries earlier ones
+// have sent, so that in its first window only the margin is left for it: half of it, in proportion to the time since the start, so
+// that any number of processes that follow each other within a window use no more.
+func (b *Budget) usedFraction(now time.Duration) float64 {
+	age := max(0, now-b.opts.StartedAt)
+	if !b.opts.Restarted || age >= b.opts.Window {
+		return b.opts.UsedFraction
+	}
+	return (1 - b.opts.UsedFraction) / 2 * age.Seconds() / b.opts.Window.Seconds()
+}
+
 // TakeRetry reports whether the budget allows another retry, and counts it if so. gateways is the number of gateways
 // among which the slack is divided.
 func (b *Budget) TakeRetry(now time.Duration, gateways int) bool {
@@ -70,7 +84,7 @@
 			requests += s.requests
 		}
 	}
-	if retries+1 > b.opts.UsedFraction*(b.opts.Ratio*requests+b.opts.Slack/float64(max(1, gateways))) {
+	if retries+1 > b.usedFraction(now)*(b.opts.Ratio*requests+b.opts.Slack/float64(max(1, gateways))) {
 		return false
 	}
 	current.retries++
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -45,6 +45,56 @@
 	})
 }
 
+// Guards against gateways that forget at a restart which retries they have sent: the retries of all processes count, whatever
+// is killed and how often.
+func TestRestartsDoNotRenewTheBudget(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 5).Draw(t, "gateways")
+		opts := retrybudget.Options{Ratio: 0.2, Slack: 54, Window: window, UsedFraction: 0.8}
+		budgets := make([]*retrybudget.Budget, gateways)
+		for i := range budgets {
+			budgets[i] = retrybudget.New(opts)
+		}
+		opts.Restarted = true
+		requestInterval := time.Duration(rapid.IntRange(2, 100).Draw(t, "interval")) * time.Millisecond
+		failing := rapid.IntRange(1, 4).Draw(t, "failures of a request")
+		kills := rapid.SliceOfN(rapid.IntRange(0, 40_000), 1, 8).Draw(t, "kills, ms")
+		killsAll := rapid.Bool().Draw(t, "kills all")
+		var requests, retries []time.Duration
+		for now := time.Duration(0); now < 40*time.Second; now += requestInterval {
+			for k, at := range kills {
+				if d := now - time.Duration(at)*time.Millisecond; d < 0 || d >= requestInterval {
+					continue
+				}
+				opts.StartedAt = now
+				for i := range budgets {
+					if killsAll || i == k%gateways {
+						budgets[i] = retrybudget.New(opts)
+					}
+				}
+			}
+			b := budgets[int(now/requestInterval)%gateways]
+			b.CountRequest(now)
+			requests = append(requests, now)
+			for range failing {
+				if b.TakeRetry(now, gateways) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for _, from := range retries {
+			most := 0.0
+			for _, back := range []time.Duration{0, window / 2, window} {
+				most = max(most, count(requests, from-back, window))
+			}
+			if n := count(retries, from, window); n > 0.2*most+54 {
+				t.Fatalf("%.0f retries in the window from %v, above the bound for %.0f requests", n, from, most)
+			}
+		}
+	})
+}
+
 func count(times []time.Duration, from, window time.Duration) float64 {
 	n := 0.0
 	for _, at := range times {
