Answer a request whose handler panics, and log the panic

Change: the caller gets 500 "internal" (outcome unknown), or a cut if a response has begun; the log has the stack at ERROR.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -62,7 +63,7 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New(arrivals.Options{MaxConnections: opts.MaxConnections, Log: opts.Log})}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.recovering(s.routes()),
 		TLSConfig:         opts.TLS,
 		MaxHeaderBytes:    int(opts.MaxHeader),
 		ReadHeaderTimeout: opts.HeaderTimeout,
@@ -95,6 +96,50 @@
 	return r
 }
 
+// recovering returns a handler that answers a request with an error if next panics, or aborts the response if it has begun.
+// net/http would close the connection without an answer, and its log is discarded.
+func (s *Server) recovering(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tracked := &trackedWriter{ResponseWriter: w}
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if cause == http.ErrAbortHandler {
+				panic(cause)
+			}
+			s.opts.Log.Error("panic in a request", "path", r.URL.Path, "panic", cause, "stack", string(debug.Stack()))
+			if tracked.begun {
+				panic(http.ErrAbortHandler)
+			}
+			s.errorHandler(errkind.Internal).ServeHTTP(w, r)
+		}()
+		next.ServeHTTP(tracked, r)
+	})
+}
+
+// trackedWriter records whether a response has begun.
+type trackedWriter struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (t *trackedWriter) WriteHeader(status int) {
+	t.begun = t.begun || status >= http.StatusOK
+	t.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (t *trackedWriter) Write(b []byte) (int, error) {
+	t.begun = true
+	return t.ResponseWriter.Write(b)
+}
+
+// Unwrap is used by http.ResponseController.
+func (t *trackedWriter) Unwrap() http.ResponseWriter { return t.ResponseWriter }
+
 // allowed returns the methods of the routes that match the path of q, for the Allow header field.
 func allowed(routes *mux.Router, q *http.Request) string {
 	var methods []string
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,13 +193,25 @@
 	if s.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	kind := q.serve()
+	kind := q.serveRecovering()
 	s.opts.Metrics.record(q, kind)
 	if q.headSent && kind != errkind.None {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 }
 
+// serveRecovering is serve. After a panic the caller gets an error response: net/http would close the connection without one,
+// and without a log line at the usual level.
+func (q *request) serveRecovering() (kind errkind.Kind) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			q.server.opts.Log.Error("panic in a request", "request_id", q.caller.ID, "panic", cause, "stack", string(debug.Stack()))
+			kind = q.refuse(errkind.New(errkind.Internal, "panic: %v", cause))
+		}
+	}()
+	return q.serve()
+}
+
 // serve handles the request and returns the kind of its outcome.
 func (q *request) serve() errkind.Kind {
 	if err := q.admit(); err != nil {
