Bound the bytes of callers' bodies by the memory of the host

Cause: each body was read whole into a buffer that grew by copies, and copied once more for each attempt, with no bound over all requests. limits.memory_mb was not read.

Change: internal/memorybudget has an account of bytes. A body is read only after the account covers it (a fifth of the memory for long ones, a thirty-second for those up to 64 KiB); what it does not cover is refused at once as not run, 503 gateway_full with Retry-After. A body of stated length has a buffer of that size; bodies above 16 KiB are sent without a copy. The Go runtime gets 70% of the memory as its limit.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/freshness"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/peers"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -77,6 +78,9 @@
 	callers      *arrivals.Tracker // connections of callers
 	shares       descriptors.Shares
 	reclaimer    *descriptors.Reclaimer
+	bodies       *memorybudget.Budget // of callers
+	shortBodies  *memorybudget.Budget
+	answers      *memorybudget.Budget // of servers
 	peerListener net.Listener
 }
 
@@ -106,6 +110,9 @@
 		}),
 		logSink: settings.Sink, peerListener: listener,
 	}
+	memory := memorybudget.Divide(s.MemoryBytes)
+	g.bodies, g.shortBodies = memorybudget.New(memory.Bodies), memorybudget.New(memory.ShortBodies)
+	g.answers = memorybudget.New(memory.Answers)
 	g.sessions.ReclaimWith(reclaimer)
 	reclaimer.Add("idle connections to servers", g.pool.CloseIdle)
 	reclaimer.Add("idle connections of callers", g.callers.EndLongestIdle)
@@ -147,6 +154,7 @@
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
 		CheckConfiguration: g.checkConfiguration, ConfigurationBehind: g.freshness.Behind,
 		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
+		Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
 			StartedAt: clock(), Restarted: !s.FirstStart,
@@ -198,6 +206,10 @@
 	vars["caller_connections"] = expvar.Func(func() any { open, _, _ := g.callers.Counts(); return open })
 	vars["caller_connections_ended"] = expvar.Func(func() any { _, ended, _ := g.callers.Counts(); return ended })
 	vars["caller_connections_refused"] = expvar.Func(func() any { _, _, refused := g.callers.Counts(); return refused })
+	vars["body_bytes"] = expvar.Func(func() any { return g.bodies.Held() + g.shortBodies.Held() })
+	vars["bodies_refused"] = expvar.Func(func() any { return g.bodies.Refused() + g.shortBodies.Refused() })
+	vars["answer_bytes"] = expvar.Func(func() any { return g.answers.Held() })
+	vars["answers_refused"] = expvar.Func(func() any { return g.answers.Refused() })
 	vars["store_calls"] = expvar.Func(func() any { all, _ := g.store.Calls(); return all })
 	vars["store_failures"] = expvar.Func(func() any { _, failed := g.store.Calls(); return failed })
 	vars["backend_connections_opened"] = expvar.Func(func() any { return g.pool.Dials() })
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -49,6 +49,7 @@
 	ProtocolError
 	Internal
 	PromptRefused
+	GatewayFull
 	numKinds
 )
 
@@ -118,6 +119,7 @@
 	ProtocolError:         {"protocol_error", 502, RanUnknown, RetryCheck, 0, "a process answered out of protocol"},
 	Internal:              {"internal", 500, RanUnknown, RetryCheck, 0, "internal error"},
 	PromptRefused:         {"prompt_refused", 503, RanNo, RetryLater, time.Minute, "backend servers ended when they answered prompts with a part of this one"},
+	GatewayFull:           {"gateway_full", 503, RanNo, RetryLater, time.Second, "the gateway holds as many bodies of requests as its memory allows"},
 }
 
 // Answer returns the row of the error table for k, or that of Internal if k is out of range.
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -108,6 +108,12 @@
 
 // newTestGatewayWithAgents is newTestGateway with agents at a port of their servers' hosts.
 func newTestGatewayWithAgents(port string, r fleet.Route, change ...func(*fleet.Configuration)) *testGateway {
+	GinkgoHelper()
+	return newTestGatewayWithOptions(port, func(*fleetgateway.Options) {}, r, change...)
+}
+
+// newTestGatewayWithOptions is newTestGatewayWithAgents with changed options of the server.
+func newTestGatewayWithOptions(port string, set func(*fleetgateway.Options), r fleet.Route, change ...func(*fleet.Configuration)) *testGateway {
 	GinkgoHelper()
 	s := &testGateway{view: fleet.NewView(), demand: fleetgateway.NewDemand()}
 	log := slog.New(slog.NewJSONHandler(s, nil))
@@ -125,7 +131,7 @@
 		Identity: &wirepb.Identity{Host: "g"}, View: s.view, Pool: transport.NewPool(nil), Port: port, Clock: clock, Log: log,
 		Changed: func() {}, Demand: func(string, string) float64 { return 0 },
 	})
-	s.server = fleetgateway.New(fleetgateway.Options{
+	options := fleetgateway.Options{
 		DataCentre: "a", View: s.view, Table: fleetroute.NewTable(), Pool: pool, Clock: clock, Gateways: singleGateway,
 		Rank: func(string) int { return 0 }, ConfigurationBehind: s.behind.Load,
 		CheckConfiguration: func() error {
@@ -142,7 +148,9 @@
 		Metrics: fleetgateway.NewMetrics(), Log: log,
 		Retry:  retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
 		Agents: s.agents,
-	})
+	}
+	set(&options)
+	s.server = fleetgateway.New(options)
 	s.configure(r, change...)
 	tick := time.NewTicker(50 * time.Millisecond)
 	DeferCleanup(tick.Stop)
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetguard"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
 	"github.com/pomelowheel/pomelowheel/platform"
@@ -37,6 +39,10 @@
 	responseMargin = 25 * time.Millisecond
 	// defaultMaxBodyBytes bounds a request body if the configuration names no limit.
 	defaultMaxBodyBytes = 4 << 20
+	// shortBodyBytes is the size up to which bodies have a budget of their own.
+	shortBodyBytes = 64 << 10
+	// minBodyBuffer is the first size of the buffer for a body whose length is not stated.
+	minBodyBuffer = 4 << 10
 	// drainAcceptTime is how long a draining gateway accepts requests. The balancer sends no new connections after
 	// two seconds; later requests on kept connections are refused as not run, because the process may end before
 	// they are done.
@@ -66,6 +72,9 @@
 	Clock               bootclock.Clock
 	Gateways            func() (heard, known int)
 	Rank                func(key string) int // this gateway's position in an order for the key that all gateways agree on, from zero
+	Bodies              *memorybudget.Budget // bytes of long bodies; a default if nil, like the two below
+	ShortBodies         *memorybudget.Budget // bytes of bodies, of each up to shortBodyBytes
+	Answers             *memorybudget.Budget // bytes of servers' answers that are not relayed yet
 	Metrics             *Metrics
 	Log                 *slog.Logger
 }
@@ -94,6 +103,14 @@
 
 // New returns a server that accepts requests.
 func New(opts Options) *Server {
+	shares := memorybudget.Divide(0)
+	for budget, bound := range map[**memorybudget.Budget]int64{
+		&opts.Bodies: shares.Bodies, &opts.ShortBodies: shares.ShortBodies, &opts.Answers: shares.Answers,
+	} {
+		if *budget == nil {
+			*budget = memorybudget.New(bound)
+		}
+	}
 	ending, end := context.WithCancel(context.Background())
 	return &Server{
 		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
@@ -150,6 +167,7 @@
 	org          *fleet.Organisation // nil on public routes
 	service      string
 	body         []byte
+	bodyLeases   [2]*memorybudget.Lease // of the short and the long budget
 	arrived      time.Time
 	arrivedAt    time.Duration // on Options.Clock, which runs while the host is suspended
 	deadline     time.Time     // when the final response is due
@@ -193,7 +211,11 @@
 	if s.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	q.bodyLeases = [2]*memorybudget.Lease{s.opts.ShortBodies.Lease(0), s.opts.Bodies.Lease(shortBodyBytes)}
 	kind := q.serveRecovering()
+	for _, lease := range q.bodyLeases {
+		lease.Release()
+	}
 	s.opts.Metrics.record(q, kind)
 	if q.headSent && kind != errkind.None {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
@@ -277,7 +299,7 @@
 	}
 	q.setReadDeadline(q.deadline)
 	stop := context.AfterFunc(q.server.ending, func() { q.setReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
+	body, err := q.readWhole(http.MaxBytesReader(q.writer, q.http.Body, limit), limit)
 	stop()
 	q.setReadDeadline(time.Time{})
 	if err != nil {
@@ -286,6 +308,9 @@
 	var tooLarge *http.MaxBytesError
 	var network net.Error
 	switch {
+	case errors.Is(err, errNoMemory):
+		return errkind.New(errkind.GatewayFull, "no memory for a body of %d bytes (-1: not stated); bodies hold %d of %d bytes",
+			q.http.ContentLength, q.server.opts.Bodies.Held(), q.server.opts.Bodies.Bound())
 	case errors.As(err, &tooLarge):
 		return q.disallow(errkind.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -299,6 +324,43 @@
 	return nil
 }
 
+// errNoMemory means that the budget does not cover the bytes that would be read next.
+var errNoMemory = errors.New("no memory for the next bytes")
+
+// readWhole reads a body after the budgets cover it. It returns errNoMemory if they do not.
+func (q *request) readWhole(r io.Reader, limit int64) ([]byte, error) {
+	if size := q.http.ContentLength; size >= 0 && size <= limit {
+		if !q.coverBody(size, (*memorybudget.Lease).Exactly) {
+			return nil, errNoMemory
+		}
+		body := make([]byte, size)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body := []byte{}
+	for {
+		if len(body) == cap(body) {
+			if !q.coverBody(int64(2*max(cap(body), minBodyBuffer)), (*memorybudget.Lease).Cover) {
+				return nil, errNoMemory
+			}
+			body = slices.Grow(body, max(cap(body), minBodyBuffer))
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// coverBody reports whether the budgets cover a body of size bytes.
+func (q *request) coverBody(size int64, cover func(*memorybudget.Lease, int64) bool) bool {
+	return cover(q.bodyLeases[0], min(size, shortBodyBytes)) && cover(q.bodyLeases[1], size)
+}
+
 // setWriteDeadline limits the time to write the response: until writeGrace after the deadline, or from now if that has passed, as
 // after a pause of the process.
 func (q *request) setWriteDeadline() {
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -70,6 +72,9 @@
 	if *check {
 		return process.ExitDone
 	}
+	if limit := memorybudget.Divide(loaded.MemoryBytes).Limit; limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	sink, log := logsink.New(stdout, level, slog.String("host", loaded.Host), slog.String("program", name))
 	s := &Settings{path: *path, log: log, Sink: sink, hangup: hangup}
 	s.current.Store(loaded)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,9 @@
 // maxSkippedBytes bounds the body of one skipped response, in bytes.
 const maxSkippedBytes = 1 << 20
 
+// maxCopiedBody is the size in bytes up to which a body is copied behind the header, so that both go out in one packet.
+const maxCopiedBody = 16 << 10
+
 // maxErrorText bounds the text of an error about a malformed response, in bytes.
 const maxErrorText = 200
 
@@ -103,6 +107,13 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
+	if len(r.Body) > maxCopiedBody {
+		parts := net.Buffers{head.Bytes(), r.Body}
+		if _, err := parts.WriteTo(c.Conn); err != nil {
+			return fmt.Errorf("write request: %w", err)
+		}
+		return nil
+	}
 	head.Write(r.Body)
 	if _, err := c.Write(head.Bytes()); err != nil {
 		return fmt.Errorf("write request: %w", err)
