Bound the bytes of servers' answers that a gateway holds

Cause: an event is collected up to 1 MiB for each attempt, and nothing bounded the sum over all attempts.

--- a/internal/fleetgateway/events.go
+++ b/internal/fleetgateway/events.go
@@ -7,8 +7,13 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 )
 
+// shortEventBytes is the size up to which an event is not counted.
+const shortEventBytes = 16 << 10
+
 // maxEventBytes bounds the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -20,17 +25,26 @@
 }
 
 // eventReader splits a stream into events. It does not return an incomplete event.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+	lease  *memorybudget.Lease // covers the event that is being read
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 4<<10)} }
+func newEventReader(r io.Reader, lease *memorybudget.Lease) *eventReader {
+	return &eventReader{bufio.NewReaderSize(r, 4<<10), lease}
+}
 
-// next returns the next complete event. It returns io.EOF at the end of the stream, and an error that wraps
+// next returns the next complete event. It returns an error that wraps errNoMemory if the budget does not cover it, io.EOF at the end of the stream, and an error that wraps
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() (event, error) {
+	e.lease.Release()
 	var ev event
 	lineStart := 0 // of the current line in ev.raw
 	for {
 		part, err := e.reader.ReadSlice('\n')
+		if !e.lease.Cover(int64(len(ev.raw) + len(part))) {
+			return event{}, fmt.Errorf("%w of an event that has %d bytes", errNoMemory, len(ev.raw))
+		}
 		ev.raw = append(ev.raw, part...)
 		switch {
 		case len(ev.raw) > maxEventBytes:
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/serversigns"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
 	"github.com/pomelowheel/pomelowheel/platform"
@@ -30,11 +31,12 @@
 	begunAt   time.Duration      // on Options.Clock
 	load      *fleetroute.Attempt
 	cancel    context.CancelCauseFunc
-	stream    bool         // a successful response is a stream
-	lastRun   bool         // the request may not run once more
-	sending   atomic.Int32 // sendUndecided, sendAllowed or sendForbidden
-	responded atomic.Bool  // the head of the response has arrived
-	goesOn    atomic.Bool  // the answer has gone on for fleetguard.BeginTime
+	stream    bool                // a successful response is a stream
+	lastRun   bool                // the request may not run once more
+	sending   atomic.Int32        // sendUndecided, sendAllowed or sendForbidden
+	responded atomic.Bool         // the head of the response has arrived
+	buffer    *memorybudget.Lease // of a response that is not a stream; used by the goroutine that reads it
+	goesOn    atomic.Bool         // the answer has gone on for fleetguard.BeginTime
 
 	lastEventAt time.Time // when the last event was relayed; used by the request's goroutine only
 }
@@ -75,6 +77,7 @@
 		}
 		last.ended = true
 		_ = q.pass(ctx, a, last) // fails only if nobody waits for it
+		a.buffer.Release()
 	}()
 	last = q.transfer(ctx, a, r)
 }
@@ -150,7 +153,9 @@
 
 // passEvents passes on the complete events of a stream as they arrive.
 func (q *request) passEvents(ctx context.Context, a *attempt, resp *upstream.Response) result {
-	events := newEventReader(resp)
+	lease := q.server.opts.Answers.Lease(shortEventBytes)
+	defer lease.Release()
+	events := newEventReader(resp, lease)
 	begun := q.server.opts.Clock()
 	for first := true; ; {
 		event, err := events.next()
@@ -176,10 +181,15 @@
 }
 
 // passBody reads a response before it is relayed, so that an incomplete one can be retried or reported, and returns it. Of one
-// longer than maxBufferedBytes it passes on all but the last part as it arrives.
+// longer than maxBufferedBytes, or longer than relayBytes if there is no memory for more, it passes on all but the last part as it arrives.
 func (q *request) passBody(ctx context.Context, a *attempt, resp *upstream.Response) ([]byte, result) {
 	begun := q.server.opts.Clock()
-	part, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
+	part, err := io.ReadAll(io.LimitReader(resp, relayBytes))
+	if len(part) == relayBytes && err == nil && a.buffer.Exactly(maxBufferedBytes) {
+		var more []byte
+		more, err = io.ReadAll(io.LimitReader(resp, maxBufferedBytes-relayBytes))
+		part = append(part, more...)
+	}
 	if err == nil {
 		a.load.RecordProgress(q.server.opts.Clock())
 	}
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -73,7 +73,7 @@
 	q.race.Begin(number, q.elapsed(), q.silenceTimeout(c))
 	a := &attempt{
 		number: number, candidate: c, replica: replica, server: s.incarnation(replica), begunAt: s.opts.Clock(), cancel: cancel, stream: q.route.Repeat == fleet.Stream,
-		lastRun: q.race.LastRun(), load: s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt),
+		lastRun: q.race.LastRun(), buffer: s.opts.Answers.Lease(0), load: s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt),
 	}
 	q.live[number] = a
 	request := q.upstream(a)
--- a/internal/fleetgateway/fuzz_test.go
+++ b/internal/fleetgateway/fuzz_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"testing"
 	"testing/iotest"
+
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 )
 
 // readEvents returns the events of a stream and the error at its end.
 func readEvents(r io.Reader) (events []event, err error) {
-	reader := newEventReader(r)
+	reader := newEventReader(r, memorybudget.New(maxEventBytes*2).Lease(0))
 	for {
 		e, err := reader.next()
 		if err != nil {
