Give processes beside a backend server more sessions of other processes

By reading: an agent or a sidecar has no callers, and a quarter of its descriptors for the sessions of gateways is 248 of an operating system's limit of 1,024, below the 400 gateways to design for. Three quarters are 744. Sessions without a stream are closed outside the server's lock, as closing one over TLS may take seconds, and the log says how many.

--- a/cmd/pomelo-fleet-agent/main.go
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -34,7 +34,7 @@
 		return fmt.Errorf("listen for gateways: %w", err)
 	}
 	reclaimer := descriptors.NewReclaimer(log)
-	shares := descriptors.Divide(descriptors.Allowance(s.Connections))
+	shares := descriptors.DivideBeside(descriptors.Allowance(s.Connections))
 	store := platform.NewStore(s.Store.Address, reclaimer)
 	a := agent.New(agent.Options{
 		Host: s.Host, Engine: platform.NewEngineClient(s.EngineAddress, reclaimer), Store: store, Log: log,
--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -40,7 +40,7 @@
 			return fmt.Errorf("listen for debug: %w", err)
 		}
 	}
-	shares := descriptors.Divide(descriptors.Allowance(0))
+	shares := descriptors.DivideBeside(descriptors.Allowance(0))
 	reclaimer := descriptors.NewReclaimer(log)
 	pool := transport.NewPool(certificates.PeerTLSConfig())
 	pool.ReclaimWith(reclaimer)
--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -25,7 +25,7 @@
 	Operators    int // connections for readiness checks, and as many for metrics
 }
 
-// Divide returns the shares of a process that may have allowance connections. A third is for callers: each of them may need a
+// Divide returns the shares of a gateway that may have allowance connections. A third is for callers: each of them may need a
 // connection to a server, or two while a silent server is replaced.
 func Divide(allowance int) Shares {
 	allowance = max(allowance, minAllowance)
@@ -34,6 +34,13 @@
 	}
 }
 
+// DivideBeside returns the shares of a process beside a backend server, which has no callers and gets its requests in the sessions of
+// gateways.
+func DivideBeside(allowance int) Shares {
+	allowance = max(allowance, minAllowance)
+	return Shares{PeerSessions: allowance * 3 / 4, Operators: min(allowance/16, 64)}
+}
+
 // Allowance returns the number of connections that this process may have: configured, if that is positive, or less if the
 // limit of the operating system is lower.
 func Allowance(configured int) int {
--- a/internal/descriptors/descriptors_test.go
+++ b/internal/descriptors/descriptors_test.go
@@ -21,6 +21,9 @@
 		if s.Callers < 1 || s.IdleServers < 1 || s.PeerSessions < 1 || s.Operators < 1 {
 			t.Fatalf("an empty share of %d: %+v", allowance, s)
 		}
+		if beside := descriptors.DivideBeside(allowance); beside.PeerSessions+2*beside.Operators >= allowance {
+			t.Fatalf("nothing left of %d beside %+v", allowance, beside)
+		}
 		if left := allowance - s.Callers - s.PeerSessions - 2*s.Operators; left < s.Callers-s.Callers/4 || left < s.IdleServers {
 			t.Fatalf("%d of %d left beside %+v", left, allowance, s)
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -208,7 +208,10 @@
 	idle = idle[:min(n, len(idle))]
 	for _, session := range idle {
 		delete(s.sessions, session)
-		_ = session.Close()
+		go func() { _ = session.Close() }() // a TLS peer that does not read delays it
+	}
+	if len(idle) > 0 {
+		s.log.Info("peer sessions without a stream closed", "closed", len(idle), "open", len(s.sessions))
 	}
 	return len(idle)
 }
