Let short bodies use the memory of long ones, too

By reading: short bodies had a thirty-second of the memory only, and one whose length is not stated took 64 KiB of it at once, so that a gateway of 184 MB would refuse the 93rd request in progress with such a body, although nothing else was held.

Change: a short body that its own budget does not cover takes from that of long ones, and what is taken follows the buffer.

Test: "takes short bodies beyond their own budget from that of long ones" failed before (503).

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -207,7 +207,7 @@
 	vars["caller_connections_ended"] = expvar.Func(func() any { _, ended, _ := g.callers.Counts(); return ended })
 	vars["caller_connections_refused"] = expvar.Func(func() any { _, _, refused := g.callers.Counts(); return refused })
 	vars["body_bytes"] = expvar.Func(func() any { return g.bodies.Held() + g.shortBodies.Held() })
-	vars["bodies_refused"] = expvar.Func(func() any { return g.bodies.Refused() + g.shortBodies.Refused() })
+	vars["bodies_refused"] = expvar.Func(func() any { return g.bodies.Refused() })
 	vars["answer_bytes"] = expvar.Func(func() any { return g.answers.Held() })
 	vars["answers_refused"] = expvar.Func(func() any { return g.answers.Refused() })
 	vars["store_calls"] = expvar.Func(func() any { all, _ := g.store.Calls(); return all })
--- a/internal/fleetgateway/body.go
+++ b/internal/fleetgateway/body.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
-	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 )
 
 const (
@@ -62,7 +61,7 @@
 // readWhole reads a body after the budgets cover it. It returns errNoMemory if they do not.
 func (q *request) readWhole(r io.Reader, limit int64) ([]byte, error) {
 	if size := q.http.ContentLength; size >= 0 && size <= limit {
-		if !q.coverBody(size, (*memorybudget.Lease).Exactly) {
+		if !q.coverBody(size) {
 			return nil, errNoMemory
 		}
 		body := make([]byte, size)
@@ -72,7 +71,7 @@
 	body := []byte{}
 	for {
 		if len(body) == cap(body) {
-			if !q.coverBody(int64(2*max(cap(body), minBodyBuffer)), (*memorybudget.Lease).Cover) {
+			if !q.coverBody(int64(2 * max(cap(body), minBodyBuffer))) {
 				return nil, errNoMemory
 			}
 			body = slices.Grow(body, max(cap(body), minBodyBuffer))
@@ -95,9 +94,11 @@
 	}
 }
 
-// coverBody reports whether the budgets cover a body of size bytes.
-func (q *request) coverBody(size int64, cover func(*memorybudget.Lease, int64) bool) bool {
-	return cover(q.bodyLeases[0], min(size, shortBodyBytes)) && cover(q.bodyLeases[1], size)
+// coverBody reports whether the budgets cover a body of size bytes. A short body has a budget that long ones cannot use up, and uses
+// that of the long ones, too.
+func (q *request) coverBody(size int64) bool {
+	short, long := q.bodyLeases[0], q.bodyLeases[1]
+	return size <= shortBodyBytes && short.Exactly(size) || long.Exactly(size)
 }
 
 // setReadDeadline limits the time to read the rest of the request. A zero time means no limit.
--- a/internal/fleetgateway/events.go
+++ b/internal/fleetgateway/events.go
@@ -34,8 +34,8 @@
 	return &eventReader{bufio.NewReaderSize(r, 4<<10), lease}
 }
 
-// next returns the next complete event. It returns an error that wraps errNoMemory if the budget does not cover it, io.EOF at the end of the stream, and an error that wraps
-// io.ErrUnexpectedEOF if the stream ends within an event.
+// next returns the next complete event. It returns io.EOF at the end of the stream, and an error that wraps
+// io.ErrUnexpectedEOF if the stream ends within an event, or errNoMemory if the budget does not cover it.
 func (e *eventReader) next() (event, error) {
 	e.lease.Release()
 	var ev event
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -181,7 +181,7 @@
 }
 
 // passBody reads a response before it is relayed, so that an incomplete one can be retried or reported, and returns it. Of one
-// longer than maxBufferedBytes, or longer than relayBytes if there is no memory for more, it passes on all but the last part as it arrives.
+// longer than maxBufferedBytes, or than relayBytes if there is no memory for more, it passes on all but the last part as it arrives.
 func (q *request) passBody(ctx context.Context, a *attempt, resp *upstream.Response) ([]byte, result) {
 	begun := q.server.opts.Clock()
 	part, err := io.ReadAll(io.LimitReader(resp, relayBytes))
--- a/internal/fleetgateway/memory_test.go
+++ b/internal/fleetgateway/memory_test.go
@@ -50,6 +50,28 @@
 		Eventually(short.Held).Should(BeZero())
 	})
 
+	It("takes short bodies beyond their own budget from that of long ones, whether their length is stated or not", func() {
+		var wg sync.WaitGroup
+		for i := range 8 { // of 60 KB each; their own budget holds four
+			wg.Go(func() {
+				defer GinkgoRecover()
+				request, err := http.NewRequest(http.MethodPost, s.url+"/a/", io.MultiReader(strings.NewReader(strings.Repeat("x", 60_000))))
+				Expect(err).NotTo(HaveOccurred())
+				if i%2 == 0 {
+					request.ContentLength = 60_000
+				}
+				request.Host = "crew.example"
+				request.Header.Set("Authorization", "Bearer key")
+				request.Header.Set("X-Request-Id", fmt.Sprint("short-", i))
+				response, err := http.DefaultClient.Do(request)
+				Expect(err).NotTo(HaveOccurred())
+				_ = response.Body.Close()
+				Expect(response.StatusCode).To(Equal(http.StatusOK))
+			})
+		}
+		wg.Wait()
+	})
+
 	It("counts bodies whose length is not stated", func() {
 		request, err := http.NewRequest(http.MethodPost, s.url+"/a/", io.MultiReader(strings.NewReader(strings.Repeat("x", 3*long))))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -197,7 +197,7 @@
 	if s.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	q.bodyLeases = [2]*memorybudget.Lease{s.opts.ShortBodies.Lease(0), s.opts.Bodies.Lease(shortBodyBytes)}
+	q.bodyLeases = [2]*memorybudget.Lease{s.opts.ShortBodies.Lease(0), s.opts.Bodies.Lease(0)}
 	kind := q.serveRecovering()
 	q.releaseBody()
 	s.opts.Metrics.record(q, kind)
