Wait for the server's view of idle connections in the tests of their bound

A caller has its answer before the server counts the connection as idle, so that beside load the second may become idle first. The product ended the one that was idle for longest by its own count; the test's assumption was wrong.

Change: the test waits until the server counts each connection as idle before it opens the next, and for the handlers of busy ones. What it checks is the same.

--- a/internal/arrivals/bound_test.go
+++ b/internal/arrivals/bound_test.go
@@ -11,16 +11,18 @@
 )
 
 // startBoundedServer is startServer with a bound on connections. Requests for /wait are answered when release is closed.
-func startBoundedServer(t *testing.T, most int) (address string, tracker *arrivals.Tracker, release chan struct{}) {
+// began has an element for each request for /wait whose handler was called.
+func startBoundedServer(t *testing.T, most int) (address string, tracker *arrivals.Tracker, began chan struct{}, release chan struct{}) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	tracker = arrivals.New(arrivals.Options{MaxConnections: most, Log: slog.New(slog.DiscardHandler)})
-	release = make(chan struct{})
+	began, release = make(chan struct{}, most), make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
+			began <- struct{}{}
 			<-release
 		}
 		w.WriteHeader(http.StatusNoContent)
@@ -28,7 +30,7 @@
 	tracker.Attach(server)
 	go func() { _ = server.Serve(tracker.Listener(l)) }() // returns when the server is closed
 	t.Cleanup(func() { _ = server.Close() })
-	return l.Addr().String(), tracker, release
+	return l.Addr().String(), tracker, began, release
 }
 
 const get, getWait = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -48,15 +50,19 @@
 // Guards against callers who leave connections open until the process has no descriptor for anything else.
 func TestAtTheBoundTheLongestIdleConnectionEnds(t *testing.T) {
 	const most = 8
-	address, tracker, release := startBoundedServer(t, most)
+	address, tracker, began, release := startBoundedServer(t, most)
 	busy := dial(t, address)
 	send(t, busy, getWait)
+	<-began
 	var idle []net.Conn
 	for range most - 1 {
 		c := dial(t, address)
 		send(t, c, get)
 		expectStatus(t, c, http.StatusNoContent)
 		idle = append(idle, c)
+		for tracker.Idle() < len(idle) {
+			time.Sleep(time.Millisecond) // the server has not ended the response
+		}
 	}
 	another := dial(t, address)
 	send(t, another, get)
@@ -74,18 +80,13 @@
 // Guards against the end of a request in progress, or of a connection that has just been opened, in favour of a new connection.
 func TestAtTheBoundBusyConnectionsStay(t *testing.T) {
 	const most = 3
-	address, tracker, release := startBoundedServer(t, most)
+	address, tracker, began, release := startBoundedServer(t, most)
 	var busy []net.Conn
 	for range most {
 		c := dial(t, address)
 		send(t, c, getWait)
 		busy = append(busy, c)
-	}
-	for {
-		if open, _, _ := tracker.Counts(); open == most {
-			break
-		}
-		time.Sleep(time.Millisecond) // the last connection has not been accepted
+		<-began
 	}
 	expectClosed(t, dial(t, address))
 	close(release)
