--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/discovery"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetgateway"
 	"github.com/pomelowheel/pomelowheel/internal/fleetplanner"
@@ -71,8 +72,9 @@
 	follower     *discovery.Follower
 	freshness    *freshness.Tracker
 	stale        atomic.Bool // the last check found the configuration too old
-	lease        *fleetplanner.Lease
+	lease        *duty.Lease
 	planner      *fleetplanner.Planner
+	duties       duties
 	server       *fleetgateway.Server
 	logSink      interface{ Dropped() expvar.Var }
 	callers      *arrivals.Tracker // connections of callers
@@ -122,7 +124,7 @@
 	clock := bootclock.Clock(bootclock.Now)
 	g.mesh = peers.New(peers.Options{
 		Identity: identity, Seeds: func() []string { return settings.Get().Seeds }, Pool: g.sessions, Clock: clock,
-		Source: g, Sink: g, Log: log,
+		Source: g, Sink: g, Usage: g.usageSource(identity), OnUsage: g.receiveUsage, Log: log,
 	})
 	g.limits = fleetgateway.NewLimits(clock, g.mesh.Count, func() float64 {
 		if s.FirstStart {
@@ -139,11 +141,13 @@
 		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery, Freshness: g.freshness,
 		IsReader: g.mesh.IsStoreReader, Publish: g.publish, RelaysRows: g.mesh.RelaysRows, OnRemoved: g.forgetServers, Log: log,
 	})
-	g.lease = fleetplanner.NewLease(fleetplanner.LeaseOptions{
+	g.lease = duty.NewLease(duty.LeaseOptions{
 		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
-		Demand:     func() map[string]float64 { return g.planner.Demand() },
-		OnAcquired: func(demand map[string]float64) { g.planner.InheritDemand(demand) },
+		Demand:        func() map[string]float64 { return g.planner.Demand() },
+		OnAcquired:    func(demand map[string]float64) { g.planner.InheritDemand(demand) },
+		HandoverPause: s.Bounds.Lease,
 	})
+	g.newDuties(clock)
 	g.planner = fleetplanner.New(fleetplanner.Options{
 		View: g.view, Agents: g.agents, Lease: g.lease, Clock: clock, PrefillRate: g.table.PrefillRate,
 		DemandTotals: g.demand.Totals,
@@ -154,7 +158,7 @@
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
 		CheckConfiguration: g.checkConfiguration, ConfigurationBehind: g.freshness.Behind,
 		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
-		Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
+		CountBegun: g.countBegun(), Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
 			StartedAt: clock(), Restarted: !s.FirstStart,
@@ -175,6 +179,7 @@
 	group.Go("agents", g.agents.Run)
 	group.Go("planner's lease", g.lease.Run)
 	group.Go("planner", g.planner.Run)
+	g.startDuties(group)
 	group.Go("cleaning", g.cleanUp)
 	group.Go("prompt guard", g.runGuard)
 	group.Go("readiness", func(ctx context.Context) error {
@@ -228,6 +233,7 @@
 	})
 	vars["refused_prompts"] = expvar.Func(func() any { list, _ := g.server.Prompts().Refusals(); return len(list) })
 	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
+	g.addDutyVars(vars)
 	return vars
 }
 
--- a/internal/agent/plan_test.go
+++ b/internal/agent/plan_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetplanner"
 )
@@ -35,7 +36,7 @@
 			ID: "i-2", Service: "s", Address: "127.0.0.9:1", ListVersion: 3, Models: []fleet.ResidentModel{{Name: "a"}},
 		})
 		log := slog.New(slog.DiscardHandler)
-		lease := fleetplanner.NewLease(fleetplanner.LeaseOptions{
+		lease := duty.NewLease(duty.LeaseOptions{
 			Store: h.client, Host: "g", Incarnation: "1", Clock: bootclock.Now, Log: log,
 			Demand: func() map[string]float64 { return nil }, OnAcquired: func(map[string]float64) {},
 		})
--- a/internal/fleetplanner/lease.go
+++ b/internal/duty/lease.go
@@ -1,7 +1,6 @@
-// Package fleetplanner decides which models the engines of the fleet load and unload. Use it in a gateway of the fleet: one
-// gateway plans at a time, under a lease in the platform's store, and the agents on the engines' hosts execute its
-// proposals.
-package fleetplanner
+// Package duty elects the one gateway that performs the fleet's duties, the planning of placement and the calls of the platform's
+// cloud interface, under a lease in the platform's store, and makes these calls.
+package duty
 
 import (
 	"context"
@@ -36,15 +35,24 @@
 	maxStartDelay = 60 * time.Millisecond
 	// callTimeout limits a call to the store.
 	callTimeout = 700 * time.Millisecond
+	// sendMargin is the part of the lease's term before its end in which no call of a duty is sent, so that calls arrive before the
+	// lease ends: connecting, one retransmission and the way take less.
+	sendMargin = 900 * time.Millisecond
 )
 
+// Holder tells whether this process holds the fleet's duties.
+type Holder interface {
+	// Token returns the fencing token if a call of a duty may be sent now. The token increases whenever the holder changes.
+	Token() (token int64, ok bool)
+}
+
 // LeaseStore is the part of the platform's store that a Lease uses.
 type LeaseStore interface {
 	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
 	Commit(ctx context.Context, expected []platform.Precondition, puts []platform.Row) (int64, []platform.Row, bool, error)
 }
 
-// LeaseOptions configure a Lease. All fields are required.
+// LeaseOptions configure a Lease. All fields but HandoverPause are required.
 type LeaseOptions struct {
 	Store       LeaseStore
 	Host        string
@@ -55,11 +63,13 @@
 	Demand func() map[string]float64
 	// OnAcquired is called when this gateway acquires the lease, with the demand that the previous planner stored in it.
 	OnAcquired func(demand map[string]float64)
-	Log        *slog.Logger
+	// HandoverPause is the time after the last call that another holder can have made before which Token permits none.
+	HandoverPause time.Duration
+	Log           *slog.Logger
 }
 
-// Lease lets the gateways elect one planner: the gateway that holds the lease plans. Its epoch is the store version of
-// the write that acquired it.
+// Lease lets the gateways elect one holder of all duties: the gateway that holds the lease plans and calls the cloud interface. Its
+// epoch is the store version of the write that acquired it. The epoch is also the fencing token of calls.
 type Lease struct {
 	opts LeaseOptions
 
@@ -68,6 +78,8 @@
 	mu          sync.Mutex
 	released    bool // this gateway is stopping and must not acquire the lease again
 	epoch       int64
+	acquiredAt  time.Duration
+	callsFrom   time.Duration // when calls of duties may begin
 	version     int64         // store version of the row as last written by this gateway
 	expiresAt   time.Duration // of the lease held by this gateway
 	peerHeardAt time.Duration // when another planner's epoch was last received
@@ -97,6 +109,28 @@
 	return l.epoch
 }
 
+// Token implements Holder: it returns the epoch if the lease lasts for sendMargin and no call of an earlier holder can have been made
+// within HandoverPause.
+func (l *Lease) Token() (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.opts.Clock()
+	if l.epoch == 0 || now >= l.expiresAt-sendMargin || now < l.callsFrom {
+		return 0, false
+	}
+	return l.epoch, true
+}
+
+// HeldFor returns how long this gateway has held the lease, or zero.
+func (l *Lease) HeldFor() time.Duration {
+	if l.Epoch() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.opts.Clock() - l.acquiredAt
+}
+
 // PlannerAlive reports whether this gateway holds the lease or another planner was heard within plannerTimeout.
 func (l *Lease) PlannerAlive() bool {
 	if l.Epoch() != 0 {
@@ -225,8 +259,12 @@
 		l.opts.Log.Debug("planner's lease not read; retrying", "error", err)
 		return
 	}
-	if exists && !l.holderGone(row) {
-		return
+	var lastCall time.Duration // of an earlier holder
+	if exists {
+		gone := false
+		if gone, lastCall = l.holderGone(row); !gone {
+			return
+		}
 	}
 	expected := row.Version
 	sent := l.opts.Clock()
@@ -241,30 +279,34 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.epoch, l.version, l.expiresAt = version, version, sent+leaseTerm
+	l.epoch, l.version, l.acquiredAt, l.expiresAt = version, version, sent, sent+leaseTerm
+	if l.callsFrom = sent; exists {
+		l.callsFrom = max(sent, lastCall+l.opts.HandoverPause)
+	}
 	l.opts.Log.Info("planner's lease acquired; planning starts", "epoch", version, "previous", previous.Host,
-		"models_with_demand", len(previous.Demand))
+		"models_with_demand", len(previous.Demand), "calls_in", max(0, l.callsFrom-sent))
 }
 
-// holderGone reports whether the holder of the row can no longer plan: it released the lease, it was an earlier process
-// on this host, or the row has not changed for leaseTerm plus expiryMargin. A row that does not decode has no holder.
-func (l *Lease) holderGone(r platform.Row) bool {
+// holderGone reports whether the holder of the row can no longer act: it released the lease, it was an earlier process on this host, or
+// the row has not changed for leaseTerm plus expiryMargin. A row that does not decode has no holder. lastCall is the latest time at
+// which a call of the holder can have been made.
+func (l *Lease) holderGone(r platform.Row) (gone bool, lastCall time.Duration) {
+	now := l.opts.Clock()
 	var row leaseRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		l.opts.Log.Warn("planner's lease row not decoded; treating the lease as expired", "error", err)
-		return true
+		return true, now
 	}
 	if row.Released || row.Host == l.opts.Host {
-		return true
+		return true, now
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.opts.Clock()
 	if l.seenVersion != r.Version {
 		l.seenVersion, l.seenAt = r.Version, now
-		return false
+		return false, 0
 	}
-	return now-l.seenAt > leaseTerm+expiryMargin
+	return now-l.seenAt > leaseTerm+expiryMargin, l.seenAt + leaseTerm
 }
 
 // Release gives up the lease permanently, so that another gateway can plan at once. It waits for a write in progress.
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -110,6 +110,9 @@
 	answer := platform.ParseResponse(resp.Status, resp.Header)
 	ok := statusOK(resp.Status)
 	last := message{status: resp.Status, header: resp.Header, instance: answer.Instance}
+	if !a.stream && !answer.NotRun && (ok || q.model == "") {
+		q.countBegun()
+	}
 	switch {
 	case answer.NotRun:
 		q.readRest(resp)
@@ -130,6 +133,13 @@
 	return last
 }
 
+// countBegun counts the request, once, as one that began to run for its organisation.
+func (q *request) countBegun() {
+	if count := q.server.opts.CountBegun; count != nil && q.org != nil && !q.begunCounted.Swap(true) {
+		count(q.org.Name)
+	}
+}
+
 // unanswered returns the result of an attempt whose request got no response.
 func unanswered(err error) result {
 	switch {
@@ -168,6 +178,7 @@
 				now := q.server.opts.Clock()
 				if first {
 					first, begun = false, now
+					q.countBegun()
 				}
 				a.load.RecordProgress(now)
 				q.server.observeProgress(a, q.exposure, begun)
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -66,6 +66,7 @@
 	ShortBodies         *memorybudget.Budget // bytes of bodies, of each up to shortBodyBytes
 	Answers             *memorybudget.Budget // bytes of servers' answers that are not relayed yet
 	Metrics             *Metrics
+	CountBegun          func(organisation string) // is called once for each request that began to run for an organisation; may be nil
 	Log                 *slog.Logger
 }
 
@@ -180,6 +181,7 @@
 	reservedAt    string                             // service whose budget has been charged
 	budgetLogged  bool                               // a refusal of the retry budget has been logged
 	demandCounted bool                               // the request is counted in the model's demand
+	begunCounted  atomic.Bool                        // the request is counted as one that began to run
 	headSent      bool                               // the status line and header of the response were sent
 	lastEvent     string                             // ID of the last event that was sent to the caller
 	firstEvent    time.Duration                      // from the arrival to the first event of a stream, or to a response that is not a stream
--- a/internal/fleetplanner/planner.go
+++ b/internal/fleetplanner/planner.go
@@ -1,3 +1,5 @@
+// Package fleetplanner decides which models the engines of the fleet load and unload. Use it in a gateway of the fleet: one
+// gateway plans at a time, under the lease of package duty, and the agents on the engines' hosts execute its proposals.
 package fleetplanner
 
 import (
@@ -11,6 +13,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/agentclient"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/placement"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -42,7 +45,7 @@
 type Options struct {
 	View   *fleet.View
 	Agents *agentclient.Client
-	Lease  *Lease
+	Lease  *duty.Lease
 	Clock  bootclock.Clock
 	// PrefillRate returns the measured prefill rate of a model in prompt tokens per millisecond.
 	PrefillRate func(model string) float64
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -94,7 +94,12 @@
 	Clock    bootclock.Clock
 	Source   Source
 	Sink     Sink
-	Log      *slog.Logger
+	// Usage returns the counts of requests that this gateway knows, each with its source, and whether this gateway holds the duties.
+	// The result is not changed later. If Usage is nil, no counts are sent.
+	Usage func() (report *wirepb.UsageReport, holder bool)
+	// OnUsage receives the counts of requests that the gateway with the given incarnation sent, each with its source. It may be nil.
+	OnUsage func(incarnation string, report *wirepb.UsageReport)
+	Log     *slog.Logger
 }
 
 type peer struct {
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -20,12 +20,14 @@
 	plannerEpoch     int64
 
 	replicas, organisations nameEncoder
+	usage                   sentUsage
 }
 
 func newSentState() *sentState {
 	return &sentState{
 		loads: make(map[string]*wirepb.ReplicaLoad), use: make(map[string]int64), demand: make(map[string]float64),
 		replicas: make(nameEncoder), organisations: make(nameEncoder),
+		usage: sentUsage{counts: make(map[usageKey]int64), sources: make(nameEncoder)},
 	}
 }
 
@@ -57,7 +59,10 @@
 }
 
 // nameDecoders are the name decoders of one stream.
-type nameDecoders struct{ replicas, organisations nameDecoder }
+type nameDecoders struct {
+	replicas, organisations, sources nameDecoder
+	incarnation                      string // of the sender
+}
 
 // decodeNames replaces the numbers in an update by names. It reports false if the sender used a number without having sent
 // its name.
@@ -76,7 +81,7 @@
 		}
 		o.Organisation = name
 	}
-	return true
+	return d.decodeUsage(u)
 }
 
 // addChanges adds to u what changed since the last call. planner says that the peer holds the planner's lease and needs the
@@ -144,7 +149,7 @@
 // unchanged reports whether u contains nothing new since the last call.
 func (s *sentState) unchanged(u *wirepb.PeerUpdate) bool {
 	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
-		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && u.GetGuard() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
+		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && u.GetGuard() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && u.GetUsage() == nil && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
 		u.GetStoreAway() == s.storeUnreachable && u.GetKnowledge() == s.rowsHash
 	s.plannerEpoch, s.storeUnreachable, s.rowsHash = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetKnowledge()
 	return same
@@ -173,7 +178,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	m.AddAddresses([]string{identity.GetAddress()})
-	decoders := nameDecoders{make(nameDecoder), make(nameDecoder)}
+	decoders := nameDecoders{make(nameDecoder), make(nameDecoder), make(nameDecoder), identity.GetIncarnation()}
 	for u := first; ; {
 		if !decoders.decodeNames(u) {
 			m.opts.Log.Warn("stream from peer closed: unknown name number", "peer", identity.GetHost())
@@ -239,6 +244,9 @@
 			"incarnation", identity.GetIncarnation())
 	}
 	m.opts.Sink.Update(identity.GetHost(), u, use, demand)
+	if u.GetUsage() != nil && m.opts.OnUsage != nil {
+		m.opts.OnUsage(identity.GetIncarnation(), u.GetUsage())
+	}
 	m.receiveOffers(identity.GetAddress(), u.GetOffers())
 	m.AddAddresses(u.GetMembers())
 	return true
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -61,7 +61,9 @@
 	guardPosition := uint64(0)
 	for {
 		own := m.currentState()
-		sent.addChanges(u, own, m.peerIsPlanner(p))
+		planner := m.peerIsPlanner(p)
+		sent.addChanges(u, own, planner)
+		sent.addUsage(u, own, p.address, planner)
 		if time.Since(lastFreshness) >= freshnessInterval && (own.readsStore || m.provides(p)) {
 			u.Freshness, lastFreshness = own.freshness, time.Now()
 		}
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -18,6 +18,9 @@
 	rowsHash         uint64
 	freshness        *wirepb.Freshness
 	readsStore       bool
+	usage            *wirepb.UsageReport // nil if no counts are sent
+	holdsDuties      bool
+	usageStandby     string // address of the gateway that gets the counts beside the holder
 }
 
 // currentState returns the state to send. It is read again after a tenth of the update interval, and not for each of the
@@ -34,6 +37,10 @@
 			plannerEpoch: source.PlannerEpoch(), storeUnreachable: source.StoreUnavailable(), rowsHash: source.RowsHash(),
 		}
 		m.state.freshness, m.state.readsStore = source.Freshness()
+		if m.opts.Usage != nil {
+			m.state.usage, m.state.holdsDuties = m.opts.Usage()
+			m.state.usageStandby = m.usageStandby()
+		}
 	}
 	return m.state
 }
