Decode the scaling section of a service

Change: fleet.Service.Scaling, decoded on its own from the raw section. A section with a negative or crossed bound, a fraction, no maximum, a negative boot time or a value of another type is ignored; the reason is in fleet.Configuration.Ignored and discovery logs it. Other decoding errors reject the whole configuration as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -344,6 +344,9 @@
 	if f.opts.View.SetConfiguration(c, row.Version) {
 		f.opts.Log.Info("configuration in force", "config_version", c.Version, "version", row.Version,
 			"routes", len(c.Routes), "services", len(c.Services), "organisations", len(c.Organisations))
+		for _, err := range c.Ignored {
+			f.opts.Log.Error("section of the configuration ignored", "config_version", c.Version, "error", err)
+		}
 	}
 }
 
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -35,6 +35,7 @@
 	Organisations map[string]*Organisation
 	Limits        CallerLimits
 	Keys          map[KeyDigest]string // name of the organisation by the digest of its API key
+	Ignored       []error              // why sections that hold invalid values are not in force
 }
 
 // KeyDigest is the SHA-256 digest of an API key. The keys themselves are not stored.
@@ -83,6 +84,14 @@
 	ColdStart      time.Duration // time for which a server is cold after its start
 	ColdPerSecond  float64       // requests per second that a cold server can handle; zero if servers are never cold
 	Engine         *Engine       // nil for a service without model engines
+	Scaling        *Scaling      // nil for a service whose number of servers is not changed
+}
+
+// Scaling bounds the number of servers of a service in each data centre.
+type Scaling struct {
+	Min  int
+	Max  int           // at least 1 and at least Min
+	Boot time.Duration // from the order of a server until it serves
 }
 
 // Engine describes the model engines of a service.
