Take the rate of a gateway that is heard for the first time as known, not as a step

A new holder hears the other gateways one after another. Their demand looked like a step, and the trend would have ordered up to twice the servers; a gateway heard again after a pause looked like a burst. A successor would also have sent rows of services that are no longer scaled, or counts outside the bounds in force, and a data centre without servers counted as a place for models.

Change: Observer adds the rate of a gateway once it was heard for 2 s, to both averages, so that there is no trend; until then the news is not complete. Runner repeats a count only if its service is scaled and the bounds allow it. Ordered servers that are all missing for two boot times make their data centre lost.

--- a/internal/autoscale/decide.go
+++ b/internal/autoscale/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -106,6 +107,11 @@
 		s.News.Complete, s.News.DemandAge = false, math.MaxInt64
 	}
 	s.Bounds.Boot = d.observeBoot(now, &s)
+	s.DataCentres = slices.Clone(s.DataCentres)
+	for i := range s.DataCentres {
+		dc := &s.DataCentres[i]
+		dc.Lost = dc.Lost || s.overdue(now, dc) && dc.listed() == 0
+	}
 	loads := s.divide(now)
 	for i := range s.DataCentres {
 		dc := &s.DataCentres[i]
@@ -227,7 +233,7 @@
 	switch {
 	case dec.Count != dec.Current:
 		return dec.Reason
-	case dc.Lost || s.overdue(now, dc) && dc.listed() == 0 || !s.News.Complete || s.News.DemandAge > maxNewsAge || s.News.ListAge > maxNewsAge:
+	case dc.Lost || !s.News.Complete || s.News.DemandAge > maxNewsAge || s.News.ListAge > maxNewsAge:
 		return ReasonNews
 	case s.Capacity <= 0 && dec.Load > 0:
 		return ReasonNews // the need is not known
--- a/internal/autoscale/decide_test.go
+++ b/internal/autoscale/decide_test.go
@@ -263,6 +263,18 @@
 	}
 }
 
+// Guards against a data centre whose servers are gone that counts as a place for models.
+func TestServersThatAreGoneHoldNoModels(t *testing.T) {
+	s := autoscale.Service{Name: "s", Bounds: testBounds, Capacity: 10, ModelReplicas: 8, News: autoscale.News{Complete: true}}
+	for _, dc := range []string{"a", "b"} {
+		s.DataCentres = append(s.DataCentres, autoscale.DataCentre{Name: dc, Order: autoscale.Order{Known: true, Count: 4}})
+	}
+	s.DataCentres[1].Ready = 4
+	if got := autoscale.NewDecider().Decide(time.Minute, s); got[0].Count != 4 || got[1].Count != 8 {
+		t.Fatalf("%+v", got)
+	}
+}
+
 // Guards against a floor that counts memory without regard to what fits together on one server.
 func TestServersForModels(t *testing.T) {
 	e := &fleet.Engine{WeightsMB: 110, AdapterSlots: 2, Models: map[string]*fleet.Model{
--- a/internal/autoscale/estimate.go
+++ b/internal/autoscale/estimate.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// Shift adds a rate that was there before but not known. It changes the rate and not the trend.
+func (e *RateEstimator) Shift(rate float64) {
+	if rate >= 0 && rate <= maxWork {
+		e.started = true
+		e.fast += rate
+		e.slow += rate
+	}
+}
+
 // Advance updates the averages. It does nothing if now is not after the last update.
 func (e *RateEstimator) Advance(now time.Duration) {
 	elapsed := now - e.at
@@ -49,7 +58,8 @@
 	rate := e.pending / elapsed.Seconds()
 	e.at, e.pending = now, 0
 	if !e.started {
-		e.started, e.fast, e.slow = true, rate, rate // what came before is not known, so there is no trend
+		e.Shift(rate) // what came before is not known, so there is no trend
+		e.started = true
 		return
 	}
 	e.fast += weight(elapsed, fastTimeConstant) * (rate - e.fast)
--- a/internal/autoscale/observe.go
+++ b/internal/autoscale/observe.go
@@ -10,6 +10,10 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 )
 
+// joinTime is the time over which the first rate of a gateway is taken. At 5 requests per second of one gateway, one exchange
+// of 250 ms holds one or two requests, which says little about the rate.
+const joinTime = 2 * time.Second
+
 // Totals are what the callers of a gateway asked of a service. Work and Refused count since the gateway started; Waiting is
 // current.
 type Totals struct {
@@ -59,7 +63,10 @@
 	incarnation string
 	dataCentre  string
 	at          time.Duration
-	totals      map[string]Totals
+	joined      bool              // its rate is included
+	totals      map[string]Totals // that are included; the base of the rate until it has joined
+	baseAt      time.Duration     // when the base was received
+	last        map[string]Totals // of the last report
 }
 
 type arrivals struct{ work, refused *RateEstimator }
@@ -72,27 +79,44 @@
 	}
 }
 
-// Receive records the totals of a gateway. The first totals of an incarnation only set the base, so that work from before
-// is not taken for work that just arrived.
+// Receive records the totals of a gateway. The first totals of an incarnation, or after a time in which the gateway was not
+// heard, only set the base: what arrived before is neither a burst nor a step of the demand.
 func (o *Observer) Receive(now time.Duration, host, incarnation, dataCentre string, totals map[string]Totals) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	g := o.gateways[host]
-	if g == nil || g.incarnation != incarnation {
-		o.gateways[host] = &gatewayReport{incarnation, dataCentre, now, totals}
+	if g == nil || g.incarnation != incarnation || g.dataCentre != dataCentre || now-g.at > maxNewsAge {
+		o.gateways[host] = &gatewayReport{
+			incarnation: incarnation, dataCentre: dataCentre, at: now, totals: totals, baseAt: now, last: totals,
+		}
+		return
+	}
+	g.at, g.last = now, totals
+	known := now - g.baseAt
+	if !g.joined && known < joinTime {
 		return
 	}
 	for service, t := range totals {
-		key := zoneKey{service, dataCentre}
-		a := o.arrivals[key]
-		if a == nil {
-			a = &arrivals{NewRateEstimator(now), NewRateEstimator(now)}
-			o.arrivals[key] = a
+		a := o.arrivalsOf(now, zoneKey{service, dataCentre})
+		work, refused := t.Work-g.totals[service].Work, t.Refused-g.totals[service].Refused
+		if g.joined {
+			a.work.Add(work)
+			a.refused.Add(refused)
+		} else {
+			a.work.Shift(work / known.Seconds())
+			a.refused.Shift(refused / known.Seconds())
 		}
-		a.work.Add(t.Work - g.totals[service].Work)
-		a.refused.Add(t.Refused - g.totals[service].Refused)
 	}
-	g.dataCentre, g.at, g.totals = dataCentre, now, totals
+	g.joined, g.totals = true, totals
+}
+
+func (o *Observer) arrivalsOf(now time.Duration, key zoneKey) *arrivals {
+	a := o.arrivals[key]
+	if a == nil {
+		a = &arrivals{NewRateEstimator(now), NewRateEstimator(now)}
+		o.arrivals[key] = a
+	}
+	return a
 }
 
 // Drop removes a gateway that is no longer a member.
@@ -102,8 +126,8 @@
 	delete(o.gateways, host)
 }
 
-// Services updates the estimates and returns the state of each service with scaling, sorted by name, without orders. Every
-// gateway calls it at short intervals, so that a successor of the holder knows the demand.
+// Services updates the estimates and returns the state of each service with scaling, sorted by name, without orders. It is
+// called at short intervals while the duty is held; after a longer pause the gateways' rates are learned again in joinTime.
 func (o *Observer) Services(now time.Duration) []Service {
 	o.Receive(now, o.opts.Host, "", o.opts.DataCentre, o.opts.Totals())
 	snapshot := o.opts.Snapshot()
@@ -148,7 +172,7 @@
 	for _, g := range o.gateways {
 		age := now - g.at
 		n.DemandAge = min(n.DemandAge, age)
-		n.Complete = n.Complete && age <= maxNewsAge
+		n.Complete = n.Complete && g.joined && age <= maxNewsAge
 	}
 	heard, known := o.opts.Gateways()
 	n.Complete = n.Complete && heard >= known && len(o.gateways) >= known
@@ -194,7 +218,7 @@
 		place(&out, zones[key.dataCentre], demand)
 	}
 	for _, g := range o.gateways {
-		place(&out, zones[g.dataCentre], Demand{Waiting: g.totals[name].Waiting})
+		place(&out, zones[g.dataCentre], Demand{Waiting: g.last[name].Waiting})
 	}
 	for _, zone := range zones {
 		zone.Lost = zone.listed() > 0 && silent[zone.Name] == zone.listed()
--- a/internal/autoscale/runner.go
+++ b/internal/autoscale/runner.go
@@ -104,7 +104,6 @@
 // Round decides all counts and makes at most one call to the platform.
 func (r *Runner) Round(ctx context.Context) {
 	now := r.opts.Clock()
-	services := r.opts.Services(now)
 	token, held := r.opts.Duty.Token()
 	if !held || token != r.token {
 		r.forget()
@@ -114,13 +113,14 @@
 	}
 	r.token = token
 	var decisions []Decision
+	services := r.opts.Services(now)
 	if r.current(ctx, now) {
 		decisions = r.decide(now, services)
 	}
 	if now >= r.nextCall.next {
-		r.act(ctx, now, decisions)
+		r.act(ctx, now, services, decisions)
 	}
-	r.publish()
+	r.publish(services)
 }
 
 // current reads the ordered counts if they are not known, and reports whether they are. Without them nothing new is ordered.
@@ -143,7 +143,7 @@
 	r.token, r.loaded, r.nextCall, r.nextStore = 0, false, pacer{}, pacer{}
 	clear(r.orders)
 	r.decider.Forget()
-	r.publish()
+	r.publish(nil)
 }
 
 // decide returns the decisions that change a count.
@@ -177,9 +177,16 @@
 	return s
 }
 
+// repeatable reports whether an order without an answer is to be repeated: its service is still scaled, and the configured
+// bounds still allow its count.
+func (o *order) repeatable(key zoneKey, services []Service) bool {
+	i := slices.IndexFunc(services, func(s Service) bool { return s.Name == key.service })
+	return o.unanswered && i >= 0 && o.Count >= services[i].Bounds.Min && o.Count <= services[i].Bounds.Max
+}
+
 // act makes the most urgent call: a new order for more servers, then repeats and orders for fewer, the longest waiting
 // first. A count without an answer is repeated before another is ordered in its place.
-func (r *Runner) act(ctx context.Context, now time.Duration, decisions []Decision) {
+func (r *Runner) act(ctx context.Context, now time.Duration, services []Service, decisions []Decision) {
 	var chosen *Decision
 	var best zoneKey
 	found, bestGrows, bestAt := false, false, time.Duration(0)
@@ -190,7 +197,7 @@
 		}
 	}
 	for key, o := range r.orders {
-		if o.unanswered {
+		if o.repeatable(key, services) {
 			consider(key, nil, false, o.attemptAt)
 		}
 	}
@@ -198,7 +205,7 @@
 		dec := &decisions[i]
 		key := zoneKey{dec.Service, dec.DataCentre}
 		o := r.orders[key]
-		if o != nil && o.unanswered {
+		if o != nil && o.repeatable(key, services) {
 			continue
 		}
 		at := time.Duration(0)
@@ -266,14 +273,15 @@
 		"token", r.token, "settled_under", o.token, "took_since_settled", now-o.At, "error", err)
 }
 
-func (r *Runner) publish() {
+// publish updates the metrics that describe the current orders.
+func (r *Runner) publish(services []Service) {
 	unanswered := int64(0)
 	counts := make(map[string]int, len(r.orders))
 	for key, o := range r.orders {
 		if o.Known {
 			counts[key.String()] = o.Count
 		}
-		if o.unanswered {
+		if o.repeatable(key, services) {
 			unanswered++
 		}
 	}
--- a/internal/autoscale/runner_test.go
+++ b/internal/autoscale/runner_test.go
@@ -237,6 +237,18 @@
 	expectCounts(t, f, 7)
 }
 
+// Guards against a successor that sends a count of a service that is no longer scaled, or one outside the bounds in force.
+func TestRowsThatTheConfigurationDoesNotAllowAreNotSent(t *testing.T) {
+	f := newFake()
+	a := f.gateway(map[string]float64{"x": 70})
+	f.put("s/x", []byte(`{"count":14,"token":1}`))
+	f.put("other/x", []byte(`{"count":3,"token":1}`))
+	f.put("bad/x", []byte(`{`))
+	f.pass(a)
+	f.rounds(20*time.Second, a)
+	expectCounts(t, f, testBounds.Max)
+}
+
 // Guards against two counts that are both sent for one settled row, a token that decreases, more calls than allowed, and an
 // order that never arrives, whatever fails.
 func TestOrdersFollowTheRowsWhateverFails(t *testing.T) {
