Admit requests under contention by the predicted wait ahead

A gateway sends a request as long as its predicted time is within 0.8 of the deadline. Where targets are far below the deadlines, the queues of the engines fill with work that finishes late and delays the work behind it.

internal/contention decides for services whose most urgent streaming route has a timeout of at least 16 times its target: a request is sent if the wait ahead of it is within an allowance by rank, time waited and lateness, and if the outstanding prompts keep the pauses of running streams short. Otherwise it waits in a bounded queue of its service and model, or is refused with the time at which room is expected. Other services are unchanged. fleetroute.Candidate gets WaitAhead.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -214,6 +214,7 @@
 	vars["store_failures"] = expvar.Func(func() any { _, failed := g.store.Calls(); return failed })
 	vars["backend_connections_opened"] = expvar.Func(func() any { return g.pool.Dials() })
 	vars["active_requests"] = expvar.Func(func() any { return g.server.Active() })
+	vars["requests_waiting"] = expvar.Func(func() any { return g.server.Waiting() })
 	vars["gateways_heard"] = expvar.Func(func() any { heard, _ := g.mesh.Count(); return heard })
 	vars["agents_reporting"] = expvar.Func(func() any { fresh, _ := g.agents.Counts(bootclock.Now()); return fresh })
 	vars["config_version"] = expvar.Func(func() any {
--- /dev/null
+++ b/internal/contention/order.go
@@ -0,0 +1,40 @@
+package contention
+
+import (
+	"cmp"
+	"time"
+)
+
+// levelShare is the difference in allowance, as a part of the shortest target, below which requests have the same standing. Among
+// those, organisations take turns.
+const levelShare = 0.05
+
+// Standing decides the position of a waiting request in its queue.
+type Standing struct {
+	late    bool
+	level   int
+	served  float64
+	elapsed time.Duration
+}
+
+// NewStanding returns the standing of a waiting request. own is the time that its prompt takes, served the work that its
+// organisation got recently.
+func NewStanding(r Request, own time.Duration, served float64) Standing {
+	s := Standing{late: !r.CanMeetTarget(own), served: served, elapsed: r.Elapsed}
+	if !s.late {
+		s.level = int(Share(r)/levelShare + 0.5)
+	}
+	return s
+}
+
+// Compare returns a negative number if a goes before b: requests that can be in time before those that can't, then by allowance, by
+// the work that the organisations got, and by age.
+func Compare(a, b Standing) int {
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.served, b.served), cmp.Compare(b.elapsed, a.elapsed))
+}
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -47,6 +47,7 @@
 		Repeatable: q.route.Repeatable(), MaxRuns: q.route.MaxAttempts, MaxNotRun: maxNotRunAttempts,
 	})
 	defer q.endAttempts()
+	defer q.leaveQueue()
 	for {
 		choice, replica, err := q.choose(ctx)
 		q.countDemand(choice)
@@ -54,6 +55,10 @@
 			return q.giveUp(q.finalError(ctx, err))
 		}
 		r, ok := q.begin(ctx, ctx, choice, replica)
+		if q.waiter != nil && ok {
+			s.opts.Metrics.afterWait.Add(rankName(q.waiter.rank), 1)
+		}
+		q.leaveQueue() // only now, so that the next waiting request is decided on with this one's load
 		if ok {
 			r = q.await(ctx)
 		}
@@ -88,7 +93,8 @@
 }
 
 // choose returns the best server for the request, or the error with which to refuse it. It waits while the model is
-// being loaded, if the response can still be in time.
+// being loaded, if the response can still be in time, or for room at a server. A request that waited for room stays in its queue until
+// leaveQueue is called.
 func (q *request) choose(ctx context.Context) (*fleetroute.Candidate, *fleet.Replica, error) {
 	s := q.server
 	for {
@@ -99,15 +105,42 @@
 		if err := q.checkPrompt(); err != nil {
 			return nil, nil, err
 		}
+		if err := q.displacedRefusal(); err != nil {
+			return nil, nil, err
+		}
+		if q.waiter != nil && !q.awaitTurn(ctx) {
+			if ctx.Err() != nil {
+				return nil, nil, errkind.Wrap(errkind.Overloaded, ctx.Err(), "no room at a server in time")
+			}
+			continue
+		}
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
-		if at := fleetroute.Choose(list, s.opts.DataCentre); at >= 0 {
+		at := fleetroute.Choose(list, s.opts.DataCentre)
+		policy, gated := q.gated()
+		if !gated || at < 0 {
+			q.leaveQueue()
+		}
+		if at >= 0 {
 			c := &list[at]
-			q.logChoice(c, len(list))
+			if !gated {
+				q.logChoice(c, len(list))
+			}
 			if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
 				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
 					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
 			}
+			if gated {
+				position, err := q.seekRoom(policy, list, at)
+				if err != nil {
+					return c, nil, err
+				}
+				if position < 0 {
+					continue
+				}
+				c = &list[position]
+				q.logChoice(c, len(list))
+			}
 			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(q.config, byID[c.ID]) {
 				return c, byID[c.ID], nil
 			}
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -24,6 +24,9 @@
 	sends    *expvar.Int
 	signs    *expvar.Map // signs in servers' responses, by kind
 
+	noRoom    *expvar.Map // requests refused because no room at a server was expected, by reason and rank
+	afterWait *expvar.Map // requests sent after a wait for room, by rank
+
 	serversEnded *expvar.Int // servers that ended and broke off a response of this gateway
 
 	mu            sync.Mutex
@@ -35,6 +38,7 @@
 func NewMetrics() *Metrics {
 	return &Metrics{
 		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map), serversEnded: new(expvar.Int),
+		noRoom: new(expvar.Map), afterWait: new(expvar.Map),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -42,13 +46,15 @@
 // Vars returns the variables by their published names. Latencies are in milliseconds.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"requests_by_outcome": m.outcomes,
-		"answers_cut":         m.cut,
-		"sends":               m.sends,
-		"server_signs":        m.signs,
-		"servers_ended":       m.serversEnded,
-		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
-		"whole_answer_ms":     expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
+		"requests_by_outcome":  m.outcomes,
+		"answers_cut":          m.cut,
+		"sends":                m.sends,
+		"server_signs":         m.signs,
+		"servers_ended":        m.serversEnded,
+		"refused_without_room": m.noRoom,
+		"sent_after_wait":      m.afterWait,
+		"first_event_ms":       expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
+		"whole_answer_ms":      expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
 	}
 }
 
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -78,6 +78,7 @@
 	signs    *signs
 	ends     *serverEnds
 	prompts  *PromptGuard
+	rooms    *rooms
 	ending   context.Context // ends with EndRequests
 	end      context.CancelFunc
 
@@ -99,7 +100,7 @@
 	opts.Answers = cmp.Or(opts.Answers, memorybudget.New(shares.Answers))
 	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
+		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), rooms: newRooms(), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
@@ -180,6 +181,7 @@
 	reservedAt    string                             // service whose budget has been charged
 	budgetLogged  bool                               // a refusal of the retry budget has been logged
 	demandCounted bool                               // the request is counted in the model's demand
+	waiter        *waiter                            // of the request while it waits for room at a server, or nil
 	headSent      bool                               // the status line and header of the response were sent
 	lastEvent     string                             // ID of the last event that was sent to the caller
 	firstEvent    time.Duration                      // from the arrival to the first event of a stream, or to a response that is not a stream
--- a/internal/fleetroute/choose.go
+++ b/internal/fleetroute/choose.go
@@ -72,6 +72,18 @@
 	return time.Duration(c.predictedMS() * float64(time.Millisecond))
 }
 
+// WaitAhead returns the predicted time without what the request itself needs: the processing of its prompt and the load
+// of its adapter or, at a plain service, one request's time.
+func (c *Candidate) WaitAhead() time.Duration {
+	ahead := *c
+	ahead.UncachedTokens, ahead.AdapterMissing = 0, false
+	ms := ahead.predictedMS()
+	if c.PrefillRate <= 0 {
+		ms -= c.ServiceMS * c.Slowness
+	}
+	return time.Duration(max(0, ms) * float64(time.Millisecond))
+}
+
 func (c *Candidate) predictedMS() float64 {
 	if c.PrefillRate <= 0 {
 		rounds := math.Floor(float64(c.InFlight)/float64(max(1, c.Slots))) + 1
