Learn the speeds of servers and choose at random among near-equal ones

Cause: gateways that choose from the same loads, up to 250 ms old, all chose the same server, and engines that are slower by nature counted as faulty: Slowness was one average for both.

Change: each server has a learned speed relative to the median of its model or service, which scales its prefill rate or service time. For streams it is measured from the shortest of three spans between events while no prompts wait at the server; for plain services from responses that had a free slot. Servers that differ by less than the noise have speed 1. Gateways tell each other the pace that they measured with the loads that they exchange anyway (ReplicaLoad.pace_permille). Slowness is now the deviation from that speed. With more than one gateway, a request goes at random to one of the servers whose cost is within two units of what the age of the loads makes uncertain. The sums of the peers' loads are kept up to date instead of being added for each candidate, which pays for it.

TestChatsAndLongPromptsMeetTheirTargets now plays the choice that gateways make beside others, with the same seed and bounds.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
@@ -46,7 +47,7 @@
 	for id, l := range loads {
 		list = append(list, &wirepb.ReplicaLoad{
 			Replica: id, InFlight: int32(l.InFlight), PrefillTokens: int64(l.Prefill), MemoryTokens: int64(l.Memory),
-			Stalled: l.Stalled,
+			Stalled: l.Stalled, PacePermille: uint32(math.Round(1000 * l.Pace)),
 		})
 	}
 	return list
@@ -96,7 +97,7 @@
 	for _, l := range u.GetLoads() {
 		loads[l.GetReplica()] = fleetroute.Load{
 			InFlight: int(l.GetInFlight()), Prefill: float64(l.GetPrefillTokens()), Memory: float64(l.GetMemoryTokens()),
-			Stalled: l.GetStalled(),
+			Stalled: l.GetStalled(), Pace: float64(l.GetPacePermille()) / 1000,
 		}
 	}
 	g.table.UpdatePeer(peer, bootclock.Now(), loads, u.GetIdentity() != nil)
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -101,7 +101,7 @@
 		}
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
-		if at := fleetroute.Choose(list, s.opts.DataCentre); at >= 0 {
+		if at := s.pick(list); at >= 0 {
 			c := &list[at]
 			q.logChoice(c, len(list))
 			if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
@@ -243,7 +243,8 @@
 	q.server.opts.Log.LogAttrs(q.http.Context(), slog.LevelInfo, "server chosen",
 		slog.String("request_id", q.caller.ID), slog.String("server", c.ID), slog.Int("candidates", candidates),
 		slog.Duration("predicted", c.Predicted()), slog.Int("in_flight", c.InFlight), slog.Float64("ahead", c.QueuedTokens),
-		slog.Float64("uncached", c.UncachedTokens), slog.Float64("slowness", c.Slowness), slog.Float64("penalty_ms", c.PenaltyMS),
+		slog.Float64("uncached", c.UncachedTokens), slog.Float64("speed", c.Speed), slog.Float64("slowness", c.Slowness),
+		slog.Float64("penalty_ms", c.PenaltyMS),
 		slog.Bool("adapter_missing", c.AdapterMissing), slog.Float64("turn_ms", c.TurnWaitMS))
 }
 
--- a/internal/fleetgateway/candidates.go
+++ b/internal/fleetgateway/candidates.go
@@ -169,6 +169,15 @@
 	return list, byID, why
 }
 
+// pick returns the index of the server that gets the request, or -1 if there are no candidates. With several gateways
+// it chooses at random among servers that are about as good, because all of them decide from the same loads.
+func (s *Server) pick(candidates []fleetroute.Candidate) int {
+	if _, known := s.opts.Gateways(); known < 2 {
+		return fleetroute.Choose(candidates, s.opts.DataCentre)
+	}
+	return fleetroute.ChooseAtRandom(candidates, s.opts.DataCentre, s.random)
+}
+
 // holdsModel reports whether a server holds what the request needs. An adapter may be missing if the server's agent can load it.
 func (q *request) holdsModel(r *fleet.Replica, now time.Duration) (adapterMissing, ok bool) {
 	switch {
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -65,6 +66,7 @@
 	Bodies              *memorybudget.Budget // bytes of long bodies; a default if nil, like the two below
 	ShortBodies         *memorybudget.Budget // bytes of bodies, of each up to shortBodyBytes
 	Answers             *memorybudget.Budget // bytes of servers' answers that are not relayed yet
+	Random              rand.Source          // of the choices among servers, safe for concurrent use; the process's own if nil
 	Metrics             *Metrics
 	Log                 *slog.Logger
 }
@@ -72,6 +74,7 @@
 // Server is the http.Handler for callers. It is safe for concurrent use.
 type Server struct {
 	opts     Options
+	random   *rand.Rand
 	draining atomic.Pointer[time.Duration] // the clock's reading when draining began, or nil
 	active   atomic.Int64
 	excluded *exclusions
@@ -91,15 +94,24 @@
 	agentRetryAt map[string]time.Duration // until when an agent that did not reply is not asked for turns
 }
 
+// processRandom is the random source of the process, which is safe for concurrent use.
+type processRandom struct{}
+
+// Uint64 implements rand.Source.
+func (processRandom) Uint64() uint64 { return rand.Uint64() }
+
 // New returns a server that accepts requests.
 func New(opts Options) *Server {
 	shares := memorybudget.Divide(0)
 	opts.Bodies = cmp.Or(opts.Bodies, memorybudget.New(shares.Bodies))
 	opts.ShortBodies = cmp.Or(opts.ShortBodies, memorybudget.New(shares.ShortBodies))
 	opts.Answers = cmp.Or(opts.Answers, memorybudget.New(shares.Answers))
+	if opts.Random == nil {
+		opts.Random = processRandom{}
+	}
 	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
+		opts: opts, random: rand.New(opts.Random), excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
 		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
--- a/internal/fleetroute/choose.go
+++ b/internal/fleetroute/choose.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -58,7 +59,8 @@
 	NeededTokens   float64 // tokens that this request adds to the memory
 	PrefillRate    float64 // prompt tokens per millisecond; zero for a plain service
 	ServiceMS      float64 // time of one request to a plain service in milliseconds
-	Slowness       float64 // measured time over predicted time; 1 for a server of normal speed
+	Speed          float64 // learned speed relative to its peers, which PrefillRate and ServiceMS include
+	Slowness       float64 // measured time over predicted time; 1 for a server that keeps its own speed
 	AdapterMissing bool    // the adapter must be loaded before the request
 	TurnWaitMS     float64 // milliseconds until the server, which is cold, may take another request
 	PenaltyMS      float64 // cost in milliseconds for recent failures
@@ -90,27 +92,103 @@
 	return ms
 }
 
+// cost returns the cost in milliseconds of sending the request to the candidate.
+func (c *Candidate) cost(dataCentre string) float64 {
+	cost := c.predictedMS() + c.PenaltyMS + float64(c.InFlight)/float64(max(1, c.Slots))
+	if c.PrefillRate > 0 {
+		cost += batchCostMS*float64(c.InFlight) + prefillDelayCostMS*float64(c.InFlight)*c.UncachedTokens/1000 +
+			evictionCostFactor*c.UncachedTokens/c.PrefillRate
+	}
+	if c.Stalled && !c.HostReporting {
+		cost += stalledCostMS
+	}
+	if c.DataCentre != dataCentre {
+		cost += crossDataCentreCostMS
+	}
+	return cost
+}
+
 // Choose returns the index of the candidate with the lowest cost, or -1 if there are no candidates. Where costs are
 // otherwise equal, it takes the candidate with fewer requests in flight, and then the first. dataCentre is the
 // gateway's own; other data centres cost more.
 func Choose(candidates []Candidate, dataCentre string) int {
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
-		c := &candidates[i]
-		cost := c.predictedMS() + c.PenaltyMS + float64(c.InFlight)/float64(max(1, c.Slots))
-		if c.PrefillRate > 0 {
-			cost += batchCostMS*float64(c.InFlight) + prefillDelayCostMS*float64(c.InFlight)*c.UncachedTokens/1000 +
-				evictionCostFactor*c.UncachedTokens/c.PrefillRate
+		if cost := candidates[i].cost(dataCentre); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+const (
+	// nearEqual is the number of candidates among which ChooseAtRandom chooses.
+	nearEqual = 8
+	// The weight of a candidate falls by a factor of e for each costUncertainty by which its cost exceeds the lowest.
+	// That is costUncertaintyFactor of the request's own time, and at least minCostUncertaintyMS milliseconds, which is
+	// about a step of an engine. Both are far below the cost of processing shared parts of a long prompt again.
+	minCostUncertaintyMS, costUncertaintyFactor = 4, 0.25
+	// maxUncertainties is the difference from the lowest cost, in units of costUncertainty, above which a candidate is
+	// not chosen.
+	maxUncertainties = 2
+)
+
+// ChooseAtRandom is Choose for gateways that choose at the same time from the same loads, which are as old as the
+// last exchange: it returns one of the candidates whose cost is near the lowest, at random, and more probably those
+// of lower cost. Otherwise all of them choose the same server until they learn of each other's requests.
+func ChooseAtRandom(candidates []Candidate, dataCentre string, random *rand.Rand) int {
+	if len(candidates) < 2 {
+		return len(candidates) - 1
+	}
+	var at [nearEqual]int
+	var costs [nearEqual]float64
+	n := 0
+	// The random first candidate decides between candidates of equal cost.
+	start := random.IntN(len(candidates))
+	for k := range candidates {
+		i := start + k
+		if i >= len(candidates) {
+			i -= len(candidates)
 		}
-		if c.Stalled && !c.HostReporting {
-			cost += stalledCostMS
+		cost := candidates[i].cost(dataCentre)
+		if n == nearEqual && cost >= costs[n-1] {
+			continue
 		}
-		if c.DataCentre != dataCentre {
-			cost += crossDataCentreCostMS
+		if n < nearEqual {
+			n++
 		}
-		if cost < bestCost {
-			best, bestCost = i, cost
+		j := n - 1
+		for ; j > 0 && cost < costs[j-1]; j-- {
+			at[j], costs[j] = at[j-1], costs[j-1]
 		}
+		at[j], costs[j] = i, cost
 	}
-	return best
+	scale := candidates[at[0]].costUncertainty()
+	var weights [nearEqual]float64
+	total := 0.0
+	for j := range n {
+		if costs[j] > costs[0]+maxUncertainties*scale {
+			n = j
+			break
+		}
+		weights[j] = math.Exp(-(costs[j] - costs[0]) / scale)
+		total += weights[j]
+	}
+	draw := random.Float64() * total
+	for j := range n {
+		if draw -= weights[j]; draw < 0 {
+			return at[j]
+		}
+	}
+	return at[0]
+}
+
+// costUncertainty returns the difference of costs, in milliseconds, that the requests which peers have sent since
+// their last report make meaningless. It is a part of the time for a request like this one.
+func (c *Candidate) costUncertainty() float64 {
+	own := c.ServiceMS
+	if c.PrefillRate > 0 {
+		own = c.UncachedTokens / c.PrefillRate
+	}
+	return minCostUncertaintyMS + costUncertaintyFactor*own
 }
--- a/internal/fleetroute/engine_test.go
+++ b/internal/fleetroute/engine_test.go
@@ -83,7 +83,8 @@
 	total, oldest := 0.0, ""
 	for key, at := range e.cached {
 		total += e.sizes[key]
-		if oldest == "" || at < e.cached[oldest] {
+		// The order of the map must not decide: a seed gives one result.
+		if first := e.cached[oldest]; oldest == "" || at < first || at == first && key < oldest {
 			oldest = key
 		}
 	}
@@ -132,37 +133,46 @@
 	return ended
 }
 
-// simulateStreams sends long prompts and chats of one model, at the given rates per second, to its engines through
-// several gateways that exchange their loads. It returns the fractions of long prompts and of chats that met their
-// target.
-func simulateStreams(engines int, longs, chats float64, seconds int) (long, chat float64) {
-	rng := rand.New(rand.NewPCG(11, 11))
-	ids := make([]string, engines)
-	all := make([]*engine, engines)
+// streamLoad is a load of long prompts and chats of one model that several gateways send to its engines.
+type streamLoad struct {
+	seed     uint64
+	gateways int
+	speeds   []float64 // of the engines
+	longs    float64   // per second
+	chats    float64   // per second
+	seconds  int
+	choose   chooser
+}
+
+// chooser is a rule by which a gateway chooses among filled candidates.
+type chooser func(list []fleetroute.Candidate, random *rand.Rand) int
+
+// streamResult says how a load was served.
+type streamResult struct {
+	long, chat float64   // fractions of long prompts and of chats that met their target
+	sent       []float64 // requests sent to each engine
+	tables     []*fleetroute.Table
+}
+
+// simulate plays the load. The gateways exchange their loads every exchangeEvery.
+func (l streamLoad) simulate() streamResult {
+	rng := rand.New(rand.NewPCG(l.seed, l.seed))
+	choices := rand.New(rand.NewPCG(l.seed, l.seed+1))
+	ids := make([]string, len(l.speeds))
+	all := make([]*engine, len(l.speeds))
 	for i := range all {
 		ids[i] = fmt.Sprint("i-", i)
-		slow := 1.0
-		if i%3 == 2 {
-			slow = 1.3
-		}
-		all[i] = &engine{id: ids[i], slow: slow, cached: make(map[string]time.Duration), sizes: make(map[string]float64)}
+		all[i] = &engine{id: ids[i], slow: 1 / l.speeds[i], cached: make(map[string]time.Duration), sizes: make(map[string]float64)}
 	}
-	tables := make([]*fleetroute.Table, gateways)
-	for i := range tables {
-		tables[i] = fleetroute.NewTable()
+	result := streamResult{sent: make([]float64, len(all)), tables: make([]*fleetroute.Table, l.gateways)}
+	for i := range result.tables {
+		result.tables[i] = fleetroute.NewTable()
 	}
 	var sent, met [2]float64
-	length := time.Duration(seconds) * time.Second
+	length := time.Duration(l.seconds) * time.Second
 	for now := time.Duration(0); now < length+20*time.Second; now += ms {
 		if now%exchangeEvery == 0 {
-			for i, from := range tables {
-				loads := from.Loads(now)
-				for j, to := range tables {
-					if i != j {
-						to.UpdatePeer(fmt.Sprint(i), now, loads, true)
-					}
-				}
-			}
+			exchangeLoads(result.tables, now)
 		}
 		for _, e := range all {
 			for e.free <= now && len(e.waiting)+len(e.running) > 0 {
@@ -176,38 +186,57 @@
 		if now >= length {
 			continue
 		}
-		for k, rate := range []float64{chats, longs} {
+		for k, rate := range []float64{l.chats, l.longs} {
 			if rng.Float64() > rate/1000 {
 				continue
 			}
-			r := &streamRequest{long: k == 1, at: now, output: 288}
-			r.parts = []fleetroute.Part{{ID: "c", Tokens: 119}, {ID: fmt.Sprint("topic", rng.IntN(136)), Tokens: 79},
-				{ID: fmt.Sprint(now), Tokens: 628}}
-			if r.long {
-				r.output = 56
-				r.parts = []fleetroute.Part{{ID: "w", Tokens: 2520}, {ID: fmt.Sprint("ward", rng.IntN(66)), Tokens: 3780},
-					{ID: fmt.Sprint(now), Tokens: 2890}}
-			}
+			r := drawRequest(rng, k == 1, now, ids)
 			sent[k]++
-			total := 0
-			for _, p := range r.parts {
-				total += p.Tokens
-			}
-			r.prompt = fleetroute.NewPrompt("m0", total, r.parts, ids)
-			table := tables[rng.IntN(gateways)]
-			list := make([]fleetroute.Candidate, 0, engines)
+			table := result.tables[rng.IntN(l.gateways)]
+			list := make([]fleetroute.Candidate, 0, len(ids))
 			for _, id := range ids {
 				c := fleetroute.Candidate{ID: id, DataCentre: "a", Slots: 64, CapacityTokens: 205_000}
 				table.Fill(&c, now, "m0", "s", r.prompt)
 				c.NeededTokens = c.UncachedTokens + float64(r.output)
 				list = append(list, c)
 			}
-			at := fleetroute.Choose(list, "a")
+			at := l.choose(list, choices)
 			r.attempt = table.Begin(&list[at], now, "m0", "s", r.prompt)
 			all[at].add(r, now)
+			result.sent[at]++
+		}
+	}
+	result.long, result.chat = met[1]/sent[1], met[0]/sent[0]
+	return result
+}
+
+// exchangeLoads gives every gateway the loads of all others.
+func exchangeLoads(tables []*fleetroute.Table, now time.Duration) {
+	for i, from := range tables {
+		loads := from.Loads(now)
+		for j, to := range tables {
+			if i != j {
+				to.UpdatePeer(fmt.Sprint(i), now, loads, true)
+			}
 		}
 	}
-	return met[1] / sent[1], met[0] / sent[0]
+}
+
+func drawRequest(rng *rand.Rand, long bool, now time.Duration, ids []string) *streamRequest {
+	r := &streamRequest{long: long, at: now, output: 288}
+	r.parts = []fleetroute.Part{{ID: "c", Tokens: 119}, {ID: fmt.Sprint("topic", rng.IntN(136)), Tokens: 79},
+		{ID: fmt.Sprint(now), Tokens: 628}}
+	if long {
+		r.output = 56
+		r.parts = []fleetroute.Part{{ID: "w", Tokens: 2520}, {ID: fmt.Sprint("ward", rng.IntN(66)), Tokens: 3780},
+			{ID: fmt.Sprint(now), Tokens: 2890}}
+	}
+	total := 0
+	for _, p := range r.parts {
+		total += p.Tokens
+	}
+	r.prompt = fleetroute.NewPrompt("m0", total, r.parts, ids)
+	return r
 }
 
 func boolIndex(b bool) int {
@@ -220,13 +249,14 @@
 // Guards against chats whose streams pause for longer than their callers accept, and against long prompts that are
 // late: prompts evict each other from the caches and are processed again on servers full of streams. The load is one
 // model on six engines, once at a normal rate, at which nine of ten requests have to meet their targets, and once at
-// a high rate, at which half have to.
+// a high rate, at which half have to. The gateways choose as they do beside others.
 func TestChatsAndLongPromptsMeetTheirTargets(t *testing.T) {
 	for _, load := range []struct{ longs, chats, target float64 }{{20, 30, 0.9}, {30, 40, 0.5}} {
-		long, chat := simulateStreams(6, load.longs, load.chats, 20)
-		if long < load.target || chat < load.target {
+		r := streamLoad{seed: 11, gateways: gateways, speeds: []float64{1, 1, 1 / 1.3, 1, 1, 1 / 1.3}, longs: load.longs,
+			chats: load.chats, seconds: 20, choose: atRandom}.simulate()
+		if r.long < load.target || r.chat < load.target {
 			t.Errorf("%.0f long prompts and %.0f chats a second: %.3f and %.3f met their targets, expected at least %.1f",
-				load.longs, load.chats, long, chat, load.target)
+				load.longs, load.chats, r.long, r.chat, load.target)
 		}
 	}
 }
--- a/internal/fleetroute/table.go
+++ b/internal/fleetroute/table.go
@@ -50,10 +50,19 @@
 	Prefill  float64 // prompt tokens of requests that have not got their first token
 	Memory   float64 // prompt and output tokens
 	Stalled  bool    // the requests are overdue and the server sent nothing for any of them
+	// Pace is the server's measured time relative to the mean of all servers, as far as it is not due to contention.
+	// It is 0 if unknown.
+	Pace float64
 }
 
 type server struct {
 	load         Load
+	peers        peerSum
+	ownPace      estimate // logarithm of its times, relative to those of all servers, as measured by this gateway
+	pace         estimate // the same as measured by all gateways
+	reference    *reference
+	band         float64 // differences of pace up to band count as noise
+	speed        float64
 	slowness     float64
 	slownessAsOf time.Duration // when slowness was last updated
 	penalty      float64
@@ -67,28 +76,25 @@
 type Table struct {
 	mu           sync.Mutex
 	servers      map[string]*server
-	prefillRates map[string]float64 // prompt tokens per millisecond, by model
-	service      map[string]float64 // time of a request in milliseconds, by plain service
+	prefillRates map[string]float64    // prompt tokens per millisecond, by model
+	service      map[string]float64    // time of a request in milliseconds, by plain service
+	paces        map[string]*reference // by model or plain service
 	peers        map[string]*peerLoads
-}
-
-type peerLoads struct {
-	receivedAt time.Duration
-	loads      map[string]Load
+	peersExpire  time.Duration // before then, the loads of all peers in the sums are recent
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
 		servers: make(map[string]*server), prefillRates: make(map[string]float64), service: make(map[string]float64),
-		peers: make(map[string]*peerLoads),
+		paces: make(map[string]*reference), peers: make(map[string]*peerLoads),
 	}
 }
 
 func (t *Table) server(id string) *server {
 	s := t.servers[id]
 	if s == nil {
-		s = &server{slowness: 1, prefixes: make(map[uint64]time.Duration)}
+		s = &server{slowness: 1, speed: 1, band: streamSpeedBand, prefixes: make(map[uint64]time.Duration)}
 		t.servers[id] = s
 	}
 	return s
@@ -98,36 +104,15 @@
 func (t *Table) Forget(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.servers, id)
-}
-
-// UpdatePeer applies the loads reported by a peer: those that changed, or all of them if full is set. A zero Load
-// removes the entry.
-func (t *Table) UpdatePeer(peer string, now time.Duration, loads map[string]Load, full bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p := t.peers[peer]
-	if p == nil || full {
-		p = &peerLoads{loads: make(map[string]Load, len(loads))}
-		t.peers[peer] = p
-	}
-	p.receivedAt = now
-	for id, l := range loads {
-		if l == (Load{}) {
-			delete(p.loads, id)
-		} else {
-			p.loads[id] = l
+	if s := t.servers[id]; s != nil {
+		peers := s.peers
+		delete(t.servers, id)
+		if peers.reporting > 0 {
+			t.server(id).peers = peers
 		}
 	}
 }
 
-// DropPeer removes the loads of a peer that is no longer a member.
-func (t *Table) DropPeer(peer string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.peers, peer)
-}
-
 // Loads returns this gateway's own loads by server, without those that are zero.
 func (t *Table) Loads(now time.Duration) map[string]Load {
 	t.mu.Lock()
@@ -137,6 +122,9 @@
 		if s.load.InFlight > 0 {
 			load := s.load
 			load.Stalled = now > s.due
+			if s.ownPace.samples > 0 {
+				load.Pace = math.Round(1000*math.Exp(s.ownPace.value-s.median())) / 1000
+			}
 			loads[id] = load
 		}
 	}
@@ -150,23 +138,16 @@
 func (t *Table) Stalled(id string, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.stalled(id, now)
+	t.expirePeers(now)
+	s := t.servers[id]
+	return s != nil && s.stalled(now)
 }
 
-func (t *Table) stalled(id string, now time.Duration) bool {
-	if s := t.servers[id]; s != nil && s.load.InFlight > 0 {
+func (s *server) stalled(now time.Duration) bool {
+	if s.load.InFlight > 0 {
 		return now > s.due
 	}
-	stalled := false
-	for _, p := range t.peers {
-		if l := p.loads[id]; now-p.receivedAt < maxPeerLoadAge && l.InFlight > 0 {
-			if !l.Stalled {
-				return false
-			}
-			stalled = true
-		}
-	}
-	return stalled
+	return s.peers.allStalled()
 }
 
 // Fill sets the candidate's fields that the table knows: loads, measured speed, penalty and the uncached part of the
@@ -175,24 +156,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.server(c.ID)
-	load := s.load
-	for _, p := range t.peers {
-		if now-p.receivedAt < maxPeerLoadAge {
-			l := p.loads[c.ID]
-			load.InFlight += l.InFlight
-			load.Prefill += l.Prefill
-			load.Memory += l.Memory
-		}
-	}
-	c.Stalled = t.stalled(c.ID, now)
-	c.InFlight, c.QueuedTokens, c.Memory = load.InFlight, load.Prefill, load.Memory
+	t.expirePeers(now)
+	c.Stalled = s.stalled(now)
+	c.InFlight = s.load.InFlight + s.peers.load.InFlight
+	c.QueuedTokens = s.load.Prefill + s.peers.load.Prefill
+	c.Memory = s.load.Memory + s.peers.load.Memory
+	c.Speed = s.speed
 	c.Slowness = s.slownessAt(now)
 	c.PenaltyMS = s.penaltyAt(now)
+	s.band = streamSpeedBand
 	if model == "" {
-		c.ServiceMS = orDefault(t.service[service], defaultServiceMS)
+		s.band = plainSpeedBand
+		c.ServiceMS = orDefault(t.service[service], defaultServiceMS) / s.speed
 		return
 	}
-	c.PrefillRate = orDefault(t.prefillRates[model], defaultPrefillRate)
+	c.PrefillRate = orDefault(t.prefillRates[model], defaultPrefillRate) * s.speed
 	c.UncachedTokens = prompt.uncachedTokens(s, c.ID, now)
 }
 
@@ -204,11 +182,17 @@
 }
 
 func (s *server) slownessAt(now time.Duration) float64 {
+	if s.slowness == 1 {
+		return 1
+	}
 	age := now - s.slownessAsOf
 	return 1 + (s.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
 }
 
 func (s *server) penaltyAt(now time.Duration) float64 {
+	if s.penalty == 0 {
+		return 0
+	}
 	return s.penalty * math.Exp2(-float64(now-s.failed)/float64(penaltyHalfLife))
 }
 
@@ -228,9 +212,12 @@
 	prefillTokens float64
 	memoryTokens  float64
 	started       time.Duration
-	expectedMS    float64 // predicted at the start, in milliseconds, for a server of normal speed
+	expectedMS    float64 // predicted at the start, in milliseconds, for a server that keeps its own speed
+	speed         float64 // the server's speed in the prediction
+	hadSlot       bool    // the server of a plain service had a free slot at the start
 	progressed    bool
 	done          bool
+	pauses        pauses
 }
 
 // Begin records that a request is sent to the chosen candidate.
@@ -239,7 +226,7 @@
 	defer t.mu.Unlock()
 	s := t.server(c.ID)
 	s.load.InFlight++
-	a := &Attempt{table: t, id: c.ID, model: model, service: service, started: now}
+	a := &Attempt{table: t, id: c.ID, model: model, service: service, started: now, speed: c.Speed, hadSlot: c.InFlight < c.Slots}
 	if c.PrefillRate > 0 {
 		a.prefillTokens, a.memoryTokens = c.UncachedTokens, c.NeededTokens
 		s.load.Prefill += c.UncachedTokens
@@ -263,7 +250,13 @@
 	defer t.mu.Unlock()
 	s := t.server(a.id)
 	s.due = max(s.due, now+stallTimeout)
-	if a.progressed || a.done {
+	if a.done {
+		return
+	}
+	if a.model != "" {
+		t.observePause(s, a, now)
+	}
+	if a.progressed {
 		return
 	}
 	a.progressed = true
@@ -274,9 +267,13 @@
 		expected += firstTokenOverheadMS
 		t.updatePrefillRate(a, took)
 	} else {
-		t.service[a.service] += sampleWeight * (took - orDefault(t.service[a.service], defaultServiceMS))
+		nominal := took * orOne(a.speed)
+		t.service[a.service] += sampleWeight * (nominal - orDefault(t.service[a.service], defaultServiceMS))
 		if t.service[a.service] <= 0 {
-			t.service[a.service] = took
+			t.service[a.service] = nominal
+		}
+		if a.hadSlot {
+			t.observePace(s, a.service, took, now)
 		}
 	}
 	ratio := math.Min(math.Max(took/math.Max(expected, 1), 0.2), maxSlowness)
@@ -319,9 +316,9 @@
 	}
 }
 
-// Prune removes servers that are not listed and have no requests in flight.
+// Prune removes servers that are not listed and have no requests in flight from any gateway.
 func (t *Table) Prune(listed func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.servers, func(id string, s *server) bool { return s.load.InFlight == 0 && !listed(id) })
+	maps.DeleteFunc(t.servers, func(id string, s *server) bool { return s.load.InFlight == 0 && s.peers.reporting == 0 && !listed(id) })
 }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// sameLoad reports whether two loads of one backend server are equal. b may be nil.
+// sameLoad reports whether two loads of one backend server are equal. b may be nil. A pace alone is not worth a message: it
+// changes slowly, and is sent with the next load that differs.
 func sameLoad(a, b *wirepb.ReplicaLoad) bool {
 	return b != nil && a.GetInFlight() == b.GetInFlight() && a.GetPrefillTokens() == b.GetPrefillTokens() &&
 		a.GetMemoryTokens() == b.GetMemoryTokens() && a.GetStalled() == b.GetStalled()
@@ -137,7 +138,7 @@
 	number, name := s.replicas.encode(l.GetReplica())
 	return &wirepb.ReplicaLoad{
 		Number: number, Replica: name, InFlight: l.GetInFlight(), PrefillTokens: l.GetPrefillTokens(),
-		MemoryTokens: l.GetMemoryTokens(), Stalled: l.GetStalled(),
+		MemoryTokens: l.GetMemoryTokens(), Stalled: l.GetStalled(), PacePermille: l.GetPacePermille(),
 	}
 }
 
