--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -116,7 +116,7 @@
 		}
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
-		at := fleetroute.Choose(list, s.opts.DataCentre)
+		at := s.pick(list)
 		policy, gated := q.gated()
 		if !gated || at < 0 {
 			q.leaveQueue()
@@ -276,7 +276,8 @@
 	q.server.opts.Log.LogAttrs(q.http.Context(), slog.LevelInfo, "server chosen",
 		slog.String("request_id", q.caller.ID), slog.String("server", c.ID), slog.Int("candidates", candidates),
 		slog.Duration("predicted", c.Predicted()), slog.Int("in_flight", c.InFlight), slog.Float64("ahead", c.QueuedTokens),
-		slog.Float64("uncached", c.UncachedTokens), slog.Float64("slowness", c.Slowness), slog.Float64("penalty_ms", c.PenaltyMS),
+		slog.Float64("uncached", c.UncachedTokens), slog.Float64("speed", c.Speed), slog.Float64("slowness", c.Slowness),
+		slog.Float64("penalty_ms", c.PenaltyMS),
 		slog.Bool("adapter_missing", c.AdapterMissing), slog.Float64("turn_ms", c.TurnWaitMS))
 }
 
--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -244,7 +244,7 @@
 		allowed, positions = append(allowed, list[i]), append(positions, i)
 	}
 	if mayGo && len(allowed) > 0 {
-		return positions[fleetroute.Choose(allowed, s.opts.DataCentre)], nil
+		return positions[s.pick(allowed)], nil
 	}
 	return -1, q.waitOrRefuse(p, a, &list[at], best, room, len(list))
 }
