Give rising models their share of a full fleet

All required copies count as equally important, so a model whose demand has grown waits while another one keeps more than its share: in the gateways' logs of one data centre a model with 95,000 prompt tokens queued at each of its 6 engines stands beside one with 20 copies and empty queues. FitCopies reduces the required copies to what the engines hold together, by the rate per copy, and favours copies that exist. It applies to services whose most urgent streams have a timeout of at least 16 times their target; others are planned as before.

--- a/internal/fleetplanner/planner.go
+++ b/internal/fleetplanner/planner.go
@@ -190,6 +190,9 @@
 		m.Dormant = m.Rate < dormantTokensPerSecond && nearbyServers[name] >= dormantMinServers
 		in.Models = append(in.Models, m)
 	}
+	if _, tight := snapshot.Config.TightTarget(service.Name); tight {
+		in.Models = placement.FitCopies(in)
+	}
 	in.LoadBudget = min(p.availableLoads(now, engine.LoadsPerSecond), maxConcurrentLoads(engine)-loading)
 	for _, proposal := range placement.Plan(in) {
 		p.propose(ctx, epoch, replicas[proposal.Server], proposal, nearby[proposal.Server][proposal.Model], now)
