--- a/internal/fleetplanner/planner.go
+++ b/internal/fleetplanner/planner.go
@@ -13,6 +13,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/agentclient"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/contention"
 	"github.com/pomelowheel/pomelowheel/internal/duty"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/placement"
@@ -193,7 +194,7 @@
 		m.Dormant = m.Rate < dormantTokensPerSecond && nearbyServers[name] >= dormantMinServers
 		in.Models = append(in.Models, m)
 	}
-	if _, tight := snapshot.Config.TightTarget(service.Name); tight {
+	if contention.Policies(snapshot.Config)[service.Name] != nil {
 		in.Models = placement.FitCopies(in)
 	}
 	in.LoadBudget = min(p.availableLoads(now, engine.LoadsPerSecond), maxConcurrentLoads(engine)-loading)
