--- a/internal/contention/order.go
+++ b/internal/contention/order.go
@@ -17,10 +17,9 @@
 	elapsed time.Duration
 }
 
-// NewStanding returns the standing of a waiting request. own is the time that its prompt takes, served the work that its
-// organisation got recently.
-func NewStanding(r Request, own time.Duration, served float64) Standing {
-	s := Standing{late: !r.CanMeetTarget(own), served: served, elapsed: r.Elapsed}
+// NewStanding returns the standing of a waiting request. own is the time that its prompt takes.
+func NewStanding(r Request, own time.Duration) Standing {
+	s := Standing{late: !r.CanMeetTarget(own), served: r.Served, elapsed: r.Elapsed}
 	if !s.late {
 		s.level = int(Share(r)/levelShare + 0.5)
 	}
