Spread plain requests by weights instead of the lowest load

Cause: requests to plain services take 15 to 30 ms, so that loads which are up to 250 ms old count requests that have ended. All gateways send to the server with the fewest of them, where the requests then wait or are rejected.

Change: with several gateways, a plain request goes to any server at random, with a probability that falls by a factor of e for each time of a request by which the server's cost is higher. The cost counts the requests in flight over all gateways, averaged over 300 ms, which also shows a server that is slow for a while.

--- a/internal/fleetroute/choose.go
+++ b/internal/fleetroute/choose.go
@@ -51,6 +51,7 @@
 	Address        string
 	DataCentre     string
 	InFlight       int     // requests in flight from all gateways
+	Occupancy      float64 // requests in flight at a plain server, those of other gateways averaged over smoothingTime
 	Slots          int     // maximum number of concurrent requests
 	QueuedTokens   float64 // prompt tokens of requests from all gateways that have not got their first token
 	Memory         float64 // tokens held in memory for the requests in flight
@@ -131,6 +132,9 @@
 	// maxUncertainties is the difference from the lowest cost, in units of costUncertainty, above which a candidate is
 	// not chosen.
 	maxUncertainties = 2
+	// occupancyCost is the cost of a plain server whose slots are all in use, in times of a request. With a higher one
+	// the load moves back and forth between servers; without it, servers that are slow at times get as much as others.
+	occupancyCost = 0.4
 )
 
 // ChooseAtRandom is Choose for gateways that choose at the same time from the same loads, which are as old as the
@@ -140,6 +144,9 @@
 	if len(candidates) < 2 {
 		return len(candidates) - 1
 	}
+	if candidates[0].PrefillRate <= 0 {
+		return choosePlain(candidates, dataCentre, random)
+	}
 	var at [nearEqual]int
 	var costs [nearEqual]float64
 	n := 0
@@ -183,12 +190,37 @@
 	return at[0]
 }
 
+// choosePlain is ChooseAtRandom for a plain service. Its requests are shorter than the age of the loads, which
+// therefore say little about a single server: a request goes to any server, with a probability that falls by a factor
+// of e for each time of a request by which the server's cost is higher.
+func choosePlain(candidates []Candidate, dataCentre string, random *rand.Rand) int {
+	best, least := -1, math.Inf(1)
+	for i := range candidates {
+		c := &candidates[i]
+		scale := max(1, c.ServiceMS*orOne(c.Speed))
+		// The minimum of exponential variates that are divided by weights falls to each in proportion to its weight.
+		if key := c.plainCost(dataCentre, scale)/scale + math.Log(random.ExpFloat64()); key < least {
+			best, least = i, key
+		}
+	}
+	return best
+}
+
+// plainCost returns the cost in milliseconds by which choosePlain weights a candidate. scale is the time of a request
+// to the service.
+func (c *Candidate) plainCost(dataCentre string, scale float64) float64 {
+	cost := c.TurnWaitMS + c.PenaltyMS + c.ServiceMS*c.Slowness + occupancyCost*scale*c.Occupancy/float64(max(1, c.Slots))
+	if c.Stalled && !c.HostReporting {
+		cost += stalledCostMS
+	}
+	if c.DataCentre != dataCentre {
+		cost += max(crossDataCentreCostMS, scale)
+	}
+	return cost
+}
+
 // costUncertainty returns the difference of costs, in milliseconds, that the requests which peers have sent since
-// their last report make meaningless. It is a part of the time for a request like this one.
+// their last report make meaningless. It is a part of the time for a prompt like this one.
 func (c *Candidate) costUncertainty() float64 {
-	own := c.ServiceMS
-	if c.PrefillRate > 0 {
-		own = c.UncachedTokens / c.PrefillRate
-	}
-	return minCostUncertaintyMS + costUncertaintyFactor*own
+	return minCostUncertaintyMS + costUncertaintyFactor*c.UncachedTokens/c.PrefillRate
 }
--- a/internal/fleetroute/peerloads.go
+++ b/internal/fleetroute/peerloads.go
@@ -1,6 +1,13 @@
 package fleetroute
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// smoothingTime is the time over which the requests in flight at a plain server are averaged. Single reports are older
+// than most of the requests that they count, and gateways that follow them move the load back and forth.
+const smoothingTime = 300 * time.Millisecond
 
 // peerLoads are the loads that one peer reported.
 type peerLoads struct {
@@ -15,6 +22,15 @@
 	load      Load
 	reporting int // peers with requests at the server
 	stalled   int // those of them that see it stalled
+
+	smoothed   float64 // moving average of the requests in flight
+	smoothedAt time.Duration
+}
+
+// smoothedInFlight returns the requests in flight, averaged over smoothingTime.
+func (s *peerSum) smoothedInFlight(now time.Duration) float64 {
+	current := float64(s.load.InFlight)
+	return current + (s.smoothed-current)*math.Exp(-float64(now-s.smoothedAt)/float64(smoothingTime))
 }
 
 func (s *peerSum) add(l Load, sign int) {
@@ -52,6 +68,7 @@
 	t.peersExpire = min(t.peersExpire, now+maxPeerLoadAge)
 	for id, l := range loads {
 		s := t.server(id)
+		s.peers.smoothed, s.peers.smoothedAt = s.peers.smoothedInFlight(now), now
 		if old, ok := p.loads[id]; ok {
 			s.peers.add(old, -1)
 		}
--- a/internal/fleetroute/table.go
+++ b/internal/fleetroute/table.go
@@ -167,6 +167,7 @@
 	s.band = streamSpeedBand
 	if model == "" {
 		s.band = plainSpeedBand
+		c.Occupancy = float64(s.load.InFlight) + s.peers.smoothedInFlight(now)
 		c.ServiceMS = orDefault(t.service[service], defaultServiceMS) / s.speed
 		return
 	}
