Hold a request for at most three targets

Callers abandon a stream that has not begun after about four targets. In the gateways' logs of one data centre, 73 of 318 chats that waited for room were abandoned while they waited.

--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -27,6 +27,9 @@
 	// maxDeadlineShare is the part of the time left that the predicted time may take, as for requests of services that aren't
 	// covered.
 	maxDeadlineShare = 0.8
+	// maxTargets is the longest time to the first token for which a request is held, in targets. Callers abandon a stream that
+	// has not begun after about four.
+	maxTargets = 3
 	// PollInterval is the time between two checks whether the first waiting requests of a queue may be sent.
 	PollInterval = 15 * time.Millisecond
 	// loadDelay is the time in which gateways learn of each other's loads.
@@ -186,6 +189,9 @@
 	room := max(0, s.WaitAhead-allowance) + load.Backlog
 	v.RetryAfter = room
 	limit := time.Duration(maxDeadlineShare*float64(r.Left)) - s.own()
+	if r.Target > 0 {
+		limit = min(limit, maxTargets*r.Target-r.Elapsed-s.own())
+	}
 	v.WaitFor = limit
 	if !v.Late && r.Target > 0 {
 		v.WaitFor = min(limit, r.Target-r.Elapsed-s.own()+time.Millisecond)
