Pace waiting requests and share capacity between organisations

With the allowance and the cap on outstanding prompts alone, all gateways took the same room at the same time, because they learn of each other's loads up to 250 ms later, and the engines were never idle, so that their streams paused for more than 500 ms.

A waiting request now wins room with a probability that falls with the number of requests that wait elsewhere for the same server, estimated from the gateway's own queue by level. The queue is pure (contention.Queue); one request at a time is decided on, in order. Limits keeps the work that each organisation got recently over the fleet; under contention, the allowance of one far above an equal share is lower, and among equals the one that got least goes first. The check of the deadline is part of the decision for covered services, so that Retry-After is the time at which room is expected.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -100,6 +100,7 @@
 		}
 	}
 	g.table.UpdatePeer(peer, bootclock.Now(), loads, u.GetIdentity() != nil)
+	g.server.LoadsReceived()
 	if u.GetStoreAway() && !g.mesh.IsStoreReader(discovery.ReaderCount) {
 		// This gateway learns of removals from its peers only, and some entries may have expired only because of the
 		// outage.
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -273,7 +273,8 @@
 	}
 }
 
-// cleanUp periodically closes expired idle connections and removes the loads and signs of servers that are no longer listed.
+// cleanUp periodically closes expired idle connections and removes the loads and signs of servers that are no longer
+// listed and the queues in which nothing waits.
 func (g *gateway) cleanUp(ctx context.Context) error {
 	for {
 		if err := background.Sleep(ctx, cleanupInterval); err != nil {
@@ -283,6 +284,7 @@
 		replicas := g.view.Snapshot().Replicas
 		g.table.Prune(func(id string) bool { return replicas[id] != nil })
 		g.server.PruneSigns()
+		g.server.PruneQueues()
 	}
 }
 
--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -1,7 +1,13 @@
 package contention
 
-import "time"
+import (
+	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
+)
+
+// Engines that are never idle pause their streams for too long, and gateways that take the same room at the same time fill the engines
+// again: load_test.go plays both, and docs/design/admission.md has the figures.
 const (
 	// urgentShare is the allowance of the most urgent requests, as a part of the shortest target. The rest covers the request's
 	// own prompt and errors of the prediction.
@@ -12,15 +18,23 @@
 	minShare = 0.15
 	// lateShare is the allowance of requests that can't be in time any longer, as a part of the shortest target: such a short
 	// wait means that nobody else needs the room.
-	lateShare = 0.06
+	lateShare = 0.04
 	// gapShare is the part of the longest pause between events that outstanding prompts may take. The rest covers the steps
 	// of the running streams and the prompts that other gateways send before they learn of this one.
-	gapShare = 0.6
+	gapShare = 0.4
 	// largeGapShare is the part that the prompts ahead may take if the request alone takes more than gapShare.
 	largeGapShare = 0.1
-	// maxDeadlineShare is the part of the time left that a request's wait and prompt may take, as for requests of services
-	// that aren't covered.
+	// maxDeadlineShare is the part of the time left that the predicted time may take, as for requests of services that aren't
+	// covered.
 	maxDeadlineShare = 0.8
+	// PollInterval is the time between two checks whether the first waiting requests of a queue may be sent.
+	PollInterval = 15 * time.Millisecond
+	// loadDelay is the time in which gateways learn of each other's loads.
+	loadDelay = 250 * time.Millisecond
+	// pace is the work that the waiting requests of one level in all gateways send to a server while they don't know of each
+	// other's, as a part of what it can process meanwhile. The rest is for the other levels and for requests that don't wait, and
+	// leaves the server idle at times, so that its streams go on.
+	pace = 0.1
 )
 
 // Action is what is done with a request.
@@ -45,6 +59,8 @@
 	LateWork     Reason = "late"       // the target can't be met any longer
 	NoRoom       Reason = "no_room"    // no room is expected before the deadline
 	QueueFull    Reason = "queue_full" // the queue of waiting requests is full
+	OthersFirst  Reason = "order"      // waiting requests go first
+	Paced        Reason = "pace"       // the room is left to another gateway's request
 )
 
 // Request is one request to a covered service.
@@ -53,6 +69,7 @@
 	Target    time.Duration // of its route; zero if there is none
 	Elapsed   time.Duration // since its arrival
 	Left      time.Duration // until its deadline
+	Served    float64       // work that the organisation got recently, by Shares
 	FairShare float64       // factor of the allowance by Shares; 1 for an organisation within its fair share
 }
 
@@ -72,7 +89,9 @@
 type Load struct {
 	NoRoomFor time.Duration // since there was last room for late work
 	Backlog   time.Duration // time in which the servers process the requests that wait in all gateways
-	Full      bool          // the queue of waiting requests takes no more
+	First     bool          // no waiting request goes before this one
+	Others    float64       // requests that wait in other gateways for room at the same server
+	Draw      float64       // random number, at least 0 and below 1
 }
 
 // Verdict is a decision and the figures that it was made by.
@@ -95,13 +114,13 @@
 func (p *Policy) Allowance(r Request, own time.Duration) time.Duration {
 	target := float64(p.ShortestTarget)
 	if !r.CanMeetTarget(own) {
-		return time.Duration(lateShare * target)
+		return time.Duration(lateShare * r.FairShare * target)
 	}
-	return time.Duration(max(lateShare, Share(r)*r.FairShare) * target)
+	return time.Duration(Share(r) * target)
 }
 
-// Share returns the allowance of a request that can be in time, as a part of the shortest target. It depends on the rank, and grows
-// with the time waited to that of the most urgent, so that no kind of request is starved.
+// Share returns the allowance of a request that can be in time, as a part of the shortest target. It depends on the rank, grows
+// with the time waited to that of the most urgent, so that no kind of request is starved, and is lower beyond the fair share.
 func Share(r Request) float64 {
 	share := urgentShare
 	for range r.Rank {
@@ -112,10 +131,10 @@
 	if scale <= 0 {
 		scale = r.Elapsed + r.Left
 	}
-	if scale <= 0 {
-		return share
+	if scale > 0 {
+		share += (urgentShare - share) * min(1, float64(r.Elapsed)/float64(scale))
 	}
-	return share + (urgentShare-share)*min(1, float64(r.Elapsed)/float64(scale))
+	return share * r.FairShare
 }
 
 // MaySend reports whether the request may be sent to the server now, and if not, why.
@@ -135,16 +154,6 @@
 	return Allowed, allowance
 }
 
-// MaySendInstead reports whether the request may be sent to a server that isn't the best one. What its prompt takes longer there,
-// because less of it is cached, counts as wait ahead: it delays the requests that come later.
-func (p *Policy) MaySendInstead(r Request, s, best Server) bool {
-	if s.WaitAhead+max(0, s.own()-best.own()) > p.Allowance(r, s.own()) {
-		return false
-	}
-	reason, _ := p.MaySend(r, s)
-	return reason == Allowed
-}
-
 // HasRoom reports whether the server has room that nobody else needs: for late work.
 func (p *Policy) HasRoom(s Server) bool {
 	return s.WaitAhead <= time.Duration(lateShare*float64(p.ShortestTarget))
@@ -162,8 +171,15 @@
 // Decide decides on a request that has the given best server.
 func (p *Policy) Decide(r Request, s Server, load Load) Verdict {
 	reason, allowance := p.MaySend(r, s)
+	switch {
+	case reason == Allowed && !load.First:
+		reason = OthersFirst
+	case reason == Allowed && load.Draw >= Chance(s, allowance, load.Others):
+		reason = Paced
+	}
 	v := Verdict{Action: Send, Reason: reason, Allowance: allowance, Late: !r.CanMeetTarget(s.own())}
-	if reason == Allowed {
+	inTime := s.Predicted <= time.Duration(maxDeadlineShare*float64(r.Left))
+	if reason == Allowed && inTime {
 		return v
 	}
 	v.Action = Wait
@@ -174,11 +190,26 @@
 	if !v.Late && r.Target > 0 {
 		v.WaitFor = min(limit, r.Target-r.Elapsed-s.own()+time.Millisecond)
 	}
-	switch {
-	case load.Full:
-		v.Action, v.Reason = Refuse, QueueFull
-	case limit <= 0, v.Late && max(room, load.NoRoomFor) > limit:
+	if !inTime || v.Late && max(room, load.NoRoomFor) > limit {
 		v.Action, v.Reason = Refuse, NoRoom
 	}
 	return v
 }
+
+// Chance returns the probability with which a waiting request takes room at a server in one check, given the number of requests that
+// wait for the same room in other gateways. All gateways see the room at about the same time, and learn of each other's requests only
+// after loadDelay.
+func Chance(s Server, allowance time.Duration, others float64) float64 {
+	room := float64(max(0, allowance-s.WaitAhead)) / float64(loadDelay)
+	return 1 / (1 + others*float64(s.own())/(pace*float64(PollInterval)*(1+room)))
+}
+
+// ServerOf returns the state of a candidate.
+func ServerOf(c *fleetroute.Candidate) Server {
+	s := Server{Predicted: c.Predicted(), WaitAhead: c.WaitAhead(), Running: c.InFlight > 0}
+	if c.PrefillRate > 0 {
+		s.Queued = time.Duration(c.QueuedTokens / c.PrefillRate * float64(time.Millisecond))
+		s.Own = time.Duration(c.UncachedTokens / c.PrefillRate * float64(time.Millisecond))
+	}
+	return s
+}
--- a/internal/contention/order.go
+++ b/internal/contention/order.go
@@ -9,6 +9,9 @@
 // those, organisations take turns.
 const levelShare = 0.05
 
+// levels is the number of levels: urgentShare in steps of levelShare, and level 0 of requests that can't be in time.
+const levels = 13
+
 // Standing decides the position of a waiting request in its queue.
 type Standing struct {
 	late    bool
@@ -17,12 +20,11 @@
 	elapsed time.Duration
 }
 
-// NewStanding returns the standing of a waiting request. own is the time that its prompt takes, served the work that its
-// organisation got recently.
-func NewStanding(r Request, own time.Duration, served float64) Standing {
-	s := Standing{late: !r.CanMeetTarget(own), served: served, elapsed: r.Elapsed}
+// NewStanding returns the standing of a waiting request. own is the time that its prompt takes.
+func NewStanding(r Request, own time.Duration) Standing {
+	s := Standing{late: !r.CanMeetTarget(own), served: r.Served, elapsed: r.Elapsed}
 	if !s.late {
-		s.level = int(Share(r)/levelShare + 0.5)
+		s.level = max(1, int(Share(r)/levelShare+0.5))
 	}
 	return s
 }
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/contention"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/failover"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
@@ -56,7 +57,7 @@
 		}
 		r, ok := q.begin(ctx, ctx, choice, replica)
 		if q.waiter != nil && ok {
-			s.opts.Metrics.afterWait.Add(rankName(q.waiter.rank), 1)
+			s.opts.Metrics.afterWait.Add(rankName(q.waiter.loggedRank), 1)
 		}
 		q.leaveQueue() // only now, so that the next waiting request is decided on with this one's load
 		if ok {
@@ -117,29 +118,16 @@
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
 		at := fleetroute.Choose(list, s.opts.DataCentre)
-		policy, gated := q.gated()
-		if !gated || at < 0 {
+		policy := q.gated()
+		if policy == nil || at < 0 {
 			q.leaveQueue()
 		}
 		if at >= 0 {
 			c := &list[at]
-			if !gated {
-				q.logChoice(c, len(list))
-			}
-			if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
-				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
-					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
-			}
-			if gated {
-				position, err := q.seekRoom(policy, list, at)
-				if err != nil {
-					return c, nil, err
-				}
-				if position < 0 {
-					continue
-				}
-				c = &list[position]
-				q.logChoice(c, len(list))
+			if send, err := q.mayTake(policy, list, at); err != nil {
+				return c, nil, err
+			} else if !send {
+				continue // it waits for room
 			}
 			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(q.config, byID[c.ID]) {
 				return c, byID[c.ID], nil
@@ -166,6 +154,24 @@
 	}
 }
 
+// mayTake reports whether the request is sent to the best candidate, which is at the given position. err says why it is refused. If it is
+// neither sent nor refused, it waits for room and has to be decided on again.
+func (q *request) mayTake(policy *contention.Policy, list []fleetroute.Candidate, at int) (send bool, err error) {
+	c := &list[at]
+	if policy != nil {
+		if send, err = q.seekRoom(policy, list, at); send {
+			q.logChoice(c, len(list))
+		}
+		return send, err
+	}
+	q.logChoice(c, len(list))
+	if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
+		return false, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
+			c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
+	}
+	return true, nil
+}
+
 func retryAfter(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
 
 func (q *request) loadTime() time.Duration {
--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -16,33 +18,29 @@
 )
 
 const (
-	// roomPollInterval is the time between two checks whether the first waiting requests of a queue may be sent.
-	roomPollInterval = 15 * time.Millisecond
-	// maxPollFailures is the number of waiting requests per check that may find no room before the check ends. Above one, because
-	// the first may wait for a server that caches its prompt, or be large.
-	maxPollFailures = 4
-	// maxTurnTime is the time after which the next check no longer awaits the request whose turn it is.
-	maxTurnTime = 50 * time.Millisecond
-	// maxWaiting bounds the requests that wait for room, in one queue and in all.
+	// maxWaiting and maxWaitingAll bound the requests that wait for room, in one queue and in all.
 	maxWaiting, maxWaitingAll = 128, 256
 	// waitingBytesFraction is the part of the memory for bodies, as a divisor, that waiting requests may hold. New requests need the
 	// rest.
 	waitingBytesFraction = 2
-	// contentionPause is the time without a request that found no room after which contention has ended.
-	contentionPause = time.Second
+	// contentionEnd is the time without a request that found no room after which requests are no longer compared with those of other
+	// organisations.
+	contentionEnd = time.Second
 )
 
-// queueKey names a queue of requests that wait for room.
+// queueKey names the queue of the requests that wait for room at the engines of a service with a model.
 type queueKey struct{ service, model string }
 
 // rooms holds the requests that wait for room at the engines of covered services. It is safe for concurrent use.
 type rooms struct {
-	policies atomic.Pointer[policySet]
-	waiting  atomic.Int64 // requests in all queues
+	policies  atomic.Pointer[policySet]
+	waiting   atomic.Int64 // requests in all queues
+	contended atomic.Int64 // reading of the clock when a request last found no room
 
 	mu     sync.Mutex
 	bytes  int64 // of the bodies of waiting requests
-	queues map[queueKey]*roomQueue
+	queues map[queueKey]*contention.Queue
+	polled map[queueKey]bool // queues with a timer
 }
 
 // policySet holds the policies of one configuration.
@@ -51,34 +49,19 @@
 	policies map[string]*contention.Policy
 }
 
-// roomQueue is the queue of one service and model. It is protected by the mutex of rooms.
-type roomQueue struct {
-	waiters   []*waiter
-	round     []*waiter // that get a turn in this check, in order
-	failures  int       // waiters of this check that found no room
-	turn      *waiter   // whose turn it is, or nil
-	turnAt    time.Duration
-	polling   bool
-	lastRoom  time.Duration // when there was last room for late work, or when contention began
-	contended time.Duration // when a request last found no room
-}
-
 // waiter is one waiting request.
 type waiter struct {
-	key       queueKey
-	rank      int
-	wake      chan struct{} // gets a value when it is the waiter's turn, or when it has been displaced
-	displaced atomic.Bool   // a request that goes before it took its place
-	bytes     int64
-	arrivedAt time.Duration
-
-	// Of the last decision; protected by the mutex of rooms.
-	request contention.Request
-	own     time.Duration
-	due     time.Duration // when the request has to be decided on again, whether it is its turn or not
+	contention.Waiter // protected by the mutex of rooms
+	key               queueKey
+	wake              chan struct{} // gets a value when it is the request's turn, or when it has been displaced
+	loggedRank        int
 }
 
-func newRooms() *rooms { return &rooms{queues: make(map[queueKey]*roomQueue)} }
+func newRooms() *rooms {
+	r := &rooms{queues: make(map[queueKey]*contention.Queue), polled: make(map[queueKey]bool)}
+	r.contended.Store(int64(-contentionEnd))
+	return r
+}
 
 // policy returns the policy of a covered service, or nil.
 func (r *rooms) policy(c *fleet.Configuration, service string) *contention.Policy {
@@ -90,231 +73,134 @@
 	return set.policies[service]
 }
 
-// standing returns the standing of a waiter now.
-func (w *waiter) standing(now time.Duration) contention.Standing {
-	r := w.request
-	r.Elapsed = now - w.arrivedAt
-	return contention.NewStanding(r, w.own, 0)
-}
-
-// startRound begins a check: the waiters get turns in their order.
-func (u *roomQueue) startRound(now time.Duration) {
-	type ordered struct {
-		w *waiter
-		s contention.Standing
-	}
-	list := make([]ordered, 0, len(u.waiters))
-	for _, w := range u.waiters {
-		list = append(list, ordered{w, w.standing(now)})
-	}
-	slices.SortStableFunc(list, func(a, b ordered) int { return contention.Compare(a.s, b.s) })
-	u.round = u.round[:0]
-	for _, o := range list {
-		u.round = append(u.round, o.w)
-	}
-	u.failures = 0
-	u.nextTurn(now)
-}
-
-// nextTurn gives the turn to the next waiter of the check, if there is one.
-func (u *roomQueue) nextTurn(now time.Duration) {
-	u.turn = nil
-	for len(u.round) > 0 && u.failures < maxPollFailures {
-		w := u.round[0]
-		u.round = u.round[1:]
-		if slices.Contains(u.waiters, w) {
-			u.turn, u.turnAt = w, now
-			w.signal()
-			return
-		}
-	}
-}
-
-func (w *waiter) signal() {
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
-}
+// Waiting returns the number of requests that wait for room at a server.
+func (s *Server) Waiting() int64 { return s.rooms.waiting.Load() }
 
-// poll starts a check of a queue, and calls itself again while requests wait.
+// pollRoom starts a check of a queue, and calls itself again while requests wait.
 func (s *Server) pollRoom(key queueKey) {
 	r, now := s.rooms, s.opts.Clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := r.queues[key]
-	if len(u.waiters) == 0 {
-		u.polling = false
-		if now-u.contended > contentionPause {
-			delete(r.queues, key)
-		}
+	queue := r.queues[key]
+	if queue.Len() == 0 {
+		delete(r.polled, key)
 		return
 	}
-	if u.turn == nil || now-u.turnAt > maxTurnTime {
-		u.startRound(now)
-	}
-	time.AfterFunc(roomPollInterval, func() { s.pollRoom(key) })
+	queue.StartRound(now)
+	time.AfterFunc(contention.PollInterval, func() { s.pollRoom(key) })
 }
 
-// remove takes a waiter out of its queue. The next one gets the turn.
-func (r *rooms) remove(w *waiter, now time.Duration) {
+// PruneQueues removes queues in which nothing waits any longer. Call it periodically.
+func (s *Server) PruneQueues() {
+	r, now := s.rooms, s.opts.Clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := r.queues[w.key]
-	if u == nil {
-		return
-	}
-	if at := slices.Index(u.waiters, w); at >= 0 {
-		u.waiters = slices.Delete(u.waiters, at, at+1)
-		r.bytes -= w.bytes
-		r.waiting.Add(-1)
-	}
-	if u.turn == w {
-		u.nextTurn(now)
-	}
+	maps.DeleteFunc(r.queues, func(key queueKey, queue *contention.Queue) bool { return !r.polled[key] && queue.Idle(now) })
 }
 
-// gated reports whether the request is subject to admission under contention, and returns the policy. Requests that were sent to a
-// server before are not: they have used capacity already.
-func (q *request) gated() (*contention.Policy, bool) {
+// gated returns the policy that the request is subject to, or nil. Requests that were sent to a server before are not subject to
+// any: they have used capacity already.
+func (q *request) gated() *contention.Policy {
 	if len(q.tried) > 0 || q.headSent {
-		return nil, false
+		return nil
 	}
-	p := q.server.rooms.policy(q.config, q.service)
-	return p, p != nil
+	return q.server.rooms.policy(q.config, q.service)
 }
 
-// admission returns the request as the policy sees it.
-func (q *request) admission(p *contention.Policy) contention.Request {
+// admission returns the request as the policy sees it, without what depends on its organisation.
+func (q *request) admission(p *contention.Policy, now time.Duration) contention.Request {
 	return contention.Request{
-		Rank: p.Rank(fleet.PriorityOf(q.route, q.org)), Target: q.route.Target, Elapsed: q.server.opts.Clock() - q.arrivedAt,
-		Left: q.timeLeft(), FairShare: 1,
+		Rank: p.Rank(fleet.PriorityOf(q.route, q.org)), Target: q.route.Target, Elapsed: now - q.arrivedAt, Left: q.timeLeft(), FairShare: 1,
 	}
 }
 
-// serverState returns the state of a candidate as the policy sees it.
-func serverState(c *fleetroute.Candidate) contention.Server {
-	prompt := func(tokens float64) time.Duration {
-		if c.PrefillRate <= 0 {
-			return 0
-		}
-		return time.Duration(tokens / c.PrefillRate * float64(time.Millisecond))
-	}
-	return contention.Server{
-		Predicted: c.Predicted(), WaitAhead: c.WaitAhead(), Queued: prompt(c.QueuedTokens), Own: prompt(c.UncachedTokens),
-		Running: c.InFlight > 0,
-	}
-}
-
-// seekRoom decides whether the request may be sent to the candidate at the given position, or to another one. It returns the
-// position to send it to, or -1 if it waits in its queue now, or an error with which to refuse it.
-func (q *request) seekRoom(p *contention.Policy, list []fleetroute.Candidate, at int) (int, error) {
-	r, a, best := q.server.rooms, q.admission(p), serverState(&list[at])
-	if q.waiter == nil && r.waiting.Load() == 0 {
+// seekRoom decides whether the request is sent to the best candidate, which is at the given position. Otherwise the request waits in
+// its queue, or err says why it is refused.
+func (q *request) seekRoom(p *contention.Policy, list []fleetroute.Candidate, at int) (send bool, err error) {
+	r, now := q.server.rooms, q.server.opts.Clock()
+	a, best := q.admission(p, now), contention.ServerOf(&list[at])
+	calm := q.waiter == nil && r.waiting.Load() == 0 && now-time.Duration(r.contended.Load()) > contentionEnd
+	if calm {
 		if reason, _ := p.MaySend(a, best); reason == contention.Allowed {
-			return at, nil
+			return true, nil
 		}
 	}
-	return q.seekContendedRoom(p, a, list, at, best)
+	return q.seekContendedRoom(p, a, list, at, best, now)
 }
 
 // seekContendedRoom is seekRoom if the best candidate has no room or requests wait.
-func (q *request) seekContendedRoom(p *contention.Policy, a contention.Request, list []fleetroute.Candidate, at int, best contention.Server) (int, error) {
+func (q *request) seekContendedRoom(p *contention.Policy, a contention.Request, list []fleetroute.Candidate, at int, best contention.Server,
+	now time.Duration) (send bool, err error) {
 	s, key := q.server, queueKey{q.service, q.model}
 	if q.waiter != nil && q.waiter.key != key {
-		q.leaveQueue()
-	}
-	mayGo := q.waiter != nil || s.rooms.goesFirst(key, contention.NewStanding(a, best.Predicted-best.WaitAhead, 0), s.opts.Clock())
-	var allowed []fleetroute.Candidate
-	var positions []int
-	room := false
-	for i := range list {
-		state := serverState(&list[i])
-		room = room || p.HasRoom(state)
-		if i == at {
-			if reason, _ := p.MaySend(a, state); reason != contention.Allowed {
-				continue
-			}
-			if mayGo {
-				return at, nil
-			}
-		} else if !p.MaySendInstead(a, state, best) {
-			continue
-		}
-		allowed, positions = append(allowed, list[i]), append(positions, i)
-	}
-	if mayGo && len(allowed) > 0 {
-		return positions[fleetroute.Choose(allowed, s.opts.DataCentre)], nil
-	}
-	return -1, q.waitOrRefuse(p, a, &list[at], best, room, len(list))
-}
-
-// goesFirst reports whether a request with the given standing goes before all that wait in a queue.
-func (r *rooms) goesFirst(key queueKey, standing contention.Standing, now time.Duration) bool {
-	if r.waiting.Load() == 0 {
-		return true
+		q.leaveQueue() // the configuration has changed
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	u := r.queues[key]
-	return u == nil || !slices.ContainsFunc(u.waiters, func(w *waiter) bool { return contention.Compare(w.standing(now), standing) <= 0 })
-}
-
-// waitOrRefuse puts the request into its queue, or leaves it there, or returns the error with which to refuse it.
-func (q *request) waitOrRefuse(p *contention.Policy, a contention.Request, c *fleetroute.Candidate, best contention.Server, room bool, servers int) error {
-	s := q.server
-	r, now, key := s.rooms, s.opts.Clock(), queueKey{q.service, q.model}
 	_, gateways := s.opts.Gateways()
+	served, factor := 0.0, 1.0
+	if q.org != nil {
+		served, factor = s.opts.Limits.Share(q.org.Name)
+	}
+	room := slices.ContainsFunc(list, func(c fleetroute.Candidate) bool { return p.HasRoom(contention.ServerOf(&c)) })
+	r := s.rooms
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := r.queues[key]
-	if u == nil {
-		u = &roomQueue{lastRoom: now}
-		r.queues[key] = u
+	queue := r.queues[key]
+	if queue == nil {
+		queue = contention.NewQueue(now)
+		r.queues[key] = queue
+	}
+	if a.Served = served; !queue.Idle(now) {
+		a.FairShare = factor
 	}
-	if room || now-u.contended > contentionPause {
-		u.lastRoom = now
+	var waiting *contention.Waiter
+	if q.waiter != nil {
+		waiting = &q.waiter.Waiter
 	}
-	u.contended = now
-	own := best.Predicted - best.WaitAhead
-	load := contention.Load{NoRoomFor: now - u.lastRoom, Backlog: u.backlog(q.waiter) * time.Duration(max(1, gateways)) / time.Duration(max(1, servers))}
-	load.Full = q.waiter == nil && !r.makeRoom(u, contention.NewStanding(a, own, 0), int64(len(q.body)), s.waitingBytes(), now)
+	load := queue.Load(waiting, a, best, gateways, len(list), now)
+	load.Draw = rand.Float64()
 	v := p.Decide(a, best, load)
-	if v.Action == contention.Send { // others go first
-		v.Action, v.WaitFor = contention.Wait, maxTurnTime
+	if v.Action == contention.Send {
+		return true, nil
+	}
+	queue.Observe(room, now)
+	r.contended.Store(int64(now))
+	if v.Action == contention.Wait && q.waiter == nil && !r.hasPlace(queue, a, best, int64(len(q.body)), s.waitingBytes(), now) {
+		v.Action, v.Reason = contention.Refuse, contention.QueueFull
 	}
 	if v.Action == contention.Refuse {
-		return q.noRoom(v, a, c, best)
+		return false, q.noRoom(v, a, &list[at], best)
 	}
-	q.countDemand(c) // the planner must know the demand of waiting requests
+	q.countDemand(&list[at]) // the planner must know the demand of waiting requests
+	q.enterQueue(queue, key, v, a, &list[at], best, now)
+	return false, nil
+}
+
+// enterQueue puts the request into its queue, or leaves it there, after a decision that it waits.
+func (q *request) enterQueue(queue *contention.Queue, key queueKey, v contention.Verdict, a contention.Request, c *fleetroute.Candidate,
+	best contention.Server, now time.Duration) {
+	r := q.server.rooms
 	if q.waiter == nil {
 		q.logVerdict("request waits for room at a server", v, a, c, best)
-		q.waiter = &waiter{key: key, rank: a.Rank, wake: make(chan struct{}, 1), bytes: int64(len(q.body)), arrivedAt: q.arrivedAt}
-		u.waiters = append(u.waiters, q.waiter)
-		r.bytes += q.waiter.bytes
+		w := &waiter{key: key, wake: make(chan struct{}, 1), loggedRank: a.Rank}
+		w.Waiter = contention.Waiter{ArrivedAt: q.arrivedAt, Bytes: int64(len(q.body)), Wake: w.signal}
+		q.waiter = w
+		queue.Add(&w.Waiter, now)
+		r.bytes += w.Bytes
 		r.waiting.Add(1)
 	}
-	w := q.waiter
-	w.request, w.own, w.due = a, own, now+v.WaitFor
-	if u.turn == w {
-		u.failures++
-		u.nextTurn(now)
-	}
-	if !u.polling {
-		u.polling = true
-		time.AfterFunc(roomPollInterval, func() { s.pollRoom(key) })
+	queue.Failed(&q.waiter.Waiter, a, best, now+v.WaitFor, now)
+	if !r.polled[key] {
+		r.polled[key] = true
+		time.AfterFunc(contention.PollInterval, func() { q.server.pollRoom(key) })
 	}
-	return nil
 }
 
-// backlog returns the time that one server needs for the requests that wait and can be in time, without the given one.
-func (u *roomQueue) backlog(except *waiter) (sum time.Duration) {
-	for _, w := range u.waiters {
-		if w != except && w.request.CanMeetTarget(w.own) {
-			sum += w.own
-		}
+// signal tells the request that it has to look at its waiter.
+func (w *waiter) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
 	}
-	return sum
 }
 
 // waitingBytes returns the bound of the bytes that waiting requests hold.
@@ -322,31 +208,20 @@
 	return (s.opts.Bodies.Bound() + s.opts.ShortBodies.Bound()) / waitingBytesFraction
 }
 
-// makeRoom reports whether a queue can take a request of the given size. If it is full, a waiter that can't be in time gives its
-// place to a request that goes before it.
-func (r *rooms) makeRoom(u *roomQueue, standing contention.Standing, size, bound int64, now time.Duration) bool {
-	if r.bytes+size > bound {
-		return false
-	}
-	if len(u.waiters) < maxWaiting && r.waiting.Load() < maxWaitingAll {
+// hasPlace reports whether a queue can take a request of the given size. If it is full, a waiting request that can't be in time gives
+// its place to one that can.
+func (r *rooms) hasPlace(queue *contention.Queue, a contention.Request, best contention.Server, size, bound int64, now time.Duration) bool {
+	if r.bytes+size <= bound && queue.Len() < maxWaiting && r.waiting.Load() < maxWaitingAll {
 		return true
 	}
-	if len(u.waiters) == 0 {
-		return false
-	}
-	last := slices.MaxFunc(u.waiters, func(a, b *waiter) int { return contention.Compare(a.standing(now), b.standing(now)) })
-	if last.request.CanMeetTarget(last.own) || contention.Compare(standing, last.standing(now)) >= 0 || last.displaced.Swap(true) {
-		return false
-	}
-	last.signal()
-	return true
+	return queue.Displace(a, best, size, now)
 }
 
 // awaitTurn waits until the request has to be decided on again, at most for waitPollInterval, and reports whether that is so.
 func (q *request) awaitTurn(ctx context.Context) bool {
 	s, w := q.server, q.waiter
 	s.rooms.mu.Lock()
-	left := w.due - s.opts.Clock()
+	left := w.Due - s.opts.Clock()
 	s.rooms.mu.Unlock()
 	if left <= 0 {
 		return true
@@ -363,29 +238,39 @@
 	}
 }
 
-// Waiting returns the number of requests that wait for room at a server.
-func (s *Server) Waiting() int64 { return s.rooms.waiting.Load() }
-
-// leaveQueue takes the request out of its queue, if it waits.
+// leaveQueue takes the request out of its queue, if it waits. The next one is decided on.
 func (q *request) leaveQueue() {
-	if q.waiter != nil {
-		q.server.rooms.remove(q.waiter, q.server.opts.Clock())
-		q.waiter = nil
+	w, r := q.waiter, q.server.rooms
+	if w == nil {
+		return
 	}
+	q.waiter = nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queues[w.key].Remove(&w.Waiter, q.server.opts.Clock())
+	r.bytes -= w.Bytes
+	r.waiting.Add(-1)
 }
 
 // displacedRefusal returns the error with which to refuse a waiting request whose place another one took, or nil.
 func (q *request) displacedRefusal() error {
-	if q.waiter == nil || !q.waiter.displaced.Load() {
+	if q.waiter == nil {
 		return nil
 	}
-	q.server.opts.Metrics.noRoom.Add(refusalName(contention.QueueFull, q.waiter.rank), 1)
+	r := q.server.rooms
+	r.mu.Lock()
+	displaced := q.waiter.Displaced
+	r.mu.Unlock()
+	if !displaced {
+		return nil
+	}
+	q.server.opts.Metrics.noRoom.Add(string(contention.QueueFull)+"/"+rankName(q.waiter.loggedRank), 1)
 	return &refusal{errkind.New(errkind.Overloaded, "a request that can be in time took its place among those that wait"), maxRetryAfter}
 }
 
 // noRoom returns the error with which to refuse the request.
 func (q *request) noRoom(v contention.Verdict, a contention.Request, c *fleetroute.Candidate, best contention.Server) error {
-	q.server.opts.Metrics.noRoom.Add(refusalName(v.Reason, a.Rank), 1)
+	q.server.opts.Metrics.noRoom.Add(string(v.Reason)+"/"+rankName(a.Rank), 1)
 	q.logVerdict("request refused: no room at a server", v, a, c, best)
 	kind := errkind.DeadlineUnreachable
 	if v.Reason == contention.QueueFull {
@@ -395,18 +280,29 @@
 		best.WaitAhead.Round(time.Millisecond), v.Allowance.Round(time.Millisecond), a.Left.Round(time.Millisecond)), retryAfter(v.RetryAfter)}
 }
 
-func refusalName(reason contention.Reason, rank int) string {
-	return string(reason) + "/" + rankName(rank)
-}
-
 func rankName(rank int) string { return strconv.Itoa(rank) }
 
 func (q *request) logVerdict(message string, v contention.Verdict, a contention.Request, c *fleetroute.Candidate, best contention.Server) {
+	heard, known := q.server.opts.Gateways()
 	q.server.opts.Log.LogAttrs(q.http.Context(), slog.LevelInfo, message,
 		slog.String("request_id", q.caller.ID), slog.String("service", q.service), slog.String("model", q.modelKey),
 		slog.String("reason", string(v.Reason)), slog.Int("rank", a.Rank), slog.Bool("late", v.Late),
 		slog.Duration("elapsed", a.Elapsed), slog.Duration("target", a.Target), slog.Duration("left", a.Left),
 		slog.String("server", c.ID), slog.Duration("predicted", best.Predicted), slog.Duration("wait_ahead", best.WaitAhead),
 		slog.Duration("allowance", v.Allowance), slog.Duration("queued", best.Queued), slog.Duration("own", best.Own),
-		slog.Duration("room_in", v.RetryAfter), slog.Duration("wait_for", v.WaitFor), slog.Int64("waiting", q.server.rooms.waiting.Load()))
+		slog.Float64("served", a.Served), slog.Float64("fair_share", a.FairShare), slog.Duration("room_in", v.RetryAfter),
+		slog.Duration("wait_for", v.WaitFor), slog.Int64("waiting", q.server.rooms.waiting.Load()),
+		slog.Duration("loads_age", q.server.LoadsAge()), slog.Int("gateways_heard", heard), slog.Int("gateways_known", known))
+}
+
+// LoadsReceived records that another gateway reported its loads. Call it for each report.
+func (s *Server) LoadsReceived() { s.loadsAt.Store(int64(s.opts.Clock())) }
+
+// LoadsAge returns the time since another gateway last reported its loads, or zero if none ever did.
+func (s *Server) LoadsAge() time.Duration {
+	at := time.Duration(s.loadsAt.Load())
+	if at == 0 {
+		return 0
+	}
+	return s.opts.Clock() - at
 }
--- a/internal/fleetgateway/limits.go
+++ b/internal/fleetgateway/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/contention"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/fleetlimit"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -15,6 +16,9 @@
 // report, because the peers know what was admitted before the gateway started.
 const adoptionPeriod = 3 * time.Second
 
+// defaultRequestTokens is the work in tokens that a request counts as if its organisation's limit counts requests and states no tokens.
+const defaultRequestTokens = 1000
+
 // Limits enforces the organisations' limits at this gateway. It is safe for concurrent use.
 type Limits struct {
 	clock    bootclock.Clock
@@ -29,6 +33,7 @@
 	used          map[string]float64 // units admitted by this gateway since its start, less refunds
 	pendingUse    map[string]float64 // units admitted by other gateways before the organisation was known
 	pendingLevels map[string]float64 // reported by a peer before the organisation was known
+	recent        *contention.Shares // work in tokens that this gateway and the others admitted recently
 }
 
 // NewLimits returns the limits at one gateway. gateways returns how many gateways report and how many are known.
@@ -40,7 +45,7 @@
 	return &Limits{
 		clock: clock, gateways: gateways, share: share, lookup: lookup, started: clock(), heard: 1,
 		buckets: make(map[string]*fleetlimit.Bucket), used: make(map[string]float64), pendingUse: make(map[string]float64),
-		pendingLevels: make(map[string]float64),
+		pendingLevels: make(map[string]float64), recent: contention.NewShares(),
 	}
 }
 
@@ -89,6 +94,7 @@
 	ok, wait = b.Take(size)
 	if ok {
 		l.used[o.Name] += size
+		l.recent.Add(o.Name, workOf(o, size), l.clock())
 	}
 	return ok, wait, level
 }
@@ -105,6 +111,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.bucket(o).Refund(size)
+	l.recent.Add(o.Name, -workOf(o, size), l.clock())
 	l.used[o.Name] -= size
 }
 
@@ -113,6 +120,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, size := range use {
+		if o := l.lookup(name); o != nil {
+			l.recent.Add(name, workOf(o, size), l.clock())
+		}
 		if b := l.bucketByName(name); b != nil {
 			b.ChargeRemote(size)
 		} else {
@@ -121,6 +131,26 @@
 	}
 }
 
+// workOf returns the work in tokens of size units of an organisation's limit. A request of an organisation whose limit counts requests
+// counts as its DefaultTokens, or as defaultRequestTokens if there are none.
+func workOf(o *fleet.Organisation, size float64) float64 {
+	switch {
+	case o.ByTokens:
+		return size
+	case o.DefaultTokens > 0:
+		return size * float64(o.DefaultTokens)
+	}
+	return size * defaultRequestTokens
+}
+
+// Share returns the work in tokens that all gateways admitted recently for an organisation, and the factor by which the allowance of its
+// requests is lower under contention.
+func (l *Limits) Share(organisation string) (work, factor float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recent.Of(organisation, l.clock())
+}
+
 // bucketByName returns the bucket of an organisation, or nil if the organisation is not known yet. It creates the
 // bucket with the first report of a peer, even if this gateway has got no request of the organisation: use that is
 // subtracted later in one sum would not have been refilled in the meantime.
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -79,6 +79,7 @@
 	ends     *serverEnds
 	prompts  *PromptGuard
 	rooms    *rooms
+	loadsAt  atomic.Int64    // reading of the clock when another gateway last reported its loads, or zero
 	ending   context.Context // ends with EndRequests
 	end      context.CancelFunc
 
