--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -6,8 +6,8 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 )
 
-// The parts of the gap and of the pace were chosen by playing the loads of load_test.go: there, engines that are never idle pause
-// their streams for too long, and gateways that take the same room at the same time fill the engines again.
+// Engines that are never idle pause their streams for too long, and gateways that take the same room at the same time fill the engines
+// again: load_test.go plays both, and docs/design/admission.md has the figures.
 const (
 	// urgentShare is the allowance of the most urgent requests, as a part of the shortest target. The rest covers the request's
 	// own prompt and errors of the prediction.
@@ -27,16 +27,14 @@
 	// maxDeadlineShare is the part of the time left that the predicted time may take, as for requests of services that aren't
 	// covered.
 	maxDeadlineShare = 0.8
-	// maxTargets is the longest time to the first token for which a request is held, in targets. Callers abandon a stream that
-	// has not begun after about four.
-	maxTargets = 3
 	// PollInterval is the time between two checks whether the first waiting requests of a queue may be sent.
 	PollInterval = 15 * time.Millisecond
 	// loadDelay is the time in which gateways learn of each other's loads.
 	loadDelay = 250 * time.Millisecond
-	// pace is the work that the waiting requests of all gateways send to a server while they don't know of each other's, as a part
-	// of what it can process meanwhile. It is below one because requests that don't wait are sent there, too.
-	pace = 0.5
+	// pace is the work that the waiting requests of one level in all gateways send to a server while they don't know of each
+	// other's, as a part of what it can process meanwhile. The rest is for the other levels and for requests that don't wait, and
+	// leaves the server idle at times, so that its streams go on.
+	pace = 0.1
 )
 
 // Action is what is done with a request.
@@ -67,13 +65,12 @@
 
 // Request is one request to a covered service.
 type Request struct {
-	Rank         int           // by Policy.Rank
-	Target       time.Duration // of its route; zero if there is none
-	Elapsed      time.Duration // since its arrival
-	Left         time.Duration // until its deadline
-	Organisation string        // empty if there is none
-	Served       float64       // work that the organisation got recently, by Shares
-	FairShare    float64       // factor of the allowance by Shares; 1 for an organisation within its fair share
+	Rank      int           // by Policy.Rank
+	Target    time.Duration // of its route; zero if there is none
+	Elapsed   time.Duration // since its arrival
+	Left      time.Duration // until its deadline
+	Served    float64       // work that the organisation got recently, by Shares
+	FairShare float64       // factor of the allowance by Shares; 1 for an organisation within its fair share
 }
 
 // Server is the state of one server that may get the request.
@@ -117,9 +114,9 @@
 func (p *Policy) Allowance(r Request, own time.Duration) time.Duration {
 	target := float64(p.ShortestTarget)
 	if !r.CanMeetTarget(own) {
-		return time.Duration(lateShare * target)
+		return time.Duration(lateShare * r.FairShare * target)
 	}
-	return time.Duration(max(lateShare, Share(r)) * target)
+	return time.Duration(Share(r) * target)
 }
 
 // Share returns the allowance of a request that can be in time, as a part of the shortest target. It depends on the rank, grows
@@ -189,9 +186,6 @@
 	room := max(0, s.WaitAhead-allowance) + load.Backlog
 	v.RetryAfter = room
 	limit := time.Duration(maxDeadlineShare*float64(r.Left)) - s.own()
-	if r.Target > 0 {
-		limit = min(limit, maxTargets*r.Target-r.Elapsed-s.own())
-	}
 	v.WaitFor = limit
 	if !v.Late && r.Target > 0 {
 		v.WaitFor = min(limit, r.Target-r.Elapsed-s.own()+time.Millisecond)
--- a/internal/contention/queue.go
+++ b/internal/contention/queue.go
@@ -1,7 +1,6 @@
 package contention
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -49,34 +48,40 @@
 	failures  int       // waiters of this check that found no room
 	turn      *Waiter   // whose turn it is, or nil
 	turnAt    time.Duration
-	lastRoom  time.Duration // when there was last room for late work, or when contention began
-	contended time.Duration // when a request last found no room
-	average   float64       // number of waiters averaged over lengthPeriod, as of averageAt
+	lastRoom  time.Duration   // when there was last room for late work, or when contention began
+	contended time.Duration   // when a request last found no room
+	averages  [levels]float64 // number of waiters averaged over lengthPeriod, by level, as of averageAt
 	averageAt time.Duration
-	waited    map[string]time.Duration // when a request of an organisation last waited
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(now time.Duration) *Queue {
-	return &Queue{lastRoom: now, contended: now - 2*pause, waited: make(map[string]time.Duration)}
+	return &Queue{lastRoom: now, contended: now - 2*pause}
 }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiters) }
 
-// Idle reports whether nothing waits and contention has ended, so that the queue may be forgotten.
+// Idle reports whether nothing waits and contention has ended.
 func (q *Queue) Idle(now time.Duration) bool { return len(q.waiters) == 0 && now-q.contended > pause }
 
 // Add adds a waiter.
 func (q *Queue) Add(w *Waiter, now time.Duration) {
-	q.average, q.averageAt = q.length(now), now
+	q.observeLengths(now)
 	q.waiters = append(q.waiters, w)
 }
 
-// length returns the number of waiting requests, averaged over about lengthPeriod.
-func (q *Queue) length(now time.Duration) float64 {
-	length := float64(len(q.waiters))
-	return length + (q.average-length)*math.Exp(-float64(now-q.averageAt)/float64(lengthPeriod))
+// observeLengths updates the average numbers of waiters. Call it before the waiters change.
+func (q *Queue) observeLengths(now time.Duration) {
+	var counts [levels]float64
+	for _, w := range q.waiters {
+		counts[w.standing(now).level]++
+	}
+	weight := -math.Expm1(-float64(now-q.averageAt) / float64(lengthPeriod))
+	for i := range counts {
+		q.averages[i] += weight * (counts[i] - q.averages[i])
+	}
+	q.averageAt = now
 }
 
 // StartRound begins a check, unless one is in progress.
@@ -84,6 +89,7 @@
 	if q.turn != nil && now-q.turnAt <= maxTurn {
 		return
 	}
+	q.observeLengths(now)
 	q.round = slices.Clone(q.waiters)
 	standings := make(map[*Waiter]Standing, len(q.round))
 	for _, w := range q.round {
@@ -111,7 +117,6 @@
 // Failed records that a waiter found no room, with the figures of that decision. The next one gets the turn.
 func (q *Queue) Failed(w *Waiter, r Request, best Server, due, now time.Duration) {
 	w.Request, w.Own, w.Due = r, best.own(), due
-	q.waited[r.Organisation] = now
 	if q.turn == w {
 		q.failures++
 		q.next(now)
@@ -121,7 +126,7 @@
 // Remove removes a waiter and reports whether it was there. The next one gets the turn.
 func (q *Queue) Remove(w *Waiter, now time.Duration) bool {
 	at := slices.Index(q.waiters, w)
-	q.average, q.averageAt = q.length(now), now
+	q.observeLengths(now)
 	if at >= 0 {
 		q.waiters = slices.Delete(q.waiters, at, at+1)
 	}
@@ -131,17 +136,12 @@
 	return at >= 0
 }
 
-// goesFirst reports whether a request goes before all that wait.
-func (q *Queue) goesFirst(r Request, own, now time.Duration) bool {
+// goesFirst reports whether a request goes before all that wait, except itself.
+func (q *Queue) goesFirst(w *Waiter, r Request, own, now time.Duration) bool {
 	standing := NewStanding(r, own)
-	return !slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return Compare(w.standing(now), standing) <= 0 })
-}
-
-// OthersWait reports whether a request of another organisation waited recently.
-func (q *Queue) OthersWait(organisation string, now time.Duration) bool {
-	maps.DeleteFunc(q.waited, func(_ string, at time.Duration) bool { return now-at > pause })
-	_, own := q.waited[organisation]
-	return len(q.waited) > 1 || len(q.waited) == 1 && !own
+	return !slices.ContainsFunc(q.waiters, func(other *Waiter) bool {
+		return other != w && Compare(other.standing(now), standing) <= 0
+	})
 }
 
 // Displace takes the place of a waiter that can't be in time, and whose body is at least as long, for a request that can. It reports
@@ -180,10 +180,13 @@
 	servers = max(1, servers)
 	l := Load{
 		NoRoomFor: now - q.lastRoom, Backlog: backlog * time.Duration(max(1, gateways)) / time.Duration(servers),
-		First: w != nil || q.goesFirst(r, best.own(), now),
+		First: w != nil && q.turn == w || q.goesFirst(w, r, best.own(), now),
 	}
 	if w != nil {
-		l.Others = q.length(now) * float64(max(0, gateways-1)) / float64(servers)
+		q.observeLengths(now)
+		for _, average := range q.averages[NewStanding(r, best.own()).level:] {
+			l.Others += average * float64(max(0, gateways-1)) / float64(servers)
+		}
 	}
 	return l
 }
--- a/internal/contention/shares.go
+++ b/internal/contention/shares.go
@@ -13,8 +13,10 @@
 	activePart = 0.05
 	// fairFactor is the multiple of the fair share above which an organisation's allowance is lower.
 	fairFactor = 1.25
+	// fairExponent makes the allowance fall faster than the fair share's part of the work: the others are to get all they need first.
+	fairExponent = 3
 	// minFairFactor is the least factor of the allowance.
-	minFairFactor = 0.2
+	minFairFactor = 0.05
 )
 
 // Shares knows the work in tokens that the organisations got recently from the whole fleet. All times are readings of one monotonic
@@ -50,7 +52,7 @@
 	}
 }
 
-// Of returns the work that an organisation got recently, and the factor of the allowance of its requests while those of others wait:
+// Of returns the work that an organisation got recently, and the factor of the allowance of its requests under contention:
 // below 1 if the work is far above an equal share for each active organisation.
 func (s *Shares) Of(organisation string, now time.Duration) (work, factor float64) {
 	s.decay(now)
@@ -68,5 +70,5 @@
 	if active < 2 || work*float64(active) <= fairFactor*total {
 		return work, 1
 	}
-	return work, max(minFairFactor, total/float64(active)/work)
+	return work, max(minFairFactor, math.Pow(total/float64(active)/work, fairExponent))
 }
--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -25,8 +26,6 @@
 	// contentionEnd is the time without a request that found no room after which requests are no longer compared with those of other
 	// organisations.
 	contentionEnd = time.Second
-	// orderWait is the time after which a request that only lets others go first is decided on again.
-	orderWait = 50 * time.Millisecond
 )
 
 // queueKey names the queue of the requests that wait for room at the engines of a service with a model.
@@ -83,12 +82,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	queue := r.queues[key]
-	if queue.Len() == 0 && !queue.Idle(now) {
-		time.AfterFunc(contentionEnd, func() { s.pollRoom(key) })
-		return
-	}
 	if queue.Len() == 0 {
-		delete(r.queues, key)
 		delete(r.polled, key)
 		return
 	}
@@ -96,6 +90,14 @@
 	time.AfterFunc(contention.PollInterval, func() { s.pollRoom(key) })
 }
 
+// PruneQueues removes queues in which nothing waits any longer. Call it periodically.
+func (s *Server) PruneQueues() {
+	r, now := s.rooms, s.opts.Clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.queues, func(key queueKey, queue *contention.Queue) bool { return !r.polled[key] && queue.Idle(now) })
+}
+
 // gated returns the policy that the request is subject to, or nil. Requests that were sent to a server before are not subject to
 // any: they have used capacity already.
 func (q *request) gated() *contention.Policy {
@@ -136,9 +138,9 @@
 	_, gateways := s.opts.Gateways()
 	served, factor := 0.0, 1.0
 	if q.org != nil {
-		a.Organisation = q.org.Name
-		served, factor = s.opts.Limits.Share(a.Organisation)
+		served, factor = s.opts.Limits.Share(q.org.Name)
 	}
+	room := slices.ContainsFunc(list, func(c fleetroute.Candidate) bool { return p.HasRoom(contention.ServerOf(&c)) })
 	r := s.rooms
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -147,21 +149,20 @@
 		queue = contention.NewQueue(now)
 		r.queues[key] = queue
 	}
-	if a.Served = served; queue.OthersWait(a.Organisation, now) {
+	if a.Served = served; !queue.Idle(now) {
 		a.FairShare = factor
 	}
-	var load contention.Load
-	if q.waiter == nil {
-		load = queue.Load(nil, a, best, gateways, len(list), now)
-	} else {
-		load = queue.Load(&q.waiter.Waiter, a, best, gateways, len(list), now)
-		load.Draw = rand.Float64()
+	var waiting *contention.Waiter
+	if q.waiter != nil {
+		waiting = &q.waiter.Waiter
 	}
+	load := queue.Load(waiting, a, best, gateways, len(list), now)
+	load.Draw = rand.Float64()
 	v := p.Decide(a, best, load)
 	if v.Action == contention.Send {
 		return true, nil
 	}
-	queue.Observe(slices.ContainsFunc(list, func(c fleetroute.Candidate) bool { return p.HasRoom(contention.ServerOf(&c)) }), now)
+	queue.Observe(room, now)
 	r.contended.Store(int64(now))
 	if v.Action == contention.Wait && q.waiter == nil && !r.hasPlace(queue, a, best, int64(len(q.body)), s.waitingBytes(), now) {
 		v.Action, v.Reason = contention.Refuse, contention.QueueFull
@@ -187,9 +188,6 @@
 		r.bytes += w.Bytes
 		r.waiting.Add(1)
 	}
-	if v.Reason == contention.OthersFirst {
-		v.WaitFor = min(v.WaitFor, orderWait)
-	}
 	queue.Failed(&q.waiter.Waiter, a, best, now+v.WaitFor, now)
 	if !r.polled[key] {
 		r.polled[key] = true
--- a/internal/fleetgateway/limits.go
+++ b/internal/fleetgateway/limits.go
@@ -144,7 +144,7 @@
 }
 
 // Share returns the work in tokens that all gateways admitted recently for an organisation, and the factor by which the allowance of its
-// requests is lower while those of others wait.
+// requests is lower under contention.
 func (l *Limits) Share(organisation string) (work, factor float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
