--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -18,7 +18,7 @@
 	minShare = 0.15
 	// lateShare is the allowance of requests that can't be in time any longer, as a part of the shortest target: such a short
 	// wait means that nobody else needs the room.
-	lateShare = 0.04
+	lateShare = 0.15
 	// gapShare is the part of the longest pause between events that outstanding prompts may take. The rest covers the steps
 	// of the running streams and the prompts that other gateways send before they learn of this one.
 	gapShare = 0.4
@@ -27,6 +27,9 @@
 	// maxDeadlineShare is the part of the time left that the predicted time may take, as for requests of services that aren't
 	// covered.
 	maxDeadlineShare = 0.8
+	// maxTargets is the longest time to the first token for which a request is held, in targets. Callers abandon a stream that
+	// has not begun after about four.
+	maxTargets = 3
 	// PollInterval is the time between two checks whether the first waiting requests of a queue may be sent.
 	PollInterval = 15 * time.Millisecond
 	// loadDelay is the time in which gateways learn of each other's loads.
@@ -34,7 +37,7 @@
 	// pace is the work that the waiting requests of one level in all gateways send to a server while they don't know of each
 	// other's, as a part of what it can process meanwhile. The rest is for the other levels and for requests that don't wait, and
 	// leaves the server idle at times, so that its streams go on.
-	pace = 0.1
+	pace = 0.4
 )
 
 // Action is what is done with a request.
@@ -187,10 +190,15 @@
 	v.RetryAfter = room
 	limit := time.Duration(maxDeadlineShare*float64(r.Left)) - s.own()
 	v.WaitFor = limit
+	if r.Target > 0 {
+		limit = min(limit, maxTargets*r.Target-r.Elapsed-s.own())
+		v.WaitFor = limit
+	}
+	expectedLate := r.Target > 0 && r.Elapsed+room+s.own() > r.Target
 	if !v.Late && r.Target > 0 {
 		v.WaitFor = min(limit, r.Target-r.Elapsed-s.own()+time.Millisecond)
 	}
-	if !inTime || v.Late && max(room, load.NoRoomFor) > limit {
+	if !inTime || (v.Late || expectedLate) && max(room, load.NoRoomFor) > limit {
 		v.Action, v.Reason = Refuse, NoRoom
 	}
 	return v
