Test the duties under faults with a simulated fleet, and mark where reports begin

The first trial of the property test showed that the first window was never reported when the only gateway ended before it had settled one.

Change: internal/fake/fleet has a stand-in of the cloud interface with faults, records and a check of its calls; cmd/fake-fleet serves it. The simulation of duty runs leases, metering and clients of up to four gateways on one fake clock. The first holder stores a row for the window before the first one that is reported.

--- a/cmd/fake-fleet/main.go
+++ b/cmd/fake-fleet/main.go
@@ -1,4 +1,4 @@
-// Command fake-fleet emulates a part of the users' platform for tests: either its store, or one backend server that
+// Command fake-fleet emulates a part of the users' platform for tests: its store, its cloud interface, or one backend server that
 // registers in the store's server list.
 package main
 
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -30,8 +31,8 @@
 }
 
 func run(ctx context.Context, args []string) error {
-	if len(args) == 0 || (args[0] != "store" && args[0] != "replica") {
-		return errors.New("usage: fake-fleet store|replica -listen ADDRESS [flags]")
+	if len(args) == 0 || !slices.Contains([]string{"store", "cloud", "replica"}, args[0]) {
+		return errors.New("usage: fake-fleet store|cloud|replica -listen ADDRESS [flags]")
 	}
 	flags := flag.NewFlagSet("fake-fleet "+args[0], flag.ContinueOnError)
 	listen := flags.String("listen", "", "`ADDRESS` (IP:port) to listen on")
@@ -43,6 +44,12 @@
 		go store.ExpireEntries(ctx)
 		return standin.Serve(ctx, *listen, store.Handler(), store.Listener)
 	}
+	if args[0] == "cloud" {
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		return standin.Serve(ctx, *listen, fleet.NewCloud().Handler())
+	}
 	var o fleet.ReplicaOptions
 	store := flags.String("store", "", "`ADDRESS` (IP:port) of the store")
 	models := flags.String("models", "", "comma-separated models that the backend server holds at the start")
--- /dev/null
+++ b/internal/duty/export_test.go
@@ -0,0 +1,14 @@
+package duty
+
+import "context"
+
+// Step makes one step of Run for the tests, which have their own clock.
+func (l *Lease) Step(ctx context.Context) { l.step(ctx) }
+
+// Constants that the tests check against.
+const (
+	RenewInterval = renewInterval
+	CallTimeout   = callTimeout
+	SendMargin    = sendMargin
+	AnswerTimeout = answerTimeout
+)
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -164,12 +164,7 @@
 		if err := background.Sleep(ctx, delay); err != nil {
 			return err
 		}
-		switch {
-		case l.held():
-			l.renew(ctx)
-		case !l.PlannerAlive():
-			l.tryAcquire(ctx)
-		}
+		l.step(ctx)
 		delay = leaseReadInterval/2 + rand.N(leaseReadInterval)
 		if l.held() {
 			delay = renewInterval
@@ -177,6 +172,16 @@
 	}
 }
 
+// step renews the lease if it is held, or else acquires it if no gateway holds it.
+func (l *Lease) step(ctx context.Context) {
+	switch {
+	case l.held():
+		l.renew(ctx)
+	case !l.PlannerAlive():
+		l.tryAcquire(ctx)
+	}
+}
+
 func (l *Lease) held() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/duty/metering.go
+++ b/internal/duty/metering.go
@@ -32,6 +32,8 @@
 	lateFraction = 0.4
 	// gatherTime is the time after the lease was acquired in which the other gateways send what they counted.
 	gatherTime = 1500 * time.Millisecond
+	// firstMargin is how long before the first lease a gateway may have begun to serve.
+	firstMargin = 2 * time.Second
 	// maxBatch limits the windows that are settled in one transaction.
 	maxBatch = 32
 	// maxGap limits the windows without a row that are reported after a time in which nothing could be settled.
@@ -95,7 +97,7 @@
 	mu           sync.Mutex
 	epoch        int64 // of the lease for which the fields below were read from the store, or zero
 	acquiredAt   time.Duration
-	next         int64                    // first window to settle; zero if no window has been settled yet
+	next         int64                    // first window to settle
 	acknowledged int64                    // all reports up to this window are acknowledged
 	pending      map[int64]*pendingReport // by window
 	stored       []int64                  // windows with a row, ascending
@@ -147,8 +149,8 @@
 	return group.Wait()
 }
 
-// Settle reads the rows after the lease was acquired, writes the rows of the windows that are due and removes old rows. It makes at
-// most one call to the store. Settle must not be called concurrently with itself.
+// Settle reads the rows after the lease was acquired, or else writes the rows of the windows that are due, or else removes old rows.
+// Settle must not be called concurrently with itself.
 func (m *Metering) Settle(ctx context.Context) {
 	epoch, now := m.opts.Epoch(), m.opts.Clock()
 	m.mu.Lock()
@@ -175,12 +177,17 @@
 	}
 }
 
-// load reads the settled windows.
+// load reads the settled windows. If there is none, it first marks where the reports begin.
 func (m *Metering) load(ctx context.Context, epoch int64) error {
 	page, err := m.opts.Store.List(ctx, usageTable)
 	if err != nil {
 		return err
 	}
+	if len(page.Rows) == 0 {
+		if page.Rows, err = m.begin(ctx); err != nil {
+			return err
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.epoch, m.acquiredAt, m.next, m.acknowledged, m.stored = epoch, m.opts.Clock(), 0, 0, nil
@@ -190,14 +197,45 @@
 	}
 	slices.Sort(m.stored)
 	maps.DeleteFunc(m.pending, func(window int64, _ *pendingReport) bool { return window <= m.acknowledged })
-	if m.next != 0 {
-		m.opts.Ledger.Settle(m.next - 1)
-	}
+	m.opts.Ledger.Settle(m.next - 1)
 	m.opts.Log.Info("usage reports continue", "token", epoch, "next_window", m.next, "rows", len(page.Rows),
 		"not_acknowledged", len(m.pending))
 	return nil
 }
 
+// begin writes and returns a row for the window before the first one that is reported, so that every window from then on is reported
+// whichever gateways end.
+func (m *Metering) begin(ctx context.Context) ([]platform.Row, error) {
+	first := usage.WindowAt(m.opts.Wall().Add(-firstMargin), m.opts.Window)
+	if oldest, ok := m.opts.Ledger.Oldest(); ok {
+		first = min(first, oldest)
+	}
+	expected, puts, err := usageRows([]int64{first - 1}, first-1, func(int64) map[string]int64 { return map[string]int64{} })
+	if err != nil {
+		return nil, err
+	}
+	_, rows, held, err := m.opts.Store.Commit(ctx, expected, puts)
+	if held {
+		rows = puts
+	}
+	return rows, err
+}
+
+// usageRows returns the transaction that stores the counts of windows if none of them is stored.
+func usageRows(windows []int64, acknowledged int64, counts func(int64) map[string]int64) (expected []platform.Precondition,
+	puts []platform.Row, err error) {
+	for _, w := range windows {
+		value, err := json.Marshal(usageRow{Counts: counts(w), Acknowledged: acknowledged})
+		if err != nil {
+			return nil, nil, err
+		}
+		key := strconv.FormatInt(w, 10)
+		expected = append(expected, platform.Precondition{Table: usageTable, Key: key})
+		puts = append(puts, platform.Row{Table: usageTable, Key: key, Value: value})
+	}
+	return expected, puts, nil
+}
+
 // adopt takes over a stored row. The caller holds m.mu.
 func (m *Metering) adopt(r platform.Row) {
 	window, err := strconv.ParseInt(r.Key, 10, 64)
@@ -229,12 +267,6 @@
 	}
 	wall := m.opts.Wall()
 	current := usage.WindowAt(wall, m.opts.Window)
-	if m.next == 0 {
-		m.next = current
-		if oldest, ok := m.opts.Ledger.Oldest(); ok {
-			m.next = min(oldest, current)
-		}
-	}
 	if current-m.next > maxGap {
 		m.opts.Log.Error("usage windows are too old to be reported", "from", m.next, "to", current-maxGap-1)
 		m.next = current - maxGap
@@ -256,16 +288,9 @@
 	m.mu.Lock()
 	acknowledged := m.acknowledged
 	m.mu.Unlock()
-	var expected []platform.Precondition
-	var puts []platform.Row
-	for _, w := range windows {
-		value, err := json.Marshal(usageRow{Counts: m.opts.Ledger.Totals(w), Acknowledged: acknowledged})
-		if err != nil {
-			return err
-		}
-		key := strconv.FormatInt(w, 10)
-		expected = append(expected, platform.Precondition{Table: usageTable, Key: key})
-		puts = append(puts, platform.Row{Table: usageTable, Key: key, Value: value})
+	expected, puts, err := usageRows(windows, acknowledged, m.opts.Ledger.Totals)
+	if err != nil {
+		return err
 	}
 	_, rows, held, err := m.opts.Store.Commit(ctx, expected, puts)
 	if err != nil {
