Do not extend the lease by a write whose answer was lost

The planner's lease had the same fault.

Change: a renewal that finds an earlier one writes the row again before it extends the lease, and an acquisition that finds one starts over. The simulation freezes processes before and after a call leaves them.

--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -40,7 +40,9 @@
 	dead        bool
 	refuses     bool // begins no requests any more, as in a planned stop
 	frozenUntil time.Duration
-	freezeCall  time.Duration // the process freezes for this time in its next call
+	freezeCall  time.Duration // the process freezes for this time in its next call to the store
+	freezeSend  time.Duration // likewise, before its next call to the cloud interface
+	released    bool          // gave up the lease
 	cutStore    time.Duration // until when it does not reach the store
 	cutPeers    time.Duration // until when it does not reach other gateways
 	lease       *duty.Lease
@@ -71,10 +73,11 @@
 	storeSlow                          time.Duration
 	loseAnswers                        float64 // fraction of calls
 
-	calls []fake.CloudCall
-	truth map[int64]map[string]int64 // requests by window and organisation
-	lost  map[int64]map[string]int64 // of them, counted shortly before the end of their process
-	fresh []simRequest               // counted recently
+	calls    []fake.CloudCall
+	unleased int                        // calls that arrived after the lease under which they were sent had ended
+	truth    map[int64]map[string]int64 // requests by window and organisation
+	lost     map[int64]map[string]int64 // of them, counted shortly before the end of their process
+	fresh    []simRequest               // counted recently
 }
 
 type simEvent struct {
@@ -163,12 +166,8 @@
 	}
 }
 
-// wait lets time pass in a call of p, and reports whether p still runs. A freeze that begins in the call lengthens it.
+// wait lets time pass in a call of p, and reports whether p still runs. A freeze lengthens it.
 func (s *simFleet) wait(p *simProcess, d time.Duration) bool {
-	if p.freezeCall > 0 {
-		p.frozenUntil = max(p.frozenUntil, s.now+p.freezeCall)
-		d, p.freezeCall = d+p.freezeCall, 0
-	}
 	s.advance(d)
 	for !p.dead && s.now < p.frozenUntil {
 		s.advance(simTick)
@@ -270,6 +269,12 @@
 		s.wait(p, time.Duration(s.random.Int64N(int64(duty.CallTimeout))))
 		return errSim
 	}
+	if s.random.IntN(2) == 0 { // the process freezes before the call leaves it
+		p.frozenUntil, p.freezeCall = max(p.frozenUntil, s.now+p.freezeCall), 0
+		if !s.wait(p, 0) {
+			return errSim
+		}
+	}
 	start, done := s.now, false
 	delay := time.Duration(0)
 	if s.storeSlow > 0 {
@@ -282,9 +287,8 @@
 		for !done && s.wait(p, simTick) && s.now-start < duty.CallTimeout {
 		}
 	}
-	if p.freezeCall > 0 {
-		s.wait(p, 0)
-	}
+	p.frozenUntil, p.freezeCall = max(p.frozenUntil, s.now+p.freezeCall), 0
+	s.wait(p, 0)
 	if p.dead || s.now-start >= duty.CallTimeout || s.random.Float64() < s.loseAnswers {
 		return errSim
 	}
@@ -348,6 +352,7 @@
 
 func (c *simCloud) Send(_ context.Context, holder string, token int64, call platform.CloudCall, permitted func() error) error {
 	s, p := c.fleet, c.process
+	p.frozenUntil, p.freezeSend = max(p.frozenUntil, s.now+p.freezeSend), 0
 	if !s.wait(p, 0) {
 		return errSim
 	}
@@ -367,6 +372,9 @@
 				status = &platform.CloudStatusError{Status: 429}
 				return
 			}
+			if !p.dead && !p.released && p.lease.Epoch() != token {
+				s.unleased++
+			}
 			s.calls = append(s.calls, fake.CloudCall{At: s.now, Path: "/usage", Holder: holder, Token: token, Body: string(body)})
 		}})
 	}
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -199,25 +199,25 @@
 }
 
 // commit writes the row if its store version is the expected one. owned reports that the stored row is this
-// incarnation's, which includes a row written by an earlier call whose answer was lost.
-func (l *Lease) commit(ctx context.Context, expected int64, released bool) (version int64, owned bool, err error) {
+// incarnation's. It was written by an earlier call whose answer was lost unless written is set.
+func (l *Lease) commit(ctx context.Context, expected int64, released bool) (version int64, owned, written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	version, rows, committed, err := l.opts.Store.Commit(ctx,
 		[]platform.Precondition{{Table: leaseTable, Key: leaseKey, Version: expected}}, l.row(released))
 	switch {
 	case err != nil:
-		return 0, false, err
+		return 0, false, false, err
 	case committed:
-		return version, true, nil
+		return version, true, true, nil
 	}
 	for _, r := range rows {
 		var row leaseRow
 		if json.Unmarshal(r.Value, &row) == nil && row.Incarnation == l.opts.Incarnation && !row.Released {
-			return r.Version, true, nil
+			return r.Version, true, false, nil
 		}
 	}
-	return 0, false, nil
+	return 0, false, false, nil
 }
 
 func (l *Lease) renew(ctx context.Context) {
@@ -227,7 +227,12 @@
 	version, epoch := l.version, l.epoch
 	l.mu.Unlock()
 	sent := l.opts.Clock()
-	next, owned, err := l.commit(ctx, version, false)
+	next, owned, written, err := l.commit(ctx, version, false)
+	if owned && !written {
+		// The other gateways count the term from the earlier write, so it does not extend the lease from now.
+		sent = l.opts.Clock()
+		next, owned, written, err = l.commit(ctx, next, false)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -241,9 +246,11 @@
 	case !owned:
 		l.opts.Log.Warn("planner's lease lost; planning stops", "epoch", epoch)
 		l.epoch = 0
-	default:
+	case written:
 		l.version = next
 		l.expiresAt = sent + leaseTerm
+	default:
+		l.version = next
 	}
 }
 
@@ -273,8 +280,8 @@
 	}
 	expected := row.Version
 	sent := l.opts.Clock()
-	version, owned, err := l.commit(ctx, expected, false)
-	if err != nil || !owned {
+	version, _, written, err := l.commit(ctx, expected, false)
+	if err != nil || !written {
 		l.opts.Log.Info("planner's lease not acquired; retrying", "expected", expected, "error", err)
 		return
 	}
@@ -326,6 +333,6 @@
 	if epoch == 0 {
 		return
 	}
-	_, _, err := l.commit(ctx, version, true)
+	_, _, _, err := l.commit(ctx, version, true)
 	l.opts.Log.Info("planner's lease released; planning stops", "epoch", epoch, "error", err)
 }
--- a/internal/duty/property_test.go
+++ b/internal/duty/property_test.go
@@ -32,6 +32,9 @@
 	if violations := fake.CheckCloudCalls(s.calls, simLease); len(violations) > 0 {
 		t.Fatalf("%d violations in %d calls, first: %s", len(violations), len(s.calls), violations[0])
 	}
+	if s.unleased > 0 {
+		t.Fatalf("%d calls arrived after the lease had ended", s.unleased)
+	}
 	reported := s.reports(t)
 	last := usage.WindowAt(s.wall().Add(-simLate), simWindow) - 1
 	for w, counts := range s.truth {
@@ -57,6 +60,7 @@
 		s.advance(simTick)
 	}
 	if !p.dead {
+		p.released = true
 		p.loops[0].busy = true // Release waits for a step in progress, and a step for Release
 		p.lease.Release(context.Background())
 		s.advance(time.Second)
@@ -92,7 +96,7 @@
 			s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause ds")) * 100 * time.Millisecond)
 			length := time.Duration(rapid.IntRange(2, 90).Draw(t, "length ds")) * 100 * time.Millisecond
 			p := s.process(rapid.IntRange(0, 7).Draw(t, "process"))
-			switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze in call", "cut store", "cut peers", "store down",
+			switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze in call", "freeze before call", "cut store", "cut peers", "store down",
 				"cloud down", "cloud limited", "lose", "slow"}).Draw(t, "fault") {
 			case "kill":
 				s.kill(p, 0)
@@ -106,6 +110,8 @@
 				p.frozenUntil = s.now + length
 			case "freeze in call":
 				p.freezeCall = length
+			case "freeze before call":
+				p.freezeSend = 2 * length
 			case "cut store":
 				p.cutStore = s.now + length
 			case "cut peers":
--- a/internal/fake/fleet/cloud.go
+++ b/internal/fake/fleet/cloud.go
@@ -108,6 +108,7 @@
 		affected := len(f.Hosts) == 0 || slices.Contains(f.Hosts, host)
 		switch {
 		case affected && f.Cut:
+			_, _ = io.Copy(io.Discard, r.Body) // net/http notices that the client has left only after the body
 			<-r.Context().Done()
 		case affected && f.Down:
 			http.Error(w, "down", http.StatusServiceUnavailable)
