--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -68,6 +69,7 @@
 
 	rows    map[string]platform.Row
 	version int64
+	first   int64 // window of the first row of usage, or zero
 
 	storeDown, cloudDown, cloudLimited time.Duration // until when
 	storeSlow                          time.Duration
@@ -330,6 +332,9 @@
 		for _, r := range puts {
 			r.Version = s.version
 			s.rows[r.Table+"/"+r.Key] = r
+			if window, err := strconv.ParseInt(r.Key, 10, 64); err == nil && s.first == 0 {
+				s.first = window
+			}
 		}
 		version, rows = s.version, nil
 	})
--- a/internal/duty/metering.go
+++ b/internal/duty/metering.go
@@ -32,7 +32,7 @@
 	lateFraction = 0.4
 	// gatherTime is the time after the lease was acquired in which the other gateways send what they counted.
 	gatherTime = 1500 * time.Millisecond
-	// firstMargin is how long before the first lease a gateway may have begun to serve.
+	// firstMargin is how long before the first holder another gateway may have started.
 	firstMargin = 2 * time.Second
 	// maxBatch limits the windows that are settled in one transaction.
 	maxBatch = 32
@@ -92,7 +92,8 @@
 // Metering settles the windows of usage and reports them while its gateway holds the lease. A window is settled by the first write of
 // its row; what is sent is what the row contains. It is safe for concurrent use.
 type Metering struct {
-	opts MeteringOptions
+	opts    MeteringOptions
+	started time.Time
 
 	mu           sync.Mutex
 	epoch        int64 // of the lease for which the fields below were read from the store, or zero
@@ -118,7 +119,7 @@
 }
 
 // NewMetering returns a Metering. Call Run to start it.
-func NewMetering(opts MeteringOptions) *Metering { return &Metering{opts: opts} }
+func NewMetering(opts MeteringOptions) *Metering { return &Metering{opts: opts, started: opts.Wall()} }
 
 // Stats returns the counters.
 func (m *Metering) Stats() MeteringStats {
@@ -206,7 +207,7 @@
 // begin writes and returns a row for the window before the first one that is reported, so that every window from then on is reported
 // whichever gateways end.
 func (m *Metering) begin(ctx context.Context) ([]platform.Row, error) {
-	first := usage.WindowAt(m.opts.Wall().Add(-firstMargin), m.opts.Window)
+	first := usage.WindowAt(m.started.Add(-firstMargin), m.opts.Window)
 	if oldest, ok := m.opts.Ledger.Oldest(); ok {
 		first = min(first, oldest)
 	}
