--- a/cmd/pomelo-fleet-gateway/duties.go
+++ b/cmd/pomelo-fleet-gateway/duties.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// follow uses the address of the cloud interface in changed settings. Other changes of duties need a start.
+func (d *duties) follow(s *platform.Settings) {
+	if d.cloud != nil && s.Cloud.Address != "" {
+		d.cloud.SetAddress(s.Cloud.Address)
+	}
+}
+
 // startDuties starts the background tasks of the duties.
 func (g *gateway) startDuties(group *background.Group) {
 	if g.duties.metering != nil {
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -63,7 +63,10 @@
 		return g.endpoint(g.settings.MetricsAddress).ServeMetrics(ctx, g.vars(), g.addRefusedPrompts)
 	})
 	group.Go("settings", func(ctx context.Context) error {
-		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
+		return settings.Watch(ctx, func(s *platform.Settings) {
+			g.store.SetAddress(s.Store.Address)
+			g.duties.follow(s)
+		})
 	})
 	group.Go("idle connections", func(ctx context.Context) error { return g.endIdleConnections(ctx, tracker) })
 	group.Go("callers", func(ctx context.Context) error {
