Log requests that lose their place, and test the bound of waiting requests

A waiting request whose place another one took had no log line with its figures. The test fills one queue and checks that the next request is refused at once, that nothing is charged in the end, and that the queue empties when the process ends.

go test -race of internal/contention, internal/fleetroute, internal/fleetgateway and cmd/pomelo-fleet-gateway passes.

--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -57,7 +57,7 @@
 		}
 		r, ok := q.begin(ctx, ctx, choice, replica)
 		if q.waiter != nil && ok {
-			s.opts.Metrics.afterWait.Add(rankName(q.waiter.loggedRank), 1)
+			s.opts.Metrics.afterWait.Add(rankName(q.waiter.rank), 1)
 		}
 		q.leaveQueue() // only now, so that the next waiting request is decided on with this one's load
 		if ok {
--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -54,7 +54,7 @@
 	contention.Waiter // protected by the mutex of rooms
 	key               queueKey
 	wake              chan struct{} // gets a value when it is the request's turn, or when it has been displaced
-	loggedRank        int
+	rank              int           // when it began to wait
 }
 
 func newRooms() *rooms {
@@ -181,7 +181,7 @@
 	r := q.server.rooms
 	if q.waiter == nil {
 		q.logVerdict("request waits for room at a server", v, a, c, best)
-		w := &waiter{key: key, wake: make(chan struct{}, 1), loggedRank: a.Rank}
+		w := &waiter{key: key, wake: make(chan struct{}, 1), rank: a.Rank}
 		w.Waiter = contention.Waiter{ArrivedAt: q.arrivedAt, Bytes: int64(len(q.body)), Wake: w.signal}
 		q.waiter = w
 		queue.Add(&w.Waiter, now)
@@ -264,7 +264,9 @@
 	if !displaced {
 		return nil
 	}
-	q.server.opts.Metrics.noRoom.Add(string(contention.QueueFull)+"/"+rankName(q.waiter.loggedRank), 1)
+	q.server.opts.Metrics.noRoom.Add(string(contention.QueueFull)+"/"+rankName(q.waiter.rank), 1)
+	q.server.opts.Log.Info("request refused: another one took its place among those that wait", "request_id", q.caller.ID,
+		"service", q.service, "model", q.modelKey, "rank", q.waiter.rank, "elapsed", q.elapsed(), "waiting", r.waiting.Load())
 	return &refusal{errkind.New(errkind.Overloaded, "a request that can be in time took its place among those that wait"), maxRetryAfter}
 }
 
--- a/internal/fleetgateway/contention_test.go
+++ b/internal/fleetgateway/contention_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -141,6 +142,30 @@
 		Expect(s.lines("request refused: no room")).To(HaveLen(1))
 	})
 
+	// Guards against queues that hold as many requests as callers send.
+	It("is refused at once if the queue is full", func() {
+		const bound = 128
+		s := newContended(contendedRoute(target, covered))
+		s.setWait(wait)
+		var waiting []<-chan response
+		for i := range bound {
+			waiting = append(waiting, s.inBackground(fmt.Sprint("waiting-", i), map[string]string{"X-Model": "m", "X-Token-Usage": "100,100"}))
+		}
+		Eventually(s.server.Waiting, "1500ms", "5ms").Should(BeEquivalentTo(bound))
+		_, a := s.send(http.MethodPost, "/a/", map[string]string{"X-Model": "m", "X-Token-Usage": "100,100"}, "")
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.body).To(ContainSubstring("overloaded"))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(s.charged()).To(BeEquivalentTo(bound * 200))
+		s.server.EndRequests()
+		for _, done := range waiting {
+			a := <-done
+			Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(s.charged()).To(BeZero())
+		Expect(s.server.Waiting()).To(BeZero())
+	})
+
 	// Guards against changes of services whose deadlines are near their targets.
 	It("is sent at once if its service is not covered", func() {
 		s := newContended(contendedRoute(target, covered-time.Millisecond))
