Count the demand for services with scaling and report it to the holder of the duties

The observer of replica counts needs what callers ask of each service at every gateway. PeerUpdate.demand names models only, so plain services have none, and neither refusals nor waiting requests are exchanged.

Change: fleetgateway.ServiceDemand counts work, work refused for lack of room and waiting work, without a lock for a request, and only for services with scaling. PeerUpdate.scale (field 17) carries them to the holder when they change. The first report under an epoch of the holder is complete and names the epoch, so that a service that it does not name has no demand, rather than demand that has not arrived yet; without that, a new holder would take the totals of old gateways for a burst. A request that would not meet its deadline at an idle server, or whose model is not loaded, is not refused for lack of room. discovery.Follower.ListAge and fleetroute.Table.InFlight give the rest of the observer's input.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -83,6 +83,7 @@
 	applied map[string]platform.Row // operator's rows that are in force in the view, by key, without their values
 
 	lastAnswer atomic.Int64 // time of the store's last answer on Options.Clock, in nanoseconds
+	listed     atomic.Int64 // when the server list was last known to be current, likewise; negative before the first list
 	outage     atomic.Bool
 }
 
@@ -90,6 +91,7 @@
 func New(opts Options) *Follower {
 	f := &Follower{opts: opts, rows: make(map[rowKey]platform.Row), applied: make(map[string]platform.Row)}
 	f.lastAnswer.Store(int64(opts.Clock()))
+	f.listed.Store(-1)
 	return f
 }
 
@@ -143,6 +145,7 @@
 				return err
 			}
 			f.lastAnswer.Store(int64(f.opts.Clock())) // time as a non-reader does not count as an outage
+			f.recordListed(table)
 			f.endOutage("it is read by other gateways")
 			continue
 		}
@@ -199,6 +202,7 @@
 	} else {
 		f.Apply(page.Rows, true)
 	}
+	f.recordListed(table)
 	if table == platform.TableOperator && (list || len(page.Rows) == 0) && page.ServerTime > 0 {
 		f.opts.Freshness.ConfirmRead(f.opts.Clock(), page.Version, page.ServerTime)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -187,6 +187,21 @@
 		Eventually(g.follower.StoreUnavailable, eventuallyTimeout).Should(BeFalse())
 	})
 
+	// Guards against a server list that counts as current although nobody reads it, and so against servers that are removed by it.
+	It("knows how old the server list is", func() {
+		configure(store, 1)
+		store.SetFaults(fake.StoreFaults{Refuse: true})
+		g := newGateway(store)
+		age := func() time.Duration { return g.follower.ListAge(bootclock.Now()) }
+		Consistently(age, 300*time.Millisecond).Should(BeNumerically(">", time.Hour), "it was never listed")
+		store.SetFaults(fake.StoreFaults{})
+		Eventually(age, eventuallyTimeout).Should(BeNumerically("<", time.Second))
+		store.SetFaults(fake.StoreFaults{Refuse: true})
+		Eventually(age, 2*eventuallyTimeout).Should(BeNumerically(">", 3*time.Second))
+		g.reads.Store(false) // others can read the store
+		Eventually(age, eventuallyTimeout).Should(BeNumerically("<", time.Second))
+	})
+
 	It("applies rows from peers at gateways that the store refuses, in any order and once", func() {
 		configure(store, 3)
 		store.Put("servers", "i-1", entry("10.0.0.1:80"))
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -50,8 +50,9 @@
 	for {
 		choice, replica, err := q.choose(ctx)
 		q.countDemand(choice)
+		q.countScaled(choice)
 		if err != nil {
-			return q.giveUp(q.finalError(ctx, err))
+			return q.endRefused(ctx, err)
 		}
 		r, ok := q.begin(ctx, ctx, choice, replica)
 		if ok {
@@ -62,11 +63,18 @@
 			return errkind.None
 		}
 		if !q.shouldRetry(ctx, r) {
-			return q.giveUp(q.finalError(ctx, q.lastError(r)))
+			return q.endRefused(ctx, q.lastError(r))
 		}
 	}
 }
 
+// endRefused ends a request that no server answered, and returns the kind of the outcome. err is the error of the last attempt.
+func (q *request) endRefused(ctx context.Context, err error) errkind.Kind {
+	final := q.finalError(ctx, err)
+	q.scaled.countRefused(err, errkind.Of(final).NotRun())
+	return q.giveUp(final)
+}
+
 // outputTokenCost is the cost of one output token in prompt tokens, for the demand of a model. All requests in a
 // batch share its steps, and a step takes about as long as processing some hundred prompt tokens.
 const outputTokenCost = 8
@@ -78,13 +86,15 @@
 		return
 	}
 	q.demandCounted = true
-	work := outputTokenCost * q.outputTokens
+	q.server.opts.Demand.Add(q.service, q.model, q.work(c))
+}
+
+// work returns the request's work in prompt tokens. c is the chosen server, or nil if there is none yet.
+func (q *request) work(c *fleetroute.Candidate) float64 {
 	if c != nil {
-		work += c.UncachedTokens
-	} else {
-		work += float64(q.prompt.TotalTokens) / 2
+		return outputTokenCost*q.outputTokens + c.UncachedTokens
 	}
-	q.server.opts.Demand.Add(q.service, q.model, work)
+	return outputTokenCost*q.outputTokens + float64(q.prompt.TotalTokens)/2
 }
 
 // choose returns the best server for the request, or the error with which to refuse it. It waits while the model is
@@ -105,9 +115,11 @@
 			c := &list[at]
 			q.logChoice(c, len(list))
 			if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
+				q.scaled.tooLong = !fitsIdle(*c, time.Duration(maxDeadlineShare*float64(left)))
 				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
 					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
 			}
+			q.countScaled(c) // the demand of requests that wait counts, too
 			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(q.config, byID[c.ID]) {
 				return c, byID[c.ID], nil
 			}
@@ -124,6 +136,7 @@
 				retryAfter(q.loadTime() / 2)}
 		}
 		q.countDemand(nil) // the planner must know the demand of waiting requests
+		q.countScaled(nil)
 		select {
 		case <-change:
 		case <-time.After(waitPollInterval):
--- a/internal/fleetgateway/cold.go
+++ b/internal/fleetgateway/cold.go
@@ -62,6 +62,7 @@
 	if service == nil || service.ColdPerSecond <= 0 || !s.needsTurn(r, now) {
 		return true
 	}
+	defer q.scaled.waitForRoom()()
 	wait, granted, err := s.opts.Agents.AcquireColdTurn(ctx, r, q.caller.ID, service.ColdPerSecond, q.turnWaitLimit())
 	if ctx.Err() != nil {
 		return false
--- a/internal/fleetgateway/harness_test.go
+++ b/internal/fleetgateway/harness_test.go
@@ -49,6 +49,7 @@
 	onDial      atomic.Pointer[func()] // called once, before the next connection to a server is opened
 	onCheck     atomic.Pointer[func()] // called once, at the next check of the configuration's age
 	demand      *fleetgateway.Demand
+	scaled      *fleetgateway.ServiceDemand
 	agents      *agentclient.Client
 
 	mu  sync.Mutex
@@ -115,7 +116,7 @@
 // newTestGatewayWithOptions is newTestGatewayWithAgents with changed options of the server.
 func newTestGatewayWithOptions(port string, set func(*fleetgateway.Options), r fleet.Route, change ...func(*fleet.Configuration)) *testGateway {
 	GinkgoHelper()
-	s := &testGateway{view: fleet.NewView(), demand: fleetgateway.NewDemand()}
+	s := &testGateway{view: fleet.NewView(), demand: fleetgateway.NewDemand(), scaled: fleetgateway.NewServiceDemand()}
 	log := slog.New(slog.NewJSONHandler(s, nil))
 	clock := bootclock.Clock(func() time.Duration { return bootclock.Now() + time.Duration(s.clockOffset.Load()) })
 	singleGateway := func() (int, int) { return 1, 1 }
@@ -143,8 +144,8 @@
 			}
 			return nil
 		},
-		Limits:  fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
-		Demand:  s.demand,
+		Limits: fleetgateway.NewLimits(clock, singleGateway, func() float64 { return 1 }, s.view.Organisation),
+		Demand: s.demand, ServiceDemand: s.scaled,
 		Metrics: fleetgateway.NewMetrics(), Log: log,
 		Retry:  retrybudget.Options{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, UsedFraction: 0.8},
 		Agents: s.agents,
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -54,7 +54,9 @@
 	Pool       *upstream.Pool
 	Limits     *Limits
 	Demand     *Demand
-	Retry      retrybudget.Options
+	// ServiceDemand counts the demand for services with scaling; nil if it is not needed.
+	ServiceDemand *ServiceDemand
+	Retry         retrybudget.Options
 	// CheckConfiguration returns an error if the view's configuration is too old to be used.
 	CheckConfiguration func() error
 	// ConfigurationBehind reports whether a newer configuration than the view's is in force.
@@ -181,6 +183,7 @@
 	reservedAt    string                             // service whose budget has been charged
 	budgetLogged  bool                               // a refusal of the retry budget has been logged
 	demandCounted bool                               // the request is counted in the model's demand
+	scaled        scaledRequest                      // what is counted for a service with scaling
 	begunCounted  atomic.Bool                        // the request is counted as one that began to run
 	headSent      bool                               // the status line and header of the response were sent
 	lastEvent     string                             // ID of the last event that was sent to the caller
--- a/internal/fleetroute/table.go
+++ b/internal/fleetroute/table.go
@@ -212,6 +212,22 @@
 	return s.penalty * math.Exp2(-float64(now-s.failed)/float64(penaltyHalfLife))
 }
 
+// InFlight returns the requests in flight at a server from this gateway and, as far as they reported lately, from the others.
+func (t *Table) InFlight(id string, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	inFlight := 0
+	if s := t.servers[id]; s != nil {
+		inFlight = s.load.InFlight
+	}
+	for _, p := range t.peers {
+		if now-p.receivedAt < maxPeerLoadAge {
+			inFlight += p.loads[id].InFlight
+		}
+	}
+	return inFlight
+}
+
 // PrefillRate returns the rate at which a model's prompts are processed, in prompt tokens per millisecond.
 func (t *Table) PrefillRate(model string) float64 {
 	t.mu.Lock()
--- a/internal/peers/export_test.go
+++ b/internal/peers/export_test.go
@@ -17,3 +17,24 @@
 	row, _, err := m.requestRow(ctx, address, rowKey{"op", "config"})
 	return row, err
 }
+
+// ScaleStream passes the demand for services with scaling from one gateway to another as a stream between them does.
+type ScaleStream struct {
+	sent     *sentState
+	received receivedScale
+}
+
+// NewScaleStream returns a new stream.
+func NewScaleStream() *ScaleStream {
+	return &ScaleStream{newSentState(), receivedScale{services: make(map[string]*wirepb.ServiceDemand), names: make(nameDecoder)}}
+}
+
+// Pass sends an update to a peer that holds the duties under the given epoch, or does not if that is zero. It returns the report in
+// the update, the epoch and the demand that the peer has after it, and whether the peer understood it.
+func (s *ScaleStream) Pass(demand []*wirepb.ServiceDemand, scaled bool, epoch int64) (
+	report *wirepb.ScaleReport, known int64, services map[string]*wirepb.ServiceDemand, ok bool) {
+	u := new(wirepb.PeerUpdate)
+	s.sent.addScale(u, &ownState{serviceDemand: demand, scaled: scaled}, epoch)
+	ok = s.received.apply(u.GetScale())
+	return u.GetScale(), s.received.epoch, s.received.services, ok
+}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -99,6 +99,13 @@
 	Usage func() (report *wirepb.UsageReport, holder bool)
 	// OnUsage receives the counts of requests that the gateway with the given incarnation sent, each with its source. It may be nil.
 	OnUsage func(incarnation string, report *wirepb.UsageReport)
+	// Scale returns the demand for services with scaling from this gateway's callers, and whether there are such services. The result
+	// is not changed later. If Scale is nil, no demand is sent.
+	Scale func() (demand []*wirepb.ServiceDemand, scaled bool)
+	// OnScale receives, with each update of a gateway that has reported to this one as the holder of the duties, all demand that it
+	// reported, by service. epoch is that of this gateway for which it reports. The map must not be used after the call. OnScale may
+	// be nil.
+	OnScale func(from *wirepb.Identity, epoch int64, demand map[string]*wirepb.ServiceDemand)
 	Log     *slog.Logger
 }
 
@@ -109,7 +116,7 @@
 	lastUpdateAt     time.Duration // zero if never
 	addedAt          time.Duration
 	lost             bool
-	isPlanner        bool   // holds the planner's lease, by its last update
+	plannerEpoch     int64  // of the planner's lease if the peer holds it, by its last update
 	storeUnreachable bool   // cannot read the store, by its last update
 	leaving          bool   // is shutting down, by its last update
 	rowsHash         uint64 // of the peer's rows, by its last update
@@ -330,10 +337,10 @@
 	return !p.ignoresOffers
 }
 
-func (m *Mesh) peerIsPlanner(p *peer) bool {
+func (m *Mesh) peerPlannerEpoch(p *peer) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return p.isPlanner
+	return p.plannerEpoch
 }
 
 // KnownCount returns the number of gateways whose addresses are known, including this one and those that have not sent an
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -21,6 +21,7 @@
 
 	replicas, organisations nameEncoder
 	usage                   sentUsage
+	scale                   sentScale
 }
 
 func newSentState() *sentState {
@@ -28,6 +29,7 @@
 		loads: make(map[string]*wirepb.ReplicaLoad), use: make(map[string]int64), demand: make(map[string]float64),
 		replicas: make(nameEncoder), organisations: make(nameEncoder),
 		usage: sentUsage{counts: make(map[usageKey]int64), sources: make(nameEncoder)},
+		scale: sentScale{services: make(map[string]*wirepb.ServiceDemand), names: make(nameEncoder)},
 	}
 }
 
@@ -62,6 +64,7 @@
 type nameDecoders struct {
 	replicas, organisations, sources nameDecoder
 	incarnation                      string // of the sender
+	scale                            receivedScale
 }
 
 // decodeNames replaces the numbers in an update by names. It reports false if the sender used a number without having sent
@@ -81,7 +84,7 @@
 		}
 		o.Organisation = name
 	}
-	return d.decodeUsage(u)
+	return d.decodeUsage(u) && d.scale.apply(u.GetScale())
 }
 
 // addChanges adds to u what changed since the last call. planner says that the peer holds the planner's lease and needs the
@@ -149,7 +152,8 @@
 // unchanged reports whether u contains nothing new since the last call.
 func (s *sentState) unchanged(u *wirepb.PeerUpdate) bool {
 	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
-		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && u.GetGuard() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && u.GetUsage() == nil && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
+		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && u.GetGuard() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && u.GetUsage() == nil && u.GetScale() == nil &&
+		!u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
 		u.GetStoreAway() == s.storeUnreachable && u.GetKnowledge() == s.rowsHash
 	s.plannerEpoch, s.storeUnreachable, s.rowsHash = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetKnowledge()
 	return same
@@ -178,7 +182,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	m.AddAddresses([]string{identity.GetAddress()})
-	decoders := nameDecoders{make(nameDecoder), make(nameDecoder), make(nameDecoder), identity.GetIncarnation()}
+	decoders := nameDecoders{
+		replicas: make(nameDecoder), organisations: make(nameDecoder), sources: make(nameDecoder), incarnation: identity.GetIncarnation(),
+		scale: receivedScale{services: make(map[string]*wirepb.ServiceDemand), names: make(nameDecoder)},
+	}
 	for u := first; ; {
 		if !decoders.decodeNames(u) {
 			m.opts.Log.Warn("stream from peer closed: unknown name number", "peer", identity.GetHost())
@@ -187,6 +194,9 @@
 		if !m.applyUpdate(identity, u) {
 			return
 		}
+		if decoders.scale.epoch != 0 && m.opts.OnScale != nil {
+			m.opts.OnScale(identity, decoders.scale.epoch, decoders.scale.services)
+		}
 		if err := stream.SetReadDeadline(time.Now().Add(forgetAfter)); err != nil {
 			return
 		}
@@ -226,7 +236,7 @@
 		}
 	}
 	p.name, p.incarnation, p.lastUpdateAt, p.lost = identity.GetHost(), identity.GetIncarnation(), now, false
-	p.isPlanner, p.storeUnreachable, p.leaving = u.GetPlannerEpoch() != 0, u.GetStoreAway(), u.GetLeaving()
+	p.plannerEpoch, p.storeUnreachable, p.leaving = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetLeaving()
 	p.rowsHash = u.GetKnowledge()
 	m.forgotten = false
 	use, demand := make(map[string]float64), make(map[string]float64)
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -61,9 +61,11 @@
 	guardPosition := uint64(0)
 	for {
 		own := m.currentState()
-		planner := m.peerIsPlanner(p)
+		epoch := m.peerPlannerEpoch(p)
+		planner := epoch != 0
 		sent.addChanges(u, own, planner)
 		sent.addUsage(u, own, p.address, planner)
+		sent.addScale(u, own, epoch)
 		if time.Since(lastFreshness) >= freshnessInterval && (own.readsStore || m.provides(p)) {
 			u.Freshness, lastFreshness = own.freshness, time.Now()
 		}
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -21,6 +21,8 @@
 	usage            *wirepb.UsageReport // nil if no counts are sent
 	holdsDuties      bool
 	usageStandby     string // address of the gateway that gets the counts beside the holder
+	serviceDemand    []*wirepb.ServiceDemand
+	scaled           bool // there are services with scaling
 }
 
 // currentState returns the state to send. It is read again after a tenth of the update interval, and not for each of the
@@ -41,6 +43,9 @@
 			m.state.usage, m.state.holdsDuties = m.opts.Usage()
 			m.state.usageStandby = m.usageStandby()
 		}
+		if m.opts.Scale != nil {
+			m.state.serviceDemand, m.state.scaled = m.opts.Scale()
+		}
 	}
 	return m.state
 }
--- a/internal/peers/usage.go
+++ b/internal/peers/usage.go
@@ -30,7 +30,7 @@
 	defer m.mu.Unlock()
 	address, best := "", uint64(0)
 	for _, p := range m.peers {
-		if p.name == "" || p.isPlanner || p.leaving || now-p.lastUpdateAt > peerTimeout {
+		if p.name == "" || p.plannerEpoch != 0 || p.leaving || now-p.lastUpdateAt > peerTimeout {
 			continue
 		}
 		if score := xxhash.Sum64String("usage/" + p.name); address == "" || score > best {
