Start the orders of replica counts in the gateway

internal/autoscale was complete but not started: its observer got no reports of other gateways and its runner had no duty, calls or store.

Change: cmd/pomelo-fleet-gateway/scaling.go connects them where cloud.duties names autoscale. Without a service with scaling in the configuration the runner does not hold the duty and no reports are sent. The calls use the client of the duties, with its token, check of the lease and rate. A call that the client did not send (rate used up, lease lost) is no failed call: it is made in a later round without the pause after failures (autoscale.ErrNotSent). A gateway that acquired the duty again took the time without it for a time without demand, because reports arrive before the first round: it saw 0.04 in place of 4 per second and then a steep rise. The averages are now advanced before a gateway's rate is added. The five metrics moved to the section of the fleet gateway; the test of internal/autoscale checks that they are listed there, and that of the gateway that no others are.

--- a/cmd/pomelo-fleet-gateway/duties.go
+++ b/cmd/pomelo-fleet-gateway/duties.go
@@ -19,6 +19,7 @@
 	client   *duty.Client
 	ledger   *usage.Ledger
 	metering *duty.Metering
+	scaling  *scaling
 }
 
 // newDuties sets up the duties that the settings name.
@@ -37,6 +38,9 @@
 			Late: s.Bounds.UsageLate, Clock: clock, Wall: time.Now, Log: g.log,
 		})
 	}
+	if d.scaling != nil {
+		d.scaling.setUp(g, clock)
+	}
 }
 
 // startDuties starts the background tasks of the duties.
@@ -44,6 +48,9 @@
 	if g.duties.metering != nil {
 		group.Go("usage reports", g.duties.metering.Run)
 	}
+	if g.duties.scaling != nil {
+		group.Go("replica counts", g.duties.scaling.runner.Run)
+	}
 }
 
 // usageSource sets up the counts of requests if the settings name the duty that needs them, and returns the function by which the
@@ -95,6 +102,7 @@
 	}
 	publish("cloud_calls", func() int64 { all, _ := cloudCalls(); return all })
 	publish("cloud_failures", func() int64 { _, failed := cloudCalls(); return failed })
+	g.addScalingVars(vars)
 	stats := func(value func(duty.MeteringStats) int64) func() int64 {
 		return func() int64 {
 			if g.duties.metering == nil {
--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -119,6 +119,9 @@
 func (g *gateway) PeerLost(peer string) {
 	g.table.DropPeer(peer)
 	g.freshness.Forget(peer)
+	if g.duties.scaling != nil {
+		g.duties.scaling.observer.Drop(peer)
+	}
 }
 
 // checkConfiguration returns an error if the configuration must not be used any longer.
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -122,9 +122,10 @@
 		Host: s.Host, DataCentre: s.DataCentre, Role: "gateway", Incarnation: uuid.NewString(), Address: s.ControlAddress,
 	}
 	clock := bootclock.Clock(bootclock.Now)
+	g.duties.scaling = newScaling(s)
 	g.mesh = peers.New(peers.Options{
 		Identity: identity, Seeds: func() []string { return settings.Get().Seeds }, Pool: g.sessions, Clock: clock,
-		Source: g, Sink: g, Usage: g.usageSource(identity), OnUsage: g.receiveUsage, Log: log,
+		Source: g, Sink: g, Usage: g.usageSource(identity), OnUsage: g.receiveUsage, Scale: g.scaleSource(), OnScale: g.receiveScale, Log: log,
 	})
 	g.limits = fleetgateway.NewLimits(clock, g.mesh.Count, func() float64 {
 		if s.FirstStart {
@@ -157,7 +158,7 @@
 	g.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
 		CheckConfiguration: g.checkConfiguration, ConfigurationBehind: g.freshness.Behind,
-		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
+		Demand: g.demand, ServiceDemand: g.serviceDemand(), Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
 		CountBegun: g.countBegun(), Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
--- a/cmd/pomelo-fleet-gateway/staleness_test.go
+++ b/cmd/pomelo-fleet-gateway/staleness_test.go
@@ -52,6 +52,11 @@
 
 // startFleetMember starts a gateway that stops with the test, or earlier by its stop function.
 func startFleetMember(t *testing.T, g *WithT, name string, store *fake.Store, seeds ...string) *fleetMember {
+	return startFleetMemberWith(t, g, name, store, "", seeds...)
+}
+
+// startFleetMemberWith is startFleetMember with more settings, each after a comma.
+func startFleetMemberWith(t *testing.T, g *WithT, name string, store *fake.Store, more string, seeds ...string) *fleetMember {
 	m := &fleetMember{peers: unusedAddress(g)}
 	handler := store.Handler()
 	m.store = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -71,8 +76,8 @@
 	}
 	g.Expect(os.WriteFile(path, fmt.Appendf(nil, `{"node_name":%q,"ip":"127.0.0.1","port_range":[%s,%s],"zone":"a",
 		"provider":{"address":%q},"listen":{"front":"127.0.0.1:3","control":%q,"readiness":"127.0.0.1:0"},
-		"seeds":[%s],"bounds":{"config_ms":%d}}`, name, port, port, m.store.Listener.Addr(), m.peers, seedList,
-		configurationBound.Milliseconds()), 0o600)).To(Succeed())
+		"seeds":[%s],"bounds":{"config_ms":%d}%s}`, name, port, port, m.store.Listener.Addr(), m.peers, seedList,
+		configurationBound.Milliseconds(), more), 0o600)).To(Succeed())
 	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() {
--- a/internal/autoscale/observe.go
+++ b/internal/autoscale/observe.go
@@ -103,6 +103,9 @@
 			a.work.Add(work)
 			a.refused.Add(refused)
 		} else {
+			// While the duty is not held nobody advances the averages. That time must not count for the rate that is added now.
+			a.work.Advance(now)
+			a.refused.Advance(now)
 			a.work.Shift(work / known.Seconds())
 			a.refused.Shift(refused / known.Seconds())
 		}
--- a/internal/autoscale/observe_test.go
+++ b/internal/autoscale/observe_test.go
@@ -109,3 +109,26 @@
 		}
 	}
 }
+
+// Guards against a gateway that acquires the duty again and takes the time in which it did not hold it for a time without demand: the
+// reports arrive before it may act, and the demand that it then sees would look like a steep ramp.
+func TestObserverKnowsTheRatesWhenTheDutyReturns(t *testing.T) {
+	g := NewWithT(t)
+	o, play, service := observed(t)
+	play(0, 20*time.Second, "g2", "g3")
+	work := 5000.0
+	report := func(at time.Duration) {
+		work++
+		o.Receive(at, "g2", "1", "south", map[string]autoscale.Totals{"s": {Work: work}})
+	}
+	at := 2 * time.Minute
+	for ; at < 2*time.Minute+3*time.Second; at += 250 * time.Millisecond {
+		report(at)
+	}
+	for ; at < 2*time.Minute+10*time.Second; at += 250 * time.Millisecond {
+		report(at)
+		south := service(at).DataCentres[1].Demand
+		g.Expect(south.Rate).To(BeNumerically("~", 4, 0.5), "at %v", at)
+		g.Expect(south.Trend).To(BeZero(), "at %v", at)
+	}
+}
--- a/internal/autoscale/runner.go
+++ b/internal/autoscale/runner.go
@@ -31,7 +31,11 @@
 	Token() (token int64, held bool)
 }
 
-// Caller calls the platform. A call without an error was answered: the platform has the count.
+// ErrNotSent means that a call was not sent, because the duty was lost or the permitted rate of calls is used up for now.
+var ErrNotSent = errors.New("the call was not sent")
+
+// Caller calls the platform. A call without an error was answered: the platform has the count. The error of a call that was not sent
+// is ErrNotSent.
 type Caller interface {
 	Scale(ctx context.Context, token int64, service, dataCentre string, count int) error
 }
@@ -260,6 +264,10 @@
 	defer cancel()
 	err := r.opts.Caller.Scale(ctx, r.token, key.service, key.dataCentre, o.Count)
 	now := r.opts.Clock()
+	if errors.Is(err, ErrNotSent) {
+		r.opts.Log.Debug("replica count not sent; it will be sent later", "key", key.String(), "token", r.token, "error", err)
+		return
+	}
 	o.attemptAt = now
 	r.calls.Add(1)
 	if err != nil {
--- a/internal/autoscale/runner_test.go
+++ b/internal/autoscale/runner_test.go
@@ -28,6 +28,7 @@
 	calls      []scaleCall
 	down       bool // calls fail before they arrive
 	loseAnswer bool // calls arrive and fail
+	notSent    bool // calls are not sent, as those beyond the permitted rate
 
 	rows        map[string]platform.Row
 	version     int64
@@ -88,7 +89,10 @@
 func (g *gateway) Token() (int64, bool) { return g.token, g.holder == g }
 
 func (g *gateway) Scale(_ context.Context, token int64, service, dataCentre string, count int) error {
-	if g.down {
+	switch {
+	case g.notSent:
+		return fmt.Errorf("%w: fault of the test", autoscale.ErrNotSent)
+	case g.down:
 		return errFake
 	}
 	g.calls = append(g.calls, scaleCall{g.now, token, service + "/" + dataCentre, count})
@@ -201,6 +205,22 @@
 	expectCounts(t, f, 6, 9)
 }
 
+// Guards against an order that waits for the pause after a failure although nothing was sent, and against calls that are counted
+// although none was made.
+func TestAnOrderThatWasNotSentIsSentAsSoonAsItMay(t *testing.T) {
+	f := newFake()
+	a := f.gateway(map[string]float64{"x": 40})
+	f.pass(a)
+	f.notSent = true
+	f.rounds(30*time.Second, a)
+	f.notSent = false
+	f.rounds(250*time.Millisecond, a)
+	expectCounts(t, f, 6)
+	if calls := a.runner.Vars()["scale_calls"].String(); calls != "1" {
+		t.Fatalf("%s calls counted", calls)
+	}
+}
+
 // Guards against a call under a token that has passed, and a settled count that nobody sends.
 func TestTheDutyIsLostBetweenRowAndCall(t *testing.T) {
 	f := newFake()
@@ -297,12 +317,14 @@
 
 // Guards against metrics that the operations page does not list, or lists under a wrong name.
 func TestMetricsAreDocumented(t *testing.T) {
-	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Metrics of replica counts")
+	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Metrics of the fleet gateway")
 	if err != nil {
 		t.Fatal(err)
 	}
-	published := vardoc.Published(newFake().gateway(nil).runner.Vars())
-	if slices.Sort(documented); !slices.Equal(documented, published) {
-		t.Fatalf("documented %v, published %v", documented, published)
+	// The test of the gateway's metrics checks that the page lists no others.
+	for _, name := range vardoc.Published(newFake().gateway(nil).runner.Vars()) {
+		if !slices.Contains(documented, name) {
+			t.Errorf("%s is not documented", name)
+		}
 	}
 }
--- a/internal/peers/export_test.go
+++ b/internal/peers/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
 
@@ -35,6 +37,6 @@
 	report *wirepb.ScaleReport, known int64, services map[string]*wirepb.ServiceDemand, ok bool) {
 	u := new(wirepb.PeerUpdate)
 	s.sent.addScale(u, &ownState{serviceDemand: demand, scaled: scaled}, epoch)
-	ok = s.received.apply(u.GetScale())
+	ok = s.received.apply(proto.CloneOf(u).GetScale()) // the names are decoded in place
 	return u.GetScale(), s.received.epoch, s.received.services, ok
 }
--- a/internal/peers/scale_test.go
+++ b/internal/peers/scale_test.go
@@ -42,6 +42,7 @@
 		report, _, services, ok = stream.Pass([]*wirepb.ServiceDemand{waiting, one("t", 1)}, true, 7)
 		Expect(ok).To(BeTrue())
 		Expect(report.GetServices()).To(HaveLen(1))
+		Expect(report.GetServices()[0].GetService()).To(BeEmpty())
 		Expect(services["s"].GetWaiting()).To(Equal(int64(3)))
 		Expect(services["t"].GetWork()).To(Equal(int64(1)))
 	})
