Bound heads, stalled bodies and unread answers of the fleet's HTTP listeners

Cause: net/http keeps about 100 bytes for each field of a head, however short, and the heads of many connections were bounded one by one only; readiness and metrics allowed heads of 1 MB and waited for bodies and readers without a limit.

Change: - internal/headscan counts bytes and fields of a head before net/http parses it. internal/arrivals takes their memory from an account (a tenth of the memory for callers, a 64th for readiness and metrics). The first 8 KiB of each head are exempt, so that long heads do not keep out ordinary ones. What is not covered is answered 503, more than max_fields 431; neither ran. - Connections without progress (half a head, a body that stops, an answer that nobody reads) are ended after a limit, and earlier when all connections of the listener are in use: heads that hold most first. - Readiness and metrics: heads of 8 KB, requests of 5 s, answers of 15 s; a request with a body is answered without it. - Refusals of the fleet gateway have a write deadline. - Limits are in the section client_limits of the platform's settings; metrics clients_refused and head_bytes; the log line "client refused" at most once a second for each listener and reason (internal/refusals). - The Go runtime's limit leaves at least 28 MB, because 14 MB of a program's file are resident: 70% of 64 MB left 19.

Frames of peers, pomelo-gateway and pomelo-sidecar are still unbounded.

--- a/cmd/pomelo-fleet-agent/main.go
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -16,6 +16,8 @@
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -35,6 +37,7 @@
 	}
 	reclaimer := descriptors.NewReclaimer(log)
 	shares := descriptors.DivideBeside(descriptors.Allowance(s.Connections))
+	memory, refused := memorybudget.DivideBeside(s.MemoryBytes), new(refusals.Set)
 	store := platform.NewStore(s.Store.Address, reclaimer)
 	a := agent.New(agent.Options{
 		Host: s.Host, Engine: platform.NewEngineClient(s.EngineAddress, reclaimer), Store: store, Log: log,
@@ -51,18 +54,22 @@
 		return settings.Watch(ctx, func(s *platform.Settings) { store.SetAddress(s.Store.Address) })
 	})
 	group.Go("metrics", func(ctx context.Context) error {
-		endpoint := fleetprocess.Endpoint{Address: s.MetricsAddress, MaxConnections: shares.Operators, Reclaim: reclaimer, Log: log}
-		return endpoint.ServeMetrics(ctx, vars(settings.Sink, store, reclaimer))
+		endpoint := fleetprocess.Endpoint{
+			Name: "metrics", Address: s.MetricsAddress, MaxConnections: shares.Operators, Reclaim: reclaimer, Log: log,
+			Clients: s.Clients, Heads: memorybudget.New(memory.OperatorHeads), Refusals: refused,
+		}
+		return endpoint.ServeMetrics(ctx, vars(settings.Sink, store, reclaimer, refused))
 	})
 	log.Info("started", "address", s.PeerAddress, "engine", s.EngineAddress, "service", s.EngineService)
 	return group.Wait()
 }
 
-func vars(sink *logsink.Sink, store *platform.Store, reclaimer *descriptors.Reclaimer) map[string]expvar.Var {
+func vars(sink *logsink.Sink, store *platform.Store, reclaimer *descriptors.Reclaimer, refused *refusals.Set) map[string]expvar.Var {
 	return map[string]expvar.Var{
 		"log_lines_dropped": sink.Dropped(),
 		"descriptors_short": expvar.Func(func() any { return reclaimer.Short() }),
 		"store_calls":       expvar.Func(func() any { all, _ := store.Calls(); return all }),
+		"clients_refused":   refused.Var(),
 		"store_failures":    expvar.Func(func() any { _, failed := store.Calls(); return failed }),
 	}
 }
--- a/cmd/pomelo-fleet-agent/main_test.go
+++ b/cmd/pomelo-fleet-agent/main_test.go
@@ -17,6 +17,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleetprocess"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/vardoc"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -27,7 +28,7 @@
 	sink, _ := logsink.New(io.Discard, slog.LevelInfo)
 	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Metrics of the fleet agent")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(slices.Collect(maps.Keys(vars(sink, platform.NewStore("127.0.0.1:1", nil), descriptors.NewReclaimer(slog.New(slog.DiscardHandler)))))).To(ConsistOf(documented))
+	g.Expect(slices.Collect(maps.Keys(vars(sink, platform.NewStore("127.0.0.1:1", nil), descriptors.NewReclaimer(slog.New(slog.DiscardHandler)), new(refusals.Set))))).To(ConsistOf(documented))
 }
 
 // Guards against a process that opens sockets although its settings are invalid or although it was started with -check.
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/peers"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
@@ -50,38 +51,44 @@
 	registerTimeout = time.Second
 	// registerRetryInterval is the pause after a failed attempt to register.
 	registerRetryInterval = 500 * time.Millisecond
+	// callerStallTime is the time without progress after which a connection of a caller may be ended when all are in use. A sound
+	// caller sends a head in one piece or a few.
+	callerStallTime = time.Second
 	// memberTable is the store's table of gateway addresses, for a gateway that starts when no seed responds.
 	memberTable = "gateways"
 )
 
 // gateway holds the components of the process.
 type gateway struct {
-	settings     *platform.Settings
-	log          *slog.Logger
-	store        *platform.Store
-	view         *fleet.View
-	table        *fleetroute.Table
-	limits       *fleetgateway.Limits
-	demand       *fleetgateway.Demand
-	metrics      *fleetgateway.Metrics
-	pool         *upstream.Pool
-	sessions     *transport.Pool
-	mesh         *peers.Mesh
-	agents       *agentclient.Client
-	follower     *discovery.Follower
-	freshness    *freshness.Tracker
-	stale        atomic.Bool // the last check found the configuration too old
-	lease        *fleetplanner.Lease
-	planner      *fleetplanner.Planner
-	server       *fleetgateway.Server
-	logSink      interface{ Dropped() expvar.Var }
-	callers      *arrivals.Tracker // connections of callers
-	shares       descriptors.Shares
-	reclaimer    *descriptors.Reclaimer
-	bodies       *memorybudget.Budget // of callers
-	shortBodies  *memorybudget.Budget
-	answers      *memorybudget.Budget // of servers
-	peerListener net.Listener
+	settings      *platform.Settings
+	log           *slog.Logger
+	store         *platform.Store
+	view          *fleet.View
+	table         *fleetroute.Table
+	limits        *fleetgateway.Limits
+	demand        *fleetgateway.Demand
+	metrics       *fleetgateway.Metrics
+	pool          *upstream.Pool
+	sessions      *transport.Pool
+	mesh          *peers.Mesh
+	agents        *agentclient.Client
+	follower      *discovery.Follower
+	freshness     *freshness.Tracker
+	stale         atomic.Bool // the last check found the configuration too old
+	lease         *fleetplanner.Lease
+	planner       *fleetplanner.Planner
+	server        *fleetgateway.Server
+	logSink       interface{ Dropped() expvar.Var }
+	callers       *arrivals.Tracker // connections of callers
+	shares        descriptors.Shares
+	reclaimer     *descriptors.Reclaimer
+	bodies        *memorybudget.Budget // of callers
+	shortBodies   *memorybudget.Budget
+	answers       *memorybudget.Budget // of servers
+	heads         *memorybudget.Budget // of callers' requests
+	operatorHeads *memorybudget.Budget
+	refusals      refusals.Set
+	peerListener  net.Listener
 }
 
 func newGateway(settings *fleetprocess.Settings, log *slog.Logger) (*gateway, error) {
@@ -100,7 +107,7 @@
 	reclaimer := descriptors.NewReclaimer(log)
 	shares := descriptors.Divide(descriptors.Allowance(s.Connections))
 	g := &gateway{
-		shares: shares, reclaimer: reclaimer, callers: arrivals.New(arrivals.Options{MaxConnections: shares.Callers, Log: log}),
+		shares: shares, reclaimer: reclaimer,
 		settings: s, log: log, store: platform.NewStore(s.Store.Address, reclaimer), view: fleet.NewView(), table: fleetroute.NewTable(),
 		freshness: freshness.New(s.Bounds.Configuration), demand: fleetgateway.NewDemand(), metrics: fleetgateway.NewMetrics(),
 		sessions: transport.NewPoolWithControl(platform.SetTCPUserTimeout),
@@ -111,6 +118,11 @@
 		logSink: settings.Sink, peerListener: listener,
 	}
 	memory := memorybudget.Divide(s.MemoryBytes)
+	g.heads, g.operatorHeads = memorybudget.New(memory.Heads), memorybudget.New(memory.OperatorHeads)
+	g.callers = arrivals.New(arrivals.Options{MaxConnections: shares.Callers, Log: log, Limits: arrivals.Limits{
+		Refusals: g.refusals.Recorder("callers", log), MaxFields: s.Clients.MaxFields, Heads: g.heads, BodyStall: s.Clients.BodyStall, Unread: s.Clients.Unread,
+		StallTime: callerStallTime,
+	}})
 	g.bodies, g.shortBodies = memorybudget.New(memory.Bodies), memorybudget.New(memory.ShortBodies)
 	g.answers = memorybudget.New(memory.Answers)
 	g.sessions.ReclaimWith(reclaimer)
@@ -178,13 +190,16 @@
 	group.Go("cleaning", g.cleanUp)
 	group.Go("prompt guard", g.runGuard)
 	group.Go("readiness", func(ctx context.Context) error {
-		return g.endpoint(g.settings.ReadinessAddress).Serve(ctx, g.readiness())
+		return g.endpoint("readiness", g.settings.ReadinessAddress).Serve(ctx, g.readiness())
 	})
 }
 
 // endpoint returns a server for the platform or for operators.
-func (g *gateway) endpoint(address string) fleetprocess.Endpoint {
-	return fleetprocess.Endpoint{Address: address, MaxConnections: g.shares.Operators, Reclaim: g.reclaimer, Log: g.log}
+func (g *gateway) endpoint(name, address string) fleetprocess.Endpoint {
+	return fleetprocess.Endpoint{
+		Name: name, Address: address, MaxConnections: g.shares.Operators, Reclaim: g.reclaimer, Log: g.log,
+		Clients: g.settings.Clients, Heads: g.operatorHeads, Refusals: &g.refusals,
+	}
 }
 
 // readiness returns the handler of readiness checks. It responds on every path, because the platform requests only
@@ -210,6 +225,8 @@
 	vars["bodies_refused"] = expvar.Func(func() any { return g.bodies.Refused() })
 	vars["answer_bytes"] = expvar.Func(func() any { return g.answers.Held() })
 	vars["answers_refused"] = expvar.Func(func() any { return g.answers.Refused() })
+	vars["head_bytes"] = expvar.Func(func() any { return g.heads.Held() + g.operatorHeads.Held() })
+	vars["clients_refused"] = g.refusals.Var()
 	vars["store_calls"] = expvar.Func(func() any { all, _ := g.store.Calls(); return all })
 	vars["store_failures"] = expvar.Func(func() any { _, failed := g.store.Calls(); return failed })
 	vars["backend_connections_opened"] = expvar.Func(func() any { return g.pool.Dials() })
--- a/cmd/pomelo-fleet-gateway/main.go
+++ b/cmd/pomelo-fleet-gateway/main.go
@@ -60,7 +60,7 @@
 	group := background.NewGroup(ctx, log)
 	g.start(group)
 	group.Go("metrics", func(ctx context.Context) error {
-		return g.endpoint(g.settings.MetricsAddress).ServeMetrics(ctx, g.vars(), g.addRefusedPrompts)
+		return g.endpoint("metrics", g.settings.MetricsAddress).ServeMetrics(ctx, g.vars(), g.addRefusedPrompts)
 	})
 	group.Go("settings", func(ctx context.Context) error {
 		return settings.Watch(ctx, func(s *platform.Settings) { g.store.SetAddress(s.Store.Address) })
--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -39,9 +39,10 @@
 // Shutdown and Close of http.Server do not serve that: both close connections on which a part of a request has been read,
 // and after a call of one of them the server answers no request whose header it reads.
 type Tracker struct {
-	opts  Options
-	ended atomic.Int64 // idle connections ended because of Options.MaxConnections or EndLongestIdle
-	full  atomic.Int64 // connections refused because of Options.MaxConnections
+	opts   Options
+	ended  atomic.Int64 // idle connections ended because of Options.MaxConnections or EndLongestIdle
+	full   atomic.Int64 // connections refused because of Options.MaxConnections
+	secure atomic.Bool  // the server adds TLS
 
 	mu       sync.Mutex
 	conns    map[*arrivalConn]struct{}
@@ -55,10 +56,13 @@
 	// are ended. If there is none, new connections are closed before anything is read from them.
 	MaxConnections int
 	Log            *slog.Logger // may be nil without MaxConnections
+	Limits         Limits
 }
 
 // New returns a Tracker without connections.
-func New(opts Options) *Tracker { return &Tracker{opts: opts, conns: make(map[*arrivalConn]struct{})} }
+func New(opts Options) *Tracker {
+	return &Tracker{opts: opts, conns: make(map[*arrivalConn]struct{})}
+}
 
 // Counts returns the number of open connections, and since the start of those that were ended while idle and of those that
 // were refused to keep to the bound.
@@ -74,20 +78,34 @@
 // Attach sets the hooks of a server and wraps its handler. The server must use a listener of Listener.
 func (a *Tracker) Attach(server *http.Server) {
 	handler := server.Handler
+	a.secure.Store(server.TLSConfig != nil)
 	server.ConnState = a.connState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
 			if c := tracked(conn); c != nil {
 				defer a.handled(c)
+				if reason := c.coverParsed(r); reason != none {
+					c.refuseParsed(w, reason)
+					return
+				}
+				if r.ProtoMajor == 1 && r.Body != nil && r.Body != http.NoBody {
+					r.Body = &trackedBody{r.Body, c}
+				}
 			}
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// Listener returns a listener whose connections are tracked.
-func (a *Tracker) Listener(l net.Listener) net.Listener { return &arrivalListener{l, a} }
+// Listener returns a listener whose connections are tracked. Until it is closed, a goroutine ends connections without progress.
+func (a *Tracker) Listener(l net.Listener) net.Listener {
+	tracked := &arrivalListener{Listener: l, arrivals: a, closed: make(chan struct{})}
+	if a.opts.Limits.BodyStall > 0 || a.opts.Limits.Unread > 0 {
+		go a.watch(tracked.closed)
+	}
+	return tracked
+}
 
 // tracked returns the tracked connection below conn, which may add TLS to it, or nil.
 func tracked(conn net.Conn) *arrivalConn {
@@ -109,10 +127,16 @@
 	switch state {
 	case http.StateActive:
 		c.used, c.serving, c.ended, c.handledAt, c.lastByteAt = true, true, false, time.Time{}, time.Time{}
+		if c.cut { // the head became complete at the same time
+			c.cut = false
+			_ = c.Conn.SetReadDeadline(time.Time{}) // fails on a closed connection only
+		}
 	case http.StateIdle:
-		c.serving, c.handledAt, c.lastByteAt, c.idleSince = false, time.Time{}, time.Time{}, time.Now()
+		c.serving, c.handledAt, c.lastByteAt, c.idleSince, c.headSince = false, time.Time{}, time.Time{}, time.Now(), time.Time{}
+		c.head.reset()
 	case http.StateClosed, http.StateHijacked:
 		delete(a.conns, c)
+		c.head.reset()
 	}
 }
 
@@ -143,7 +167,11 @@
 	if open < a.opts.MaxConnections {
 		return true
 	}
-	ended := a.endLongestIdle(a.opts.MaxConnections/idleBatchFraction + 1)
+	batch := a.opts.MaxConnections/idleBatchFraction + 1
+	ended := a.endLongestIdle(batch)
+	if ended == 0 {
+		ended = a.endWithoutProgress(time.Now(), batch)
+	}
 	if ended == 0 {
 		a.full.Add(1)
 	}
@@ -268,21 +296,33 @@
 	return !c.ended
 }
 
-// recordBytes records that bytes were read from a connection. One that was ended at the same time goes on, because the bytes
-// may be a whole request.
-func (a *Tracker) recordBytes(c *arrivalConn) {
+// recordBytes records that bytes were read from a connection, and reports whether they may belong to a head. One that was ended
+// at the same time goes on, because the bytes may be a whole request.
+func (a *Tracker) recordBytes(c *arrivalConn) (inHead bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.lastByteAt = time.Now()
-	if c.ended {
+	if c.headSince.IsZero() && !c.serving {
+		c.headSince = c.lastByteAt
+	}
+	if c.ended && !c.cut {
 		c.ended = false
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails on a closed connection only
 	}
+	return !c.serving
 }
 
 type arrivalListener struct {
 	net.Listener
-	arrivals *Tracker
+	arrivals  *Tracker
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// Close implements net.Listener.
+func (l *arrivalListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // Accept implements net.Listener.
@@ -293,6 +333,7 @@
 			return nil, err
 		}
 		c := &arrivalConn{Conn: conn, arrivals: l.arrivals}
+		c.head.limits = &l.arrivals.opts.Limits
 		if l.arrivals.add(c) {
 			return c, nil
 		}
@@ -310,6 +351,12 @@
 	lastByteAt time.Time // of the current request; zero if nothing of it was read since its header, or none arrives
 	idleSince  time.Time // when the last response ended, or the connection was accepted
 	ended      bool      // no further request may begin
+	cut        bool      // ended because it makes no progress, whatever arrives
+	headSince  time.Time // when the first byte of the head that arrives was read; zero if none arrives
+
+	head         head
+	readingSince atomic.Int64 // nanoseconds since 1970 when the handler began to wait for bytes of the body, or zero
+	writingSince atomic.Int64 // nanoseconds since 1970 when the write in progress began, or zero
 }
 
 // endReads lets reads fail, which makes the server close the connection.
@@ -336,11 +383,24 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.arrivals.recordBytes(c)
+		if inHead := c.arrivals.recordBytes(c); inHead && !c.arrivals.secure.Load() {
+			if reason := c.head.add(b[:n]); reason != none {
+				c.refuseUnparsed(reason)
+				return 0, os.ErrDeadlineExceeded
+			}
+		}
 	}
 	return n, err
 }
 
+// Write implements net.Conn. It records how long the client has not read.
+func (c *arrivalConn) Write(b []byte) (int, error) {
+	c.writingSince.Store(time.Now().UnixNano())
+	n, err := c.Conn.Write(b)
+	c.writingSince.Store(0)
+	return n, err
+}
+
 // CloseWrite closes the sending side. The server uses it so that a response is not lost when unread bytes of the caller
 // would reset the connection.
 func (c *arrivalConn) CloseWrite() error {
--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -51,14 +51,18 @@
 	return kind
 }
 
-// limitRest limits the time to read the rest of a request whose body was not read. net/http reads it before it sends the response, or
-// after it if the response closes the connection.
+// limitRest limits the time to read the rest of a request whose body was not read, and to write the response after it. net/http reads
+// the rest before it sends the response, or after it if the response closes the connection. Without a limit on the response, a caller
+// that sends requests ahead and reads nothing would keep its connection for good.
 func (q *request) limitRest() {
 	deadline := time.Now().Add(minRestTime)
 	if due := q.callerDeadline(); due.After(deadline) {
 		deadline = due
 	}
 	q.setReadDeadline(deadline)
+	if err := http.NewResponseController(q.writer).SetWriteDeadline(deadline.Add(writeGrace)); err != nil {
+		q.server.opts.Log.Debug("cannot set the write deadline of the response", "error", err)
+	}
 }
 
 // cancelledStatus returns the status for a caller that seems to have left. It may have closed only its sending side, which looks
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -28,6 +28,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
@@ -40,6 +41,13 @@
 	minPause = 500 * time.Millisecond
 	// headerTimeout limits reading the header of a request to a server started by Endpoint.Serve.
 	headerTimeout = 2 * time.Second
+	// answerTimeout limits writing an answer of such a server, in addition to Endpoint.Clients.OperatorTime.
+	answerTimeout = 10 * time.Second
+	// idleTimeout is how long an idle connection to such a server stays open.
+	idleTimeout = 2 * time.Minute
+	// stallTime is the time without progress after which a connection to such a server may be ended when all are in use. A
+	// readiness check waits a second for its answer.
+	stallTime = 300 * time.Millisecond
 )
 
 // Main parses the flags in args, loads the settings and calls run with them. The log goes to stdout, and usage and
@@ -143,8 +151,12 @@
 
 // Endpoint is an HTTP server for operators or the platform.
 type Endpoint struct {
+	Name           string // in the log
 	Address        string // IP:port to listen on
 	MaxConnections int    // zero for no limit
+	Clients        platform.ClientLimits
+	Heads          *memorybudget.Budget // memory of parsed heads
+	Refusals       *refusals.Set        // may be nil
 	Reclaim        *descriptors.Reclaimer
 	Log            *slog.Logger
 }
@@ -168,8 +180,15 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	tracker := arrivals.New(arrivals.Options{MaxConnections: e.MaxConnections, Log: e.Log})
+	server := &http.Server{
+		Handler: closeAfterBody(handler), ReadHeaderTimeout: min(headerTimeout, e.Clients.OperatorTime), IdleTimeout: idleTimeout,
+		ReadTimeout: e.Clients.OperatorTime, WriteTimeout: e.Clients.OperatorTime + answerTimeout,
+		MaxHeaderBytes: e.Clients.OperatorHeaderBytes,
+		ErrorLog:       slog.NewLogLogger(e.Log.Handler(), slog.LevelDebug),
+	}
+	tracker := arrivals.New(arrivals.Options{MaxConnections: e.MaxConnections, Log: e.Log, Limits: arrivals.Limits{
+		Refusals: e.Refusals.Recorder(e.Name, e.Log), MaxFields: e.Clients.MaxFields, Heads: e.Heads, BodyStall: e.Clients.OperatorTime, Unread: answerTimeout, StallTime: stallTime,
+	}})
 	tracker.Attach(server)
 	stop := context.AfterFunc(ctx, func() {
 		end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
@@ -184,6 +203,17 @@
 	return ctx.Err()
 }
 
+// closeAfterBody returns a handler that closes the connection after a request with a body. The server would otherwise wait for
+// the body, which no operator's request has, before it answers.
+func closeAfterBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // WaitIdle polls idle until it has reported true continuously for the duration quiet, and returns true. It returns false
 // if limit passes or ctx ends first. Time in which the process did not run does not count as idle: requests may have arrived.
 func WaitIdle(ctx context.Context, limit, quiet time.Duration, idle func() bool) bool {
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -15,8 +15,17 @@
 	bodiesFraction      = 5
 	shortBodiesFraction = 32
 	answersFraction     = 8
+	// headsFraction covers a head of 128 KB, the longest that a configuration allows, of the shortest fields from 48 MB on.
+	headsFraction         = 10
+	operatorHeadsFraction = 64
+	framesFraction        = 10
+	// framesBesideFraction is for a process beside a backend server, which has no callers and gets bodies in frames.
+	framesBesideFraction = 4
 	// limitPercent is the part of the memory that the Go runtime may use, in percent; the rest is for what it does not count.
 	limitPercent = 70
+	// programBytes is the least that the limit of the Go runtime leaves: of a program, 14 MB of the file are resident, and the
+	// runtime does not count its own tables and the kernel's buffers. It is more than 30% on hosts below 93 MB.
+	programBytes = 28 << 20
 	// defaultMemory is used if the settings name no memory, in bytes.
 	defaultMemory = 256 << 20
 	// stepBytes is the least that a Lease takes at a time.
@@ -28,19 +37,33 @@
 	Bodies      int64 // long bodies of callers' requests
 	ShortBodies int64 // short ones, so that long ones do not keep them out
 	Answers     int64 // parts of servers' answers that are not relayed yet
-	Limit       int64 // for debug.SetMemoryLimit; zero for none
+	Heads       int64 // parsed heads of callers' requests beyond those of ordinary size
+	// OperatorHeads is the same for readiness checks and for metrics, which do not take from callers.
+	OperatorHeads int64
+	Frames        int64 // of other processes, while they arrive
+	Limit         int64 // for debug.SetMemoryLimit; zero for none
 }
 
 // Divide returns the shares of a process that may use memory bytes, or the defaults if memory is not positive.
 func Divide(memory int64) Shares {
-	s := Shares{Limit: memory / 100 * limitPercent}
+	s := Shares{Limit: max(min(memory/100*limitPercent, memory-programBytes), memory/2)}
 	if memory <= 0 {
 		memory, s.Limit = defaultMemory, 0
 	}
 	s.Bodies, s.ShortBodies, s.Answers = memory/bodiesFraction, memory/shortBodiesFraction, memory/answersFraction
+	s.Heads, s.OperatorHeads, s.Frames = memory/headsFraction, memory/operatorHeadsFraction, memory/framesFraction
 	return s
 }
 
+// DivideBeside returns the shares of a process beside a backend server, which has no callers.
+func DivideBeside(memory int64) Shares {
+	s := Divide(memory)
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	return Shares{OperatorHeads: s.OperatorHeads, Frames: memory / framesBesideFraction, Limit: s.Limit}
+}
+
 // Budget is a number of bytes. It is safe for concurrent use.
 type Budget struct {
 	bound   int64
