Bound frames of other processes, and the clients of pomelo-gateway and pomelo-sidecar

Cause: frames of up to 8 MB were bounded one by one only, and yamux keeps the unread bytes of all streams of a session. The debug listener of a sidecar had no bound on connections and allowed heads of 1 MB. Heads at pomelo-gateway were bounded one by one.

Change: - Servers of internal/transport take the memory of a frame above 128 KiB from an account before they read it (a tenth of the memory; an eighth beside a backend server). A few frames wait for it. If more wait, or a frame makes no progress for 10 s, the session is closed, because only that frees the unread bytes of its other streams. - internal/operatorserver serves readiness, metrics and the sidecar's debug listener with the same small limits. - pomelo-gateway has the limits on heads, stalled bodies and unread answers of the fleet gateway. - Settings client_limits.memory (bodies of callers are bounded together only if it is set, as before) and client_limits.max_fields; metric clients_refused.

--- a/cmd/pomelo-fleet-agent/main.go
+++ b/cmd/pomelo-fleet-agent/main.go
@@ -42,7 +42,8 @@
 	a := agent.New(agent.Options{
 		Host: s.Host, Engine: platform.NewEngineClient(s.EngineAddress, reclaimer), Store: store, Log: log,
 	})
-	gateways := transport.NewServer(listener, nil, a.Handle, log, transport.WithDescriptors(shares.PeerSessions, reclaimer))
+	gateways := transport.NewServer(listener, nil, a.Handle, log, transport.WithDescriptors(shares.PeerSessions, reclaimer),
+		transport.WithFrames(memorybudget.New(memory.Frames), refused.Recorder("peers", log)))
 	reclaimer.Add("sessions without a stream", gateways.CloseIdle)
 
 	ctx, stop := fleetprocess.NotifyTermination(ctx)
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -87,6 +87,7 @@
 	answers       *memorybudget.Budget // of servers
 	heads         *memorybudget.Budget // of callers' requests
 	operatorHeads *memorybudget.Budget
+	frames        *memorybudget.Budget // of other gateways and agents
 	refusals      refusals.Set
 	peerListener  net.Listener
 }
@@ -119,6 +120,7 @@
 	}
 	memory := memorybudget.Divide(s.MemoryBytes)
 	g.heads, g.operatorHeads = memorybudget.New(memory.Heads), memorybudget.New(memory.OperatorHeads)
+	g.frames = memorybudget.New(memory.Frames)
 	g.callers = arrivals.New(arrivals.Options{MaxConnections: shares.Callers, Log: log, Limits: arrivals.Limits{
 		Refusals: g.refusals.Recorder("callers", log), MaxFields: s.Clients.MaxFields, Heads: g.heads, BodyStall: s.Clients.BodyStall, Unread: s.Clients.Unread,
 		StallTime: callerStallTime,
@@ -180,7 +182,8 @@
 	group.Go("discovery", g.follower.Run)
 	group.Go("peers", g.mesh.Run)
 	peerSessions := transport.NewServer(g.peerListener, nil, g.handlePeer, g.log,
-		transport.WithDescriptors(g.shares.PeerSessions, g.reclaimer))
+		transport.WithDescriptors(g.shares.PeerSessions, g.reclaimer),
+		transport.WithFrames(g.frames, g.refusals.Recorder("peers", g.log)))
 	g.reclaimer.Add("peer sessions without a stream", peerSessions.CloseIdle)
 	group.Go("peer sessions", peerSessions.Serve)
 	group.Go("registration", g.register)
--- a/cmd/pomelo-gateway/process.go
+++ b/cmd/pomelo-gateway/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -16,8 +17,10 @@
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/hostlist"
 	"github.com/pomelowheel/pomelowheel/internal/limitholder"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/planner"
 	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/route"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 	"github.com/pomelowheel/pomelowheel/internal/sidecarclient"
@@ -36,6 +39,8 @@
 	identity       *wirepb.Identity
 	pool           *transport.Pool
 	shares         descriptors.Shares
+	memory         memorybudget.Shares
+	refusals       refusals.Set
 	reclaimer      *descriptors.Reclaimer
 	store          *tablestore.CountingStore
 	hosts          *hostlist.List
@@ -104,6 +109,10 @@
 	p.identity = process.NewIdentity(s.Process, "gateway", peerListener.Addr().String())
 	p.shares = descriptors.Divide(descriptors.Allowance(0))
 	p.reclaimer = descriptors.NewReclaimer(p.log)
+	p.memory = memorybudget.Divide(int64(s.ClientLimits.Memory))
+	if p.memory.Limit > 0 {
+		debug.SetMemoryLimit(p.memory.Limit)
+	}
 	p.pool = transport.NewPool(peerCertificates.PeerTLSConfig())
 	p.pool.ReclaimWith(p.reclaimer)
 	p.store = process.NewTableStore(s.TableService)
@@ -121,7 +130,8 @@
 		p.planner = p.newPlanner()
 	}
 	p.peers = transport.NewServer(peerListener, peerCertificates.PeerTLSConfig(), handlers.Handler(p.log), p.log,
-		transport.WithDescriptors(p.shares.PeerSessions, p.reclaimer))
+		transport.WithDescriptors(p.shares.PeerSessions, p.reclaimer),
+		transport.WithFrames(memorybudget.New(p.memory.Frames), p.refusals.Recorder("peers", p.log)))
 	p.reclaimer.Add("idle connections of callers", p.callers.EndLongestIdle)
 	p.reclaimer.Add("peer sessions without a stream", p.peers.CloseIdle)
 	return nil
@@ -141,11 +151,16 @@
 		ProbeTimeout: s.Routing.ProbeTimeout.D(), MaxAttempts: s.Routing.MaxAttempts, Log: p.log,
 		Ready: p.limitsReady,
 	})
+	var bodies *memorybudget.Budget // not bounded without a limit on the memory of the process
+	if p.memory.Limit > 0 {
+		bodies = memorybudget.New(p.memory.Bodies + p.memory.ShortBodies)
+	}
 	p.callers = callerapi.New(callerapi.Options{
 		Gateway: p.gateway, DefaultService: s.Callers.DefaultService, MaxBody: int64(s.Callers.MaxBody),
 		MaxHeader: int64(s.Callers.MaxHeader), HeaderTimeout: s.Callers.HeaderTimeout.D(),
 		BodyTimeout: s.Callers.BodyTimeout.D(), MaxConcurrency: s.Callers.MaxConcurrency,
 		MaxConnections: p.shares.Callers, Reclaim: p.reclaimer,
+		MaxFields: s.ClientLimits.MaxFields, Heads: memorybudget.New(p.memory.Heads), Bodies: bodies, Refusals: &p.refusals,
 		TLS: callerCertificates.CallerTLSConfig(), Log: p.log,
 	})
 }
--- a/cmd/pomelo-gateway/vars.go
+++ b/cmd/pomelo-gateway/vars.go
@@ -19,6 +19,7 @@
 		return age.Milliseconds()
 	}))
 	all := map[string]expvar.Var{
+		"clients_refused":             p.refusals.Var(),
 		"gateway":                     gatewayVars,
 		"table_service":               p.store.Vars(),
 		"certificate_reload_failures": process.ReloadFailures(p.certificates...),
--- a/cmd/pomelo-sidecar/main.go
+++ b/cmd/pomelo-sidecar/main.go
@@ -9,11 +9,15 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/configsync"
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
+	"github.com/pomelowheel/pomelowheel/internal/operatorserver"
 	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 	"github.com/pomelowheel/pomelowheel/internal/sidecar"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -34,14 +38,18 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	var debug net.Listener
+	var debugListener net.Listener
 	if s.DebugListen != "" {
-		if debug, err = net.Listen("tcp", s.DebugListen); err != nil {
+		if debugListener, err = net.Listen("tcp", s.DebugListen); err != nil {
 			return fmt.Errorf("listen for debug: %w", err)
 		}
 	}
 	shares := descriptors.DivideBeside(descriptors.Allowance(0))
 	reclaimer := descriptors.NewReclaimer(log)
+	memory, refused := memorybudget.DivideBeside(int64(s.ClientLimits.Memory)), new(refusals.Set)
+	if memory.Limit > 0 {
+		debug.SetMemoryLimit(memory.Limit)
+	}
 	pool := transport.NewPool(certificates.PeerTLSConfig())
 	pool.ReclaimWith(reclaimer)
 	defer pool.Close()
@@ -56,9 +64,10 @@
 		Incarnation: identity.GetIncarnation(), Address: identity.GetAddress(),
 		PeerServes: sidecar.NewPeerServes(pool, identity),
 	})
-	process.Publish(vars(server, store, certificates))
+	process.Publish(vars(server, store, certificates, refused))
 	peers := transport.NewServer(listener, certificates.PeerTLSConfig(), server.Handle, log,
-		transport.WithDescriptors(shares.PeerSessions, reclaimer))
+		transport.WithDescriptors(shares.PeerSessions, reclaimer),
+		transport.WithFrames(memorybudget.New(memory.Frames), refused.Recorder("peers", log)))
 	reclaimer.Add("peer sessions without a stream", peers.CloseIdle)
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -68,8 +77,14 @@
 	group.Go("peers", peers.Serve)
 	group.Go("backend server", server.Run)
 	group.Go("idle sessions", func(ctx context.Context) error { return process.CloseIdleSessions(ctx, pool) })
-	if debug != nil {
-		group.Go("debug", func(ctx context.Context) error { return serveDebug(ctx, log, debug, debugHandler(server.Ready)) })
+	if debugListener != nil {
+		group.Go("debug", func(ctx context.Context) error {
+			return operatorserver.Serve(ctx, debugListener, debugHandler(server.Ready), operatorserver.Options{
+				Name: "debug", MaxConnections: shares.Operators, HeaderBytes: operatorserver.DefaultHeaderBytes,
+				RequestTime: operatorserver.DefaultRequestTime, MaxFields: s.ClientLimits.MaxFields,
+				Heads: memorybudget.New(memory.OperatorHeads), Refusals: refused, Reclaim: reclaimer, Log: log,
+			})
+		})
 	}
 	log.Info("sidecar started", "address", identity.GetAddress(), "service", s.Backend.Service)
 	err = drainOnSignal(group.Context(), server, log)
--- a/cmd/pomelo-sidecar/vars.go
+++ b/cmd/pomelo-sidecar/vars.go
@@ -1,18 +1,12 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"expvar"
-	"fmt"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
-	"time"
 
-	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/sidecar"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
@@ -20,8 +14,10 @@
 
 // vars returns the metrics that /debug/vars shows besides those of the Go runtime, under the names documented in
 // docs/OPERATIONS.md.
-func vars(server *sidecar.Server, store *tablestore.CountingStore, certificates *transport.Certificates) map[string]expvar.Var {
+func vars(server *sidecar.Server, store *tablestore.CountingStore, certificates *transport.Certificates,
+	refused *refusals.Set) map[string]expvar.Var {
 	return map[string]expvar.Var{
+		"clients_refused":             refused.Var(),
 		"sidecar":                     server.Vars(),
 		"table_service":               store.Vars(),
 		"certificate_reload_failures": process.ReloadFailures(certificates),
@@ -43,14 +39,3 @@
 	})
 	return mux
 }
-
-// serveDebug serves h on listener until ctx ends.
-func serveDebug(ctx context.Context, log *slog.Logger, l net.Listener, h http.Handler) error {
-	debug := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = debug.Close() })
-	defer stop()
-	if err := debug.Serve(listener.Persistent(l, listener.Options{Name: "debug", Log: log})); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve debug: %w", err)
-	}
-	return nil
-}
--- a/cmd/pomelo-sidecar/vars_test.go
+++ b/cmd/pomelo-sidecar/vars_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/config"
 	"github.com/pomelowheel/pomelowheel/internal/configsync"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/settings"
 	"github.com/pomelowheel/pomelowheel/internal/sidecar"
 	"github.com/pomelowheel/pomelowheel/internal/tablestore"
@@ -32,7 +33,7 @@
 		Settings: s, Store: store, Log: slog.New(slog.DiscardHandler),
 		Config: configsync.New(configsync.Options{Pool: pool, Identity: new(wirepb.Identity), Log: slog.New(slog.DiscardHandler)}),
 	})
-	all := vars(server, store, nil)
+	all := vars(server, store, nil, new(refusals.Set))
 	documented, err := vardoc.Documented("../../docs/OPERATIONS.md", "Sidecar")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(vardoc.Published(all)).To(ConsistOf(documented))
--- a/internal/callerapi/body.go
+++ b/internal/callerapi/body.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 )
 
 const (
@@ -24,11 +25,19 @@
 )
 
 // readBody reads the body within MaxBody and the read deadline that newExchange set. The error has kind BodyTooLarge or
-// BadRequest.
+// BadRequest, or GatewayFull if Options.Bodies does not cover the body.
 func (s *Server) readBody(x *exchange) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.opts.MaxBody))
+	var r io.Reader = http.MaxBytesReader(x.w, x.r.Body, s.opts.MaxBody)
+	if s.opts.Bodies != nil {
+		x.bodyLease = s.opts.Bodies.Lease(0)
+		r = &coveredReader{Reader: r, lease: x.bodyLease}
+	}
+	body, err := io.ReadAll(r)
 	// Clear the read deadline, so that the server detects when the caller disconnects while the request runs.
 	_ = x.control.SetReadDeadline(time.Time{})
+	if errors.Is(err, errNoBodyMemory) {
+		return nil, errkind.New(errkind.GatewayFull, "bodies hold %d of %d bytes", s.opts.Bodies.Held(), s.opts.Bodies.Bound())
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, errkind.New(errkind.BodyTooLarge, "the limit is %d bytes", tooLarge.Limit)
@@ -39,6 +48,26 @@
 	return body, nil
 }
 
+// errNoBodyMemory means that the budget does not cover more of the body.
+var errNoBodyMemory = errors.New("no memory for the body")
+
+// coveredReader takes the memory for what is read next from a lease.
+type coveredReader struct {
+	io.Reader
+	lease *memorybudget.Lease
+	total int64
+}
+
+// Read implements io.Reader. Twice the bytes are taken, because the buffer of io.ReadAll grows by copies.
+func (r *coveredReader) Read(b []byte) (int, error) {
+	if !r.lease.Cover(2 * (r.total + int64(len(b)))) {
+		return 0, errNoBodyMemory
+	}
+	n, err := r.Reader.Read(b)
+	r.total += int64(n)
+	return n, err
+}
+
 // chatRequest is the part of a chat-completions request that the gateway reads.
 type chatRequest struct {
 	model        string
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -24,6 +24,8 @@
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/gateway"
 	"github.com/pomelowheel/pomelowheel/internal/listener"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 )
 
 // writeTimeout limits one write to a caller. The request of a caller that reads nothing for this time fails.
@@ -32,6 +34,14 @@
 // idleTimeout is the time after which an idle keep-alive connection is closed.
 const idleTimeout = 2 * time.Minute
 
+// noProgressTimeout ends a request whose body or whose reading makes no progress on the routes that set no deadlines. It is
+// longer than writeTimeout and the usual body_timeout.
+const noProgressTimeout = time.Minute
+
+// stallTime is the time without progress after which a connection may be ended when all are in use. A sound caller sends a head
+// in one piece or a few.
+const stallTime = time.Second
+
 // maxShutdownTime bounds a shutdown whose context has no deadline.
 const maxShutdownTime = time.Hour
 
@@ -42,9 +52,13 @@
 	MaxBody        int64  // bytes
 	MaxHeader      int64  // bytes
 	HeaderTimeout  time.Duration
-	BodyTimeout    time.Duration // measured from the arrival of the request
-	MaxConcurrency int           // requests at once
-	MaxConnections int           // of callers; zero for no limit
+	BodyTimeout    time.Duration        // measured from the arrival of the request
+	MaxConcurrency int                  // requests at once
+	MaxConnections int                  // of callers; zero for no limit
+	MaxFields      int                  // of the head of a request; zero for no limit
+	Heads          *memorybudget.Budget // of parsed heads; nil for no limit
+	Bodies         *memorybudget.Budget // of bodies; nil for no limit
+	Refusals       *refusals.Set        // may be nil
 	Reclaim        *descriptors.Reclaimer
 	TLS            *tls.Config // nil for plain HTTP
 	Log            *slog.Logger
@@ -61,7 +75,12 @@
 
 // New returns a server. It accepts connections once Serve is called.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New(arrivals.Options{MaxConnections: opts.MaxConnections, Log: opts.Log})}
+	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New(arrivals.Options{
+		MaxConnections: opts.MaxConnections, Log: opts.Log, Limits: arrivals.Limits{
+			Refusals: opts.Refusals.Recorder("callers", opts.Log), MaxFields: opts.MaxFields, Heads: opts.Heads,
+			BodyStall: noProgressTimeout, Unread: noProgressTimeout, StallTime: stallTime,
+		},
+	})}
 	s.http = &http.Server{
 		Handler:           s.recovering(s.routes()),
 		TLSConfig:         opts.TLS,
@@ -162,6 +181,15 @@
 	arrived time.Time
 	secret  string // the caller's key; outside this package only Gateway.Admit receives it
 	control *http.ResponseController
+
+	bodyLease *memorybudget.Lease // nil if the body is not accounted for
+}
+
+// releaseBody gives the memory of the body back. The body is not used after it.
+func (x *exchange) releaseBody() {
+	if x.bodyLease != nil {
+		x.bodyLease.Release()
+	}
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
@@ -187,6 +215,7 @@
 		select {
 		case s.slots <- struct{}{}:
 			defer func() { <-s.slots }()
+			defer x.releaseBody()
 			h(x)
 		default:
 			s.sendError(x, gateway.Result{Ran: errkind.RanNo},
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -21,12 +21,11 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
-	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
+	"github.com/pomelowheel/pomelowheel/internal/operatorserver"
 	"github.com/pomelowheel/pomelowheel/internal/process"
 	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/platform"
@@ -35,19 +34,8 @@
 const (
 	// settingsPollInterval is the pause between two reads of the settings file, which may change without a signal.
 	settingsPollInterval = 2 * time.Second
-	// shutdownTimeout limits the shutdown of a server started by Endpoint.Serve.
-	shutdownTimeout = 200 * time.Millisecond
 	// minPause is the time between two polls from which the process counts as paused.
 	minPause = 500 * time.Millisecond
-	// headerTimeout limits reading the header of a request to a server started by Endpoint.Serve.
-	headerTimeout = 2 * time.Second
-	// answerTimeout limits writing an answer of such a server, in addition to Endpoint.Clients.OperatorTime.
-	answerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection to such a server stays open.
-	idleTimeout = 2 * time.Minute
-	// stallTime is the time without progress after which a connection to such a server may be ended when all are in use. A
-	// readiness check waits a second for its answer.
-	stallTime = 300 * time.Millisecond
 )
 
 // Main parses the flags in args, loads the settings and calls run with them. The log goes to stdout, and usage and
@@ -180,37 +168,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{
-		Handler: closeAfterBody(handler), ReadHeaderTimeout: min(headerTimeout, e.Clients.OperatorTime), IdleTimeout: idleTimeout,
-		ReadTimeout: e.Clients.OperatorTime, WriteTimeout: e.Clients.OperatorTime + answerTimeout,
-		MaxHeaderBytes: e.Clients.OperatorHeaderBytes,
-		ErrorLog:       slog.NewLogLogger(e.Log.Handler(), slog.LevelDebug),
-	}
-	tracker := arrivals.New(arrivals.Options{MaxConnections: e.MaxConnections, Log: e.Log, Limits: arrivals.Limits{
-		Refusals: e.Refusals.Recorder(e.Name, e.Log), MaxFields: e.Clients.MaxFields, Heads: e.Heads, BodyStall: e.Clients.OperatorTime, Unread: answerTimeout, StallTime: stallTime,
-	}})
-	tracker.Attach(server)
-	stop := context.AfterFunc(ctx, func() {
-		end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(end) // connections that remain end with the process
-	})
-	defer stop()
-	l = tracker.Listener(listener.Persistent(l, listener.Options{Name: e.Address, Reclaim: e.Reclaim, Log: e.Log}))
-	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", e.Address, err)
-	}
-	return ctx.Err()
-}
-
-// closeAfterBody returns a handler that closes the connection after a request with a body. The server would otherwise wait for
-// the body, which no operator's request has, before it answers.
-func closeAfterBody(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
+	return operatorserver.Serve(ctx, l, handler, operatorserver.Options{
+		Name: e.Name, MaxConnections: e.MaxConnections, HeaderBytes: e.Clients.OperatorHeaderBytes, RequestTime: e.Clients.OperatorTime,
+		MaxFields: e.Clients.MaxFields, Heads: e.Heads, Refusals: e.Refusals, Reclaim: e.Reclaim, Log: e.Log,
 	})
 }
 
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -19,8 +19,9 @@
 	headsFraction         = 10
 	operatorHeadsFraction = 64
 	framesFraction        = 10
-	// framesBesideFraction is for a process beside a backend server, which has no callers and gets bodies in frames.
-	framesBesideFraction = 4
+	// framesBesideFraction is for a process beside a backend server, which has no callers and gets bodies in frames. Frames that
+	// wait hold as much again in yamux, and the garbage collector lets the heap grow to twice of both.
+	framesBesideFraction = 8
 	// limitPercent is the part of the memory that the Go runtime may use, in percent; the rest is for what it does not count.
 	limitPercent = 70
 	// programBytes is the least that the limit of the Go runtime leaves: of a program, 14 MB of the file are resident, and the
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -49,6 +49,20 @@
 	Grace       Duration `yaml:"grace"`        // longest time to wait for running requests
 }
 
+// ClientLimits bounds what one client may take from the listeners of the process.
+type ClientLimits struct {
+	Memory    ByteSize `yaml:"memory"`     // of the process; 0 if it is not limited
+	MaxFields int      `yaml:"max_fields"` // of the head of a request
+}
+
+// defaultClientLimits allows the fields of the longest head that a gateway is usually configured for, 128 KiB.
+func defaultClientLimits() ClientLimits { return ClientLimits{MaxFields: 32 << 10} }
+
+func (c *validator) clientLimits(l ClientLimits) {
+	c.require("$.client_limits.memory", l.Memory == 0 || l.Memory >= 64<<20, "0B or at least 64MiB")
+	c.require("$.client_limits.max_fields", l.MaxFields >= 64, "a whole number from 64")
+}
+
 func defaultTableService() TableService {
 	return TableService{Region: "local", Table: "pomelowheel", Timeout: Duration(time.Second)}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -14,6 +14,7 @@
 	Routing      Routing      `yaml:"routing"`
 	Limits       Limits       `yaml:"limits"`
 	Planner      Planner      `yaml:"planner"`
+	ClientLimits ClientLimits `yaml:"client_limits"`
 	Shutdown     Shutdown     `yaml:"shutdown"`
 }
 
@@ -87,7 +88,8 @@
 			Enabled: true, Interval: Duration(2 * time.Second), LeaseTerm: Duration(20 * time.Second),
 			LoadRate: 1.5, LoadSlots: 2,
 		},
-		Shutdown: Shutdown{NoticeDelay: Duration(2 * time.Second), Grace: Duration(5 * time.Minute)},
+		ClientLimits: defaultClientLimits(),
+		Shutdown:     Shutdown{NoticeDelay: Duration(2 * time.Second), Grace: Duration(5 * time.Minute)},
 	}
 }
 
@@ -106,6 +108,7 @@
 	c.requireName("$.callers.default_service", g.Callers.DefaultService)
 	c.require("$.callers.header_timeout", g.Callers.HeaderTimeout > 0, "a duration above zero")
 	c.require("$.callers.body_timeout", g.Callers.BodyTimeout > 0, "a duration above zero")
+	c.clientLimits(g.ClientLimits)
 	c.configSync(g.ConfigSync)
 	if g.HostList.URL != "" {
 		c.url("$.host_list.url", g.HostList.URL)
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -12,6 +12,7 @@
 	ConfigSync   ConfigSync   `yaml:"config_sync"`
 	Admission    Admission    `yaml:"admission"`
 	DebugListen  string       `yaml:"debug_listen"` // IP:port for /debug/vars and /healthz; off if empty
+	ClientLimits ClientLimits `yaml:"client_limits"`
 	Shutdown     Shutdown     `yaml:"shutdown"`
 }
 
@@ -54,7 +55,8 @@
 			Policy: "fair", ColdConcurrency: 2, MaxConcurrency: 16, RampStep: Duration(2 * time.Second),
 			MaxQueue: 256, MaxQueueOrg: 128, BatchConcurrency: 2,
 		},
-		Shutdown: Shutdown{NoticeDelay: Duration(2 * time.Second), Grace: Duration(5 * time.Minute)},
+		ClientLimits: defaultClientLimits(),
+		Shutdown:     Shutdown{NoticeDelay: Duration(2 * time.Second), Grace: Duration(5 * time.Minute)},
 	}
 }
 
@@ -73,6 +75,7 @@
 	}
 	c.require("$.backend.adapter_slots", s.Backend.AdapterSlots >= 1, "a whole number above zero")
 	c.require("$.backend.poll_interval", s.Backend.PollInterval > 0, "a duration above zero")
+	c.clientLimits(s.ClientLimits)
 	c.configSync(s.ConfigSync)
 	c.oneOf("$.admission.policy", s.Admission.Policy, "fair", "fifo", "priority")
 	c.require("$.admission.cold_concurrency", s.Admission.ColdConcurrency >= 1, "a whole number above zero")
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,6 +20,8 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
 	"github.com/pomelowheel/pomelowheel/internal/listener"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 )
@@ -50,6 +52,8 @@
 type Stream struct {
 	net.Conn
 	sendMu sync.Mutex
+	frames *frameMemory // nil for a stream that this process opened
+	abort  func()       // ends the session
 }
 
 // Send writes one frame. It fails if the frame exceeds wire.MaxFrameBytes.
@@ -60,7 +64,12 @@
 }
 
 // Recv reads one frame. It returns io.EOF if the peer closed the stream between frames.
-func (s *Stream) Recv() (*wirepb.Envelope, error) { return wire.Read(s.Conn) }
+func (s *Stream) Recv() (*wirepb.Envelope, error) {
+	if s.frames != nil {
+		return s.frames.read(s.Conn, s.abort)
+	}
+	return wire.Read(s.Conn)
+}
 
 // progressBytes is the part of a frame that has to arrive within the time limit of RecvWithProgress.
 const progressBytes = 16 << 10
@@ -101,6 +110,7 @@
 
 	maxSessions int // zero for no limit
 	reclaim     *descriptors.Reclaimer
+	frames      *frameMemory // nil for no limit
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]time.Time // when a stream was last accepted, or the session
@@ -118,6 +128,11 @@
 	return func(s *Server) { s.maxSessions, s.reclaim = maxSessions, r }
 }
 
+// WithFrames bounds the memory of frames that arrive, and records the peers whose frames were refused.
+func WithFrames(budget *memorybudget.Budget, recorder *refusals.Recorder) ServerOption {
+	return func(s *Server) { s.frames = &frameMemory{budget: budget, refusals: recorder} }
+}
+
 // NewServer returns a server that accepts connections from l. A nil tlsConfig means plain TCP.
 func NewServer(l net.Listener, tlsConfig *tls.Config, handler Handler, log *slog.Logger, opts ...ServerOption) *Server {
 	s := &Server{handler: handler, log: log, sessions: make(map[*yamux.Session]time.Time), streams: make(map[net.Conn]struct{})}
@@ -254,7 +269,7 @@
 			defer s.recoverHandler(conn)
 			streamCtx, cancel := context.WithCancel(ctx)
 			defer cancel()
-			s.handler(streamCtx, &Stream{Conn: conn})
+			s.handler(streamCtx, &Stream{Conn: conn, frames: s.frames, abort: func() { _ = session.Close() }})
 		}()
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,6 +40,12 @@
 // Read reads one frame. It returns io.EOF if the stream ended before the first byte of a frame, and another error for a
 // truncated, oversized or malformed frame.
 func Read(r io.Reader) (*wirepb.Envelope, error) {
+	return ReadCovered(r, func(int) error { return nil })
+}
+
+// ReadCovered is Read for a reader that accounts for memory: cover is called with the size of the frame in bytes before anything
+// else of it is read, and an error of it is returned.
+func ReadCovered(r io.Reader, cover func(size int) error) (*wirepb.Envelope, error) {
 	var header [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		if err == io.EOF {
@@ -51,6 +57,9 @@
 	if size > MaxFrameBytes {
 		return nil, fmt.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, MaxFrameBytes)
 	}
+	if err := cover(int(size)); err != nil {
+		return nil, fmt.Errorf("frame of %d bytes: %w", size, err)
+	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, fmt.Errorf("read frame body: %w", err)
