--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -43,6 +43,7 @@
 	ended  atomic.Int64 // idle connections ended because of Options.MaxConnections or EndLongestIdle
 	full   atomic.Int64 // connections refused because of Options.MaxConnections
 	secure atomic.Bool  // the server adds TLS
+	coarse atomic.Int64 // time of the last check of watch in nanoseconds since 1970; reading the clock for each call costs more
 
 	mu       sync.Mutex
 	conns    map[*arrivalConn]struct{}
@@ -101,7 +102,8 @@
 // Listener returns a listener whose connections are tracked. Until it is closed, a goroutine ends connections without progress.
 func (a *Tracker) Listener(l net.Listener) net.Listener {
 	tracked := &arrivalListener{Listener: l, arrivals: a, closed: make(chan struct{})}
-	if a.opts.Limits.BodyStall > 0 || a.opts.Limits.Unread > 0 {
+	a.coarse.Store(time.Now().UnixNano())
+	if a.opts.Limits.BodyStall > 0 || a.opts.Limits.Unread > 0 || a.opts.Limits.StallTime > 0 {
 		go a.watch(tracked.closed)
 	}
 	return tracked
@@ -355,8 +357,8 @@
 	headSince  time.Time // when the first byte of the head that arrives was read; zero if none arrives
 
 	head         head
-	readingSince atomic.Int64 // nanoseconds since 1970 when the handler began to wait for bytes of the body, or zero
-	writingSince atomic.Int64 // nanoseconds since 1970 when the write in progress began, or zero
+	readingSince atomic.Int64 // of the coarse clock when the handler began to wait for bytes of the body, or zero
+	writingSince atomic.Int64 // of the coarse clock when the write in progress began, or zero
 }
 
 // endReads lets reads fail, which makes the server close the connection.
@@ -395,7 +397,7 @@
 
 // Write implements net.Conn. It records how long the client has not read.
 func (c *arrivalConn) Write(b []byte) (int, error) {
-	c.writingSince.Store(time.Now().UnixNano())
+	c.writingSince.Store(c.arrivals.coarse.Load())
 	n, err := c.Conn.Write(b)
 	c.writingSince.Store(0)
 	return n, err
--- a/internal/arrivals/limits.go
+++ b/internal/arrivals/limits.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/headscan"
 	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/refusals"
@@ -22,7 +25,7 @@
 	// ordinary ones: it covers about 40 fields with 1.5 KB. The bound on connections bounds the sum.
 	exemptHeadCost = 8 << 10
 	// watchInterval is the pause between two checks for connections without progress.
-	watchInterval = 250 * time.Millisecond
+	watchInterval = 100 * time.Millisecond
 	// refusalTime bounds the writing of a refusal and the reading of what the client sends meanwhile. Closing a connection with
 	// unread bytes could lose the refusal.
 	refusalTime = 500 * time.Millisecond
@@ -33,6 +36,7 @@
 // Limits bound what one client may take from a listener. The zero value has no limits.
 type Limits struct {
 	Refusals  *refusals.Recorder   // required if there is a limit
+	Header    map[string]string    // of refusals, in addition to the usual one
 	MaxFields int                  // of a head
 	Heads     *memorybudget.Budget // memory of parsed heads
 	BodyStall time.Duration        // time without a byte of a body that the handler waits for
@@ -107,8 +111,14 @@
 	return h.scanner.Cost()
 }
 
-// coverParsed accounts for a head that net/http had read together with the request before, or that arrived with TLS.
+// coverParsed accounts for a head that net/http had read together with the request before, or that arrived with TLS. Of a head
+// that it had read in part, at most the 4 KB that it reads ahead are not counted.
 func (c *arrivalConn) coverParsed(r *http.Request) (why string) {
+	c.head.mu.Lock()
+	defer c.head.mu.Unlock()
+	if c.head.scanner.Done() && len(r.Header) <= c.head.scanner.Fields() {
+		return none
+	}
 	bytes, fields := len(r.RequestURI), 0
 	for name, values := range r.Header {
 		fields += len(values)
@@ -116,22 +126,33 @@
 			bytes += len(name) + len(v)
 		}
 	}
-	c.head.mu.Lock()
-	defer c.head.mu.Unlock()
 	return c.head.cover(bytes, fields)
 }
 
 // refusalFor returns the answer to a request that was refused for why. Each says that the request did not run.
 func refusalFor(why string) (status int, body []byte) {
-	status, code, text := http.StatusServiceUnavailable, "gateway_full", "the gateway holds as many requests as its memory allows"
+	kind, errorType := errkind.GatewayFull, "server_error"
 	if why == tooManyFields {
-		status, code, text = http.StatusRequestHeaderFieldsTooLarge, "too_many_fields", "the request has too many header fields"
+		kind, errorType = errkind.TooManyFields, "invalid_request_error"
 	}
-	body, err := json.Marshal(map[string]any{"error": map[string]string{"code": code, "message": text}})
+	answer := kind.Answer()
+	body, err := json.Marshal(map[string]any{"error": map[string]any{
+		"code": answer.Code, "message": answer.Text, "type": errorType, "param": nil,
+	}})
 	if err != nil {
 		panic(err) // strings always encode
 	}
-	return status, body
+	return answer.HTTPStatus, body
+}
+
+// refusalHeader returns the header fields of a refusal that depend on its status or on the listener.
+func (c *arrivalConn) refusalHeader(status int) map[string]string {
+	fields := make(map[string]string)
+	maps.Copy(fields, c.arrivals.opts.Limits.Header)
+	if status == http.StatusServiceUnavailable {
+		fields["Retry-After"] = "1"
+	}
+	return fields
 }
 
 // refuseParsed answers a request that was parsed.
@@ -143,8 +164,8 @@
 	_ = control.SetReadDeadline(time.Now().Add(refusalTime))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Connection", "close")
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "1")
+	for name, value := range c.refusalHeader(status) {
+		w.Header().Set(name, value)
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
@@ -158,13 +179,13 @@
 	status, body := refusalFor(why)
 	now := time.Now()
 	_ = c.Conn.SetDeadline(now.Add(refusalTime)) // fails on a closed connection only
-	retry := ""
-	if status == http.StatusServiceUnavailable {
-		retry = "Retry-After: 1\r\n"
+	var fields strings.Builder
+	for name, value := range c.refusalHeader(status) {
+		fields.WriteString(name + ": " + value + "\r\n")
 	}
 	if !c.arrivals.secure.Load() { // a plain answer would be no part of a TLS session
 		_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sConnection: close\r\nContent-Length: %s\r\n\r\n%s",
-			status, http.StatusText(status), retry, strconv.Itoa(len(body)), body)
+			status, http.StatusText(status), fields.String(), strconv.Itoa(len(body)), body)
 	}
 	_ = c.CloseWrite()
 	_, _ = io.CopyN(io.Discard, c.Conn, refusalRestBytes)
@@ -178,7 +199,7 @@
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
-	b.conn.readingSince.Store(time.Now().UnixNano())
+	b.conn.readingSince.Store(b.conn.arrivals.coarse.Load())
 	n, err := b.ReadCloser.Read(p)
 	b.conn.readingSince.Store(0)
 	return n, err
@@ -190,8 +211,9 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			a.endStalled(time.Now())
+		case now := <-ticker.C:
+			a.coarse.Store(now.UnixNano())
+			a.endStalled(now)
 		case <-closed:
 			return
 		}
@@ -266,10 +288,11 @@
 	return c.lasts(&c.readingSince, now)
 }
 
-// lasts returns the time from since, in nanoseconds since 1970 or zero, to now, or zero for a connection that was cut.
+// lasts returns the time from since, of the coarse clock or zero, to now, or zero for a connection that was cut. It is never too
+// long: the coarse clock may be watchInterval late.
 func (c *arrivalConn) lasts(since *atomic.Int64, now time.Time) time.Duration {
 	if start := since.Load(); start != 0 && !c.cut {
-		return now.Sub(time.Unix(0, start))
+		return max(0, now.Sub(time.Unix(0, start))-watchInterval)
 	}
 	return 0
 }
--- a/internal/callerapi/body_test.go
+++ b/internal/callerapi/body_test.go
@@ -2,11 +2,32 @@
 
 import (
 	"encoding/json"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 )
 
+// Guards against bodies that are bounded one by one only, and against memory that is not given back.
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	bodies := memorybudget.New(256 << 10)
+	s := New(Options{MaxBody: 1 << 20, MaxConcurrency: 1, Bodies: bodies, Log: slog.New(slog.DiscardHandler)})
+	for size, want := range map[int]errkind.Kind{300 << 10: errkind.GatewayFull, 50 << 10: errkind.None} {
+		x := s.newExchange(httptest.NewRecorder(), httptest.NewRequest("POST", "/", strings.NewReader(strings.Repeat("x", size))))
+		body, err := s.readBody(x)
+		if got := errkind.Of(err); got != want || want == errkind.None && (len(body) != size || bodies.Held() < int64(size)) {
+			t.Errorf("%d bytes: kind %s, %d bytes read, %d held", size, got, len(body), bodies.Held())
+		}
+		x.releaseBody()
+		if bodies.Held() != 0 {
+			t.Errorf("%d bytes held after the request", bodies.Held())
+		}
+	}
+}
+
 // Guards against estimates far below the tokens that tokenizers report for digits and for scripts other than Latin.
 func TestEstimateTokens(t *testing.T) {
 	for text, want := range map[string]int64{
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -77,7 +77,7 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, slots: make(chan struct{}, opts.MaxConcurrency), arrivals: arrivals.New(arrivals.Options{
 		MaxConnections: opts.MaxConnections, Log: opts.Log, Limits: arrivals.Limits{
-			Refusals: opts.Refusals.Recorder("callers", opts.Log), MaxFields: opts.MaxFields, Heads: opts.Heads,
+			Refusals: opts.Refusals.Recorder("callers", opts.Log), Header: map[string]string{"Pomelo-Ran": string(errkind.RanNo)}, MaxFields: opts.MaxFields, Heads: opts.Heads,
 			BodyStall: noProgressTimeout, Unread: noProgressTimeout, StallTime: stallTime,
 		},
 	})}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -50,6 +50,7 @@
 	Internal
 	PromptRefused
 	GatewayFull
+	TooManyFields
 	numKinds
 )
 
@@ -119,7 +120,8 @@
 	ProtocolError:         {"protocol_error", 502, RanUnknown, RetryCheck, 0, "a process answered out of protocol"},
 	Internal:              {"internal", 500, RanUnknown, RetryCheck, 0, "internal error"},
 	PromptRefused:         {"prompt_refused", 503, RanNo, RetryLater, time.Minute, "backend servers ended when they answered prompts with a part of this one"},
-	GatewayFull:           {"gateway_full", 503, RanNo, RetryLater, time.Second, "the gateway holds as many bodies of requests as its memory allows"},
+	GatewayFull:           {"gateway_full", 503, RanNo, RetryLater, time.Second, "the gateway holds as many requests as its memory allows"},
+	TooManyFields:         {"too_many_fields", 431, RanNo, RetryNever, 0, "the request has too many header fields"},
 }
 
 // Answer returns the row of the error table for k, or that of Internal if k is out of range.
--- a/internal/headscan/headscan.go
+++ b/internal/headscan/headscan.go
@@ -2,6 +2,8 @@
 // it. Use it to account for the memory that parsing takes: net/http allocates some hundred bytes for each field, however short.
 package headscan
 
+import "bytes"
+
 const (
 	// fieldCost and byteCost are the bytes that net/http keeps for a field and for a byte of a head: the entry of its map with the
 	// free space of a map that has just grown, and the byte itself once in the buffer and once as a string.
@@ -10,15 +12,15 @@
 	byteCost  = 2
 )
 
-// Cost returns the memory in bytes that parsing a head of the given size takes.
-func Cost(bytes, fields int) int64 { return int64(fields)*fieldCost + int64(bytes)*byteCost }
+// Cost returns the memory in bytes that parsing a head of size bytes takes.
+func Cost(size, fields int) int64 { return int64(fields)*fieldCost + int64(size)*byteCost }
 
 // Scanner counts one head. The zero value is ready for use.
 type Scanner struct {
 	bytes  int
 	lines  int
-	filled bool // the current line has a byte other than a carriage return at its end
-	cr     bool // the current line ends with a carriage return so far
+	filled bool // the current line has more than one carriage return
+	cr     bool // the current line is one carriage return so far
 	done   bool
 }
 
@@ -28,24 +30,33 @@
 	if s.done {
 		return 0
 	}
-	for i, c := range b {
-		s.bytes++
-		switch c {
-		case '\n':
-			s.lines++
-			if !s.filled {
-				s.done = true
-				return i + 1
-			}
-			s.filled, s.cr = false, false
-		case '\r':
-			s.filled = s.filled || s.cr // only one is part of the line's end
-			s.cr = true
-		default:
-			s.filled = true
+	length := len(b)
+	for len(b) > 0 {
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			s.continueLine(b)
+			s.bytes += len(b)
+			return length
+		}
+		s.continueLine(b[:end])
+		s.bytes += end + 1
+		s.lines++
+		b = b[end+1:]
+		if !s.filled {
+			s.done = true
+			return length - len(b)
 		}
+		s.filled, s.cr = false, false
+	}
+	return length
+}
+
+// continueLine counts bytes of the current line, without its line feed.
+func (s *Scanner) continueLine(b []byte) {
+	if len(b) == 0 || s.filled {
+		return
 	}
-	return len(b)
+	s.cr, s.filled = !s.cr && len(b) == 1 && b[0] == '\r', s.cr || len(b) > 1 || b[0] != '\r'
 }
 
 // Done reports whether the head has ended.
