Hedge repeatable plain requests whose server is late

Cause: a plain request with a target of 120 to 150 ms that meets a slow server waited for at least 350 ms before another server got it.

Change: a repeatable request of a plain service, on a route with a target below 700 ms, goes to a second server when the first is later than the 95th percentile of the service's last 100 times, and at least 30 ms. Conditions: a server with a free slot, at most 5% of the service's requests within 10 s, the retry budget and max_attempts. The first answer is taken. A server that was late and not silent gets no penalty; its time until then counts as measured. Requests that may run once, streams and model requests are not hedged.

The median of the speeds is computed every 2 s, which at 230 models and 1,900 engines bounds its cost.

Not measured: the effect on the in-time share under drawn load.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -226,6 +226,7 @@
 		age, _ := g.freshness.Age(bootclock.Now())
 		return age.Milliseconds()
 	})
+	vars["server_speeds"] = expvar.Func(func() any { return g.table.Speeds() })
 	vars["refused_prompts"] = expvar.Func(func() any { list, _ := g.server.Prompts().Refusals(); return len(list) })
 	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
 	return vars
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -155,6 +155,9 @@
 	return (now >= r.due || stalled) && r.MayBegin()
 }
 
+// Extend records that the silence of the live attempts is accepted for another timeout, although Replace returned true.
+func (r *Race) Extend(now, timeout time.Duration) { r.wait(now, max(0, timeout)) }
+
 // ReplacementFailed records that Replace returned true and no attempt could begin.
 func (r *Race) ReplacementFailed(now time.Duration) { r.checkAt = now + replacementPause }
 
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -103,6 +103,10 @@
 	if next := r.NextCheck(3 * time.Second); next < 300*ms {
 		t.Errorf("asked again after %v although no server took the request", next)
 	}
+	r.Extend(3050*ms, timeout)
+	if r.Replace(3300*ms, false) || !r.Replace(3400*ms, false) {
+		t.Error("the first attempt does not get the time of Extend")
+	}
 	r.Begin(1, 3400*ms, timeout)
 	if r.NextCheck(4*time.Second) < time.Minute || r.Replace(5*time.Second, true) {
 		t.Error("a third run of at most two")
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -43,6 +43,7 @@
 func (q *request) run(ctx context.Context) errkind.Kind {
 	s := q.server
 	s.budget(q.service).CountRequest(s.opts.Clock())
+	s.hedgeBudget(q.service).CountRequest(s.opts.Clock())
 	q.race = failover.New(failover.Options{
 		Repeatable: q.route.Repeatable(), MaxRuns: q.route.MaxAttempts, MaxNotRun: maxNotRunAttempts,
 	})
--- a/internal/fleetgateway/exchange.go
+++ b/internal/fleetgateway/exchange.go
@@ -25,6 +25,7 @@
 // attempt is one sending of a request to a server. A goroutine of its own reads the response and passes it on in messages.
 type attempt struct {
 	number    int
+	silentAt  time.Duration // when the server counts as silent, on the clock of the request's race
 	candidate *fleetroute.Candidate
 	replica   *fleet.Replica
 	server    serversigns.Server // the incarnation that the request is sent to
--- a/internal/fleetgateway/forward.go
+++ b/internal/fleetgateway/forward.go
@@ -70,9 +70,10 @@
 	q.retryReserved = false
 	s.countColdRequest(c.ID)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	q.race.Begin(number, q.elapsed(), q.silenceTimeout(c))
+	timeout, silentAt := q.attemptTimeout(c)
+	q.race.Begin(number, q.elapsed(), timeout)
 	a := &attempt{
-		number: number, candidate: c, replica: replica, server: s.incarnation(replica), begunAt: s.opts.Clock(), cancel: cancel, stream: q.route.Repeat == fleet.Stream,
+		number: number, silentAt: silentAt, candidate: c, replica: replica, server: s.incarnation(replica), begunAt: s.opts.Clock(), cancel: cancel, stream: q.route.Repeat == fleet.Stream,
 		lastRun: q.race.LastRun(), buffer: s.opts.Answers.Lease(0), load: s.opts.Table.Begin(c, s.opts.Clock(), q.model, q.service, q.prompt),
 	}
 	q.live[number] = a
@@ -162,30 +163,47 @@
 // replaceSilent sends the request to another server, too, if the servers of the live attempts have been silent for too long and
 // another one can take it. A message of a live attempt makes that unnecessary.
 func (q *request) replaceSilent(ctx context.Context) {
-	if !q.race.Replace(q.elapsed(), q.allStalled()) || !q.canFailOver(ctx) {
+	if !q.race.Replace(q.elapsed(), q.allStalled()) {
 		return
 	}
+	hedge := q.isHedge()
+	switch {
+	case hedge && !q.canHedge(ctx):
+		q.race.Extend(q.elapsed(), q.silentAt()-q.elapsed())
+		return
+	case !hedge && !q.canFailOver(ctx):
+		return
+	}
+	second := q.sendBeside(ctx)
+	if hedge {
+		q.hedged(second)
+	}
+}
+
+// sendBeside sends the request to another server, too, and returns the attempt, or nil if it could not begin.
+func (q *request) sendBeside(ctx context.Context) *attempt {
 	prepare, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q.interrupt.Store(&cancel)
 	defer q.interrupt.Store(nil)
 	if len(q.messages) > 0 {
-		return
+		return nil
 	}
 	choice, replica, err := q.choose(prepare)
 	if prepare.Err() != nil {
-		return
+		return nil
 	}
 	if err == nil {
 		var r result
 		var ok bool
 		if r, ok = q.begin(ctx, prepare, choice, replica); ok {
-			return
+			return q.live[q.begun-1]
 		}
 		err = r.err
 	}
 	q.race.ReplacementFailed(q.elapsed())
 	q.server.opts.Log.Info("no other server takes the request of a silent one; still waiting", "request_id", q.caller.ID, "error", err)
+	return nil
 }
 
 // canFailOver reports whether the request could be sent to another server now, beside the attempts that have not ended. If so, the
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -22,6 +22,7 @@
 	outcomes *expvar.Map
 	cut      *expvar.Map // requests whose caller got an incomplete answer or none, by outcome
 	sends    *expvar.Int
+	hedges   *expvar.Map // hedged requests: sent, and answered first by the second server
 	signs    *expvar.Map // signs in servers' responses, by kind
 
 	serversEnded *expvar.Int // servers that ended and broke off a response of this gateway
@@ -34,7 +35,7 @@
 // NewMetrics returns metrics without any request.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map), serversEnded: new(expvar.Int),
+		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), hedges: new(expvar.Map), signs: new(expvar.Map), serversEnded: new(expvar.Int),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -45,6 +46,7 @@
 		"requests_by_outcome": m.outcomes,
 		"answers_cut":         m.cut,
 		"sends":               m.sends,
+		"hedges":              m.hedges,
 		"server_signs":        m.signs,
 		"servers_ended":       m.serversEnded,
 		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
--- a/internal/fleetgateway/relay.go
+++ b/internal/fleetgateway/relay.go
@@ -64,10 +64,16 @@
 		err: errkind.New(kind, "server %s responded with status %d and did not run the request", id, m.status)}, false)
 }
 
-// replace cancels attempts in favour of a.
+// replace cancels attempts in favour of a. The server of one that was only late, not silent, is not avoided for it.
 func (q *request) replace(a *attempt, replaced []int) {
 	for _, number := range replaced {
-		q.cancel(q.live[number], errReplaced, number < a.number)
+		earlier := q.live[number]
+		late := number < a.number && q.hedge == a && q.elapsed() < earlier.silentAt
+		if late {
+			q.server.opts.Metrics.hedges.Add("answered_first", 1)
+			earlier.load.RecordReplaced(q.server.opts.Clock())
+		}
+		q.cancel(earlier, errReplaced, number < a.number && !late)
 	}
 }
 
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -86,6 +86,7 @@
 
 	mu      sync.Mutex
 	retries map[string]*retrybudget.Budget // by service
+	hedges  map[string]*retrybudget.Budget // by service, counting hedged requests as retries
 	changed chan struct{}                  // closed and replaced when the fleet may have changed
 
 	coldMu       sync.Mutex
@@ -113,7 +114,7 @@
 	return &Server{
 		opts: opts, random: rand.New(opts.Random), excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
-		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
+		retries: make(map[string]*retrybudget.Budget), hedges: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
 }
 
@@ -186,6 +187,7 @@
 	exchanges     sync.WaitGroup                     // goroutines of the attempts
 	messages      chan message                       // from the attempts
 	interrupt     atomic.Pointer[context.CancelFunc] // ends a choice that a message makes unnecessary
+	hedge         *attempt                           // sent because the first server was late, or nil
 	answering     *attempt                           // whose response the caller gets
 	failure       *message                           // whole response of a server that failed, or nil
 	retryReserved bool                               // the retry budget has been charged for the next attempt
--- a/internal/fleetroute/plain_test.go
+++ b/internal/fleetroute/plain_test.go
@@ -42,6 +42,7 @@
 // or are rejected, and against a server that is slow for fractions of a second and keeps its share. The seeds that the
 // constants were chosen by are 0 to 3.
 func TestPlainServersThatAreSlowAtTimes(t *testing.T) {
+	t.Parallel()
 	for _, servers := range []int{3, 8} {
 		for _, use := range []float64{0.3, 0.5, 0.65} {
 			var now, earlier float64
--- a/internal/fleetroute/speed.go
+++ b/internal/fleetroute/speed.go
@@ -25,7 +25,7 @@
 	// maxSpeedLog bounds a learned speed, as a logarithm.
 	maxSpeedLog = 1.1
 	// medianInterval is the time between two computations of a reference's median.
-	medianInterval = time.Second
+	medianInterval = 2 * time.Second
 	// A sample is the shortest of spansPerSample spans of spanPauses pauses between events: prompts that are processed
 	// between the events only lengthen them. With spans of one pause, events that arrive together would look like a
 	// fast server.
@@ -159,4 +159,17 @@
 	}
 }
 
+// Speeds returns the learned speeds by server, without those that are 1.
+func (t *Table) Speeds() map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	speeds := make(map[string]float64)
+	for id, s := range t.servers {
+		if s.speed != 1 {
+			speeds[id] = s.speed
+		}
+	}
+	return speeds
+}
+
 func orOne(v float64) float64 { return orDefault(v, 1) }
--- a/internal/fleetroute/table.go
+++ b/internal/fleetroute/table.go
@@ -79,6 +79,7 @@
 	prefillRates map[string]float64    // prompt tokens per millisecond, by model
 	service      map[string]float64    // time of a request in milliseconds, by plain service
 	paces        map[string]*reference // by model or plain service
+	usual        map[string]*usualTime // by plain service
 	peers        map[string]*peerLoads
 	peersExpire  time.Duration // before then, the loads of all peers in the sums are recent
 }
@@ -87,7 +88,7 @@
 func NewTable() *Table {
 	return &Table{
 		servers: make(map[string]*server), prefillRates: make(map[string]float64), service: make(map[string]float64),
-		paces: make(map[string]*reference), peers: make(map[string]*peerLoads),
+		paces: make(map[string]*reference), usual: make(map[string]*usualTime), peers: make(map[string]*peerLoads),
 	}
 }
 
@@ -190,6 +191,13 @@
 	return 1 + (s.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
 }
 
+// observeSlowness adds a measured time, as a multiple of the predicted time.
+func (s *server) observeSlowness(now time.Duration, ratio float64) {
+	ratio = math.Min(math.Max(ratio, 0.2), maxSlowness)
+	s.slowness = s.slownessAt(now) + slownessSampleWeight*(ratio-s.slownessAt(now))
+	s.slownessAsOf = now
+}
+
 func (s *server) penaltyAt(now time.Duration) float64 {
 	if s.penalty == 0 {
 		return 0
@@ -273,13 +281,12 @@
 		if t.service[a.service] <= 0 {
 			t.service[a.service] = nominal
 		}
+		t.observeUsual(a, now-a.started)
 		if a.hadSlot {
 			t.observePace(s, a.service, took, now)
 		}
 	}
-	ratio := math.Min(math.Max(took/math.Max(expected, 1), 0.2), maxSlowness)
-	s.slowness = s.slownessAt(now) + slownessSampleWeight*(ratio-s.slownessAt(now))
-	s.slownessAsOf = now
+	s.observeSlowness(now, took/math.Max(expected, 1))
 	s.penalty = s.penaltyAt(now) / 2
 	s.failed = now
 }
