--- a/internal/fleetroute/usual.go
+++ b/internal/fleetroute/usual.go
@@ -11,6 +11,9 @@
 	usualQuantile = 95
 	// usualSamples is the number of times after which the quantile is computed again from these.
 	usualSamples = 100
+	// firstUsualSamples is the number of times after which it is first computed: a gateway among many gets few responses
+	// of a plain service in a second.
+	firstUsualSamples = 20
 	// maxUsualMicros bounds the recorded times, in microseconds, and usualDigits is their number of significant digits.
 	maxUsualMicros = int64(10 * time.Second / time.Microsecond)
 	usualDigits    = 2
@@ -29,7 +32,7 @@
 func (u *usualTime) observe(took time.Duration) {
 	// The value is within the bounds, so it is always recorded.
 	_ = u.recorded.RecordValue(min(max(took.Microseconds(), 1), maxUsualMicros))
-	if u.recorded.TotalCount() >= usualSamples {
+	if n := u.recorded.TotalCount(); n >= usualSamples || u.quantile == 0 && n >= firstUsualSamples {
 		u.quantile = time.Duration(u.recorded.ValueAtQuantile(usualQuantile)) * time.Microsecond
 		u.recorded.Reset()
 	}
