--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -22,6 +22,7 @@
 	outcomes *expvar.Map
 	cut      *expvar.Map // requests whose caller got an incomplete answer or none, by outcome
 	sends    *expvar.Int
+	hedges   *expvar.Map // hedged requests: sent, and answered first by the second server
 	signs    *expvar.Map // signs in servers' responses, by kind
 
 	noRoom    *expvar.Map // requests refused because no room at a server was expected, by reason and rank
@@ -37,8 +38,9 @@
 // NewMetrics returns metrics without any request.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map), serversEnded: new(expvar.Int),
-		noRoom: new(expvar.Map), afterWait: new(expvar.Map),
+		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), hedges: new(expvar.Map), signs: new(expvar.Map),
+		serversEnded: new(expvar.Int),
+		noRoom:       new(expvar.Map), afterWait: new(expvar.Map),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -49,6 +51,7 @@
 		"requests_by_outcome":  m.outcomes,
 		"answers_cut":          m.cut,
 		"sends":                m.sends,
+		"hedges":               m.hedges,
 		"server_signs":         m.signs,
 		"servers_ended":        m.serversEnded,
 		"refused_without_room": m.noRoom,
