Test that late requests are refused at once if no room is expected while they may be held

The request of the earlier test waits no longer: the wait ahead exceeds three targets. The test now checks that, and a second request checks the refusal of one that waited.

--- a/internal/fleetgateway/contention_test.go
+++ b/internal/fleetgateway/contention_test.go
@@ -129,17 +129,28 @@
 
 	// Guards against waiting requests that are held until their deadline without a chance, and against a charge for what did not run.
 	It("is refused with the time at which room is expected, and not charged, when it is late and there is no room for long", func() {
+		refused := func(s *contended, a response, retryAfter time.Duration) {
+			GinkgoHelper()
+			Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(a.body).To(ContainSubstring("deadline_unreachable"))
+			Expect(strconv.ParseFloat(a.header.Get("Retry-After"), 64)).To(BeNumerically("~", retryAfter.Seconds(), 0.2))
+			Expect(a.duration).To(BeNumerically("<", 1900*time.Millisecond), "before the load of the other gateway ends")
+			Expect(s.charged()).To(BeZero())
+			Expect(s.backend.received.Load()).To(BeZero())
+			Expect(s.lines("request refused: no room")).To(HaveLen(1))
+		}
 		s := newContended(contendedRoute(time.Millisecond, time.Second*4)) // its own prompt takes longer than the target
 		s.setWait(wait)
-		done := s.waitingRequest("late")
-		a := <-done
-		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
-		Expect(a.body).To(ContainSubstring("deadline_unreachable"))
-		Expect(strconv.ParseFloat(a.header.Get("Retry-After"), 64)).To(BeNumerically("~", wait.Seconds(), 0.2))
-		Expect(a.duration).To(BeNumerically("<", 1900*time.Millisecond), "before the load of the other gateway ends")
-		Expect(s.charged()).To(BeZero())
-		Expect(s.backend.received.Load()).To(BeZero())
-		Expect(s.lines("request refused: no room")).To(HaveLen(1))
+		_, a := s.send(http.MethodPost, "/a/", map[string]string{"X-Model": "m", "X-Token-Usage": "100,100"}, "")
+		refused(s, a, wait)
+		Expect(s.lines("request waits for room")).To(BeEmpty(), "the wait ahead exceeds the time for which it may be held")
+
+		const shortWait = 300 * time.Millisecond
+		s = newContended(contendedRoute(250*time.Millisecond, time.Second*4))
+		s.setWait(shortWait)
+		done := s.inBackground("late", map[string]string{"X-Model": "m", "X-Token-Usage": "12000,100"})
+		refused(s, <-done, shortWait)
+		Expect(s.lines("request waits for room")).To(HaveLen(1), "room was expected in time at first")
 	})
 
 	// Guards against queues that hold as many requests as callers send.
