Count the pause at a handover from the last possible arrival of a call

The property checks the pause between two holders itself, that no settled row is written with other counts, and freezes a process before it writes a row.

--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -43,6 +43,7 @@
 	frozenUntil time.Duration
 	freezeCall  time.Duration // the process freezes for this time in its next call to the store
 	freezeSend  time.Duration // likewise, before its next call to the cloud interface
+	freezeRow   time.Duration // likewise, before its next write of a usage row
 	released    bool          // gave up the lease
 	cutStore    time.Duration // until when it does not reach the store
 	cutPeers    time.Duration // until when it does not reach other gateways
@@ -61,25 +62,24 @@
 // simFleet simulates gateways, the store and the cloud interface with one clock, without goroutines: a call that takes time runs the
 // others meanwhile.
 type simFleet struct {
-	now       time.Duration
-	random    *rand.Rand
-	processes []*simProcess // the running ones
-	started   int
-	later     []simEvent
-
-	rows    map[string]platform.Row
-	version int64
-	first   int64 // window of the first row of usage, or zero
-
+	now                                time.Duration
+	random                             *rand.Rand
+	processes                          []*simProcess // the running ones
+	started                            int
+	later                              []simEvent
+	rows                               map[string]platform.Row
+	version                            int64
+	first                              int64         // window of the first row of usage, or zero
 	storeDown, cloudDown, cloudLimited time.Duration // until when
 	storeSlow                          time.Duration
 	loseAnswers                        float64 // fraction of calls
 
-	calls    []fake.CloudCall
-	unleased int                        // calls that arrived after the lease under which they were sent had ended
-	truth    map[int64]map[string]int64 // requests by window and organisation
-	lost     map[int64]map[string]int64 // of them, counted shortly before the end of their process
-	fresh    []simRequest               // counted recently
+	calls     []fake.CloudCall
+	rewritten int                        // rows of usage that were written again with other counts
+	unleased  int                        // calls that arrived after the lease under which they were sent had ended
+	truth     map[int64]map[string]int64 // requests by window and organisation
+	lost      map[int64]map[string]int64 // of them, counted shortly before the end of their process
+	fresh     []simRequest               // counted recently
 }
 
 type simEvent struct {
@@ -317,6 +317,10 @@
 func (c *simStore) Commit(_ context.Context, expected []platform.Precondition, puts []platform.Row) (version int64, rows []platform.Row,
 	held bool, err error) {
 	s := c.fleet
+	if puts[0].Table == "usage" {
+		c.process.frozenUntil, c.process.freezeRow = max(c.process.frozenUntil, s.now+c.process.freezeRow), 0
+		s.wait(c.process, 0)
+	}
 	err = c.call(func() {
 		version, rows, held = 0, nil, true
 		for _, e := range expected {
@@ -331,6 +335,9 @@
 		s.version++
 		for _, r := range puts {
 			r.Version = s.version
+			if before, ok := s.rows[r.Table+"/"+r.Key]; ok && r.Table == "usage" && string(before.Value) != string(r.Value) {
+				s.rewritten++
+			}
 			s.rows[r.Table+"/"+r.Key] = r
 			if window, err := strconv.ParseInt(r.Key, 10, 64); err == nil && s.first == 0 {
 				s.first = window
@@ -371,8 +378,7 @@
 	start, done := s.now, s.now < s.cloudDown
 	var status error
 	if !done {
-		transit := time.Duration(s.random.Int64N(int64(maxTransit)))
-		s.later = append(s.later, simEvent{s.now + transit, func() {
+		s.later = append(s.later, simEvent{s.now + time.Duration(s.random.Int64N(int64(maxTransit))), func() {
 			if done = true; s.now < s.cloudLimited && s.random.IntN(2) == 0 {
 				status = &platform.CloudStatusError{Status: 429}
 				return
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -301,16 +301,16 @@
 
 // holderGone reports whether the holder of the row can no longer act: it released the lease, it was an earlier process on this host, or
 // the row has not changed for leaseTerm plus expiryMargin. A row that does not decode has no holder. lastCall is the latest time at
-// which a call of the holder can have been made.
+// which a call of the holder can arrive: the end of its lease, or sendMargin from now if it ended without one.
 func (l *Lease) holderGone(r platform.Row) (gone bool, lastCall time.Duration) {
 	now := l.opts.Clock()
 	var row leaseRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		l.opts.Log.Warn("planner's lease row not decoded; treating the lease as expired", "error", err)
-		return true, now
+		return true, now + sendMargin
 	}
 	if row.Released || row.Host == l.opts.Host {
-		return true, now
+		return true, now + sendMargin
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/duty/property_test.go
+++ b/internal/duty/property_test.go
@@ -33,9 +33,17 @@
 	if violations := fake.CheckCloudCalls(s.calls, simLease); len(violations) > 0 {
 		t.Fatalf("%d violations in %d calls, first: %s", len(violations), len(s.calls), violations[0])
 	}
+	for i, c := range s.calls[min(1, len(s.calls)):] {
+		if before := s.calls[i]; before.Holder != c.Holder && c.At-before.At < simLease {
+			t.Fatalf("%s called %v after %s", c.Holder, c.At-before.At, before.Holder)
+		}
+	}
 	if s.unleased > 0 {
 		t.Fatalf("%d calls arrived after the lease had ended", s.unleased)
 	}
+	if s.rewritten > 0 {
+		t.Fatalf("%d settled windows were written again with other counts", s.rewritten)
+	}
 	reported := s.reports(t)
 	last := usage.WindowAt(s.wall().Add(-simLate), simWindow) - 1
 	for w, counts := range s.truth {
@@ -97,7 +105,7 @@
 			s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause ds")) * 100 * time.Millisecond)
 			length := time.Duration(rapid.IntRange(2, 90).Draw(t, "length ds")) * 100 * time.Millisecond
 			p := s.process(rapid.IntRange(0, 7).Draw(t, "process"))
-			switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze in call", "freeze before call", "cut store", "cut peers", "store down",
+			switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze in call", "freeze before call", "freeze before row", "cut store", "cut peers", "store down",
 				"cloud down", "cloud limited", "lose", "slow"}).Draw(t, "fault") {
 			case "kill":
 				s.kill(p, 0)
@@ -113,6 +121,8 @@
 				p.freezeCall = length
 			case "freeze before call":
 				p.freezeSend = 2 * length
+			case "freeze before row":
+				p.freezeRow = 2 * length
 			case "cut store":
 				p.cutStore = s.now + length
 			case "cut peers":
