--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
@@ -46,7 +47,7 @@
 	for id, l := range loads {
 		list = append(list, &wirepb.ReplicaLoad{
 			Replica: id, InFlight: int32(l.InFlight), PrefillTokens: int64(l.Prefill), MemoryTokens: int64(l.Memory),
-			Stalled: l.Stalled,
+			Stalled: l.Stalled, PacePermille: uint32(math.Round(1000 * l.Pace)),
 		})
 	}
 	return list
@@ -96,10 +97,11 @@
 	for _, l := range u.GetLoads() {
 		loads[l.GetReplica()] = fleetroute.Load{
 			InFlight: int(l.GetInFlight()), Prefill: float64(l.GetPrefillTokens()), Memory: float64(l.GetMemoryTokens()),
-			Stalled: l.GetStalled(),
+			Stalled: l.GetStalled(), Pace: float64(l.GetPacePermille()) / 1000,
 		}
 	}
 	g.table.UpdatePeer(peer, bootclock.Now(), loads, u.GetIdentity() != nil)
+	g.server.LoadsReceived()
 	if u.GetStoreAway() && !g.mesh.IsStoreReader(discovery.ReaderCount) {
 		// This gateway learns of removals from its peers only, and some entries may have expired only because of the
 		// outage.
@@ -119,6 +121,9 @@
 func (g *gateway) PeerLost(peer string) {
 	g.table.DropPeer(peer)
 	g.freshness.Forget(peer)
+	if g.duties.scaling != nil {
+		g.duties.scaling.observer.Drop(peer)
+	}
 }
 
 // checkConfiguration returns an error if the configuration must not be used any longer.
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/freshness"
 	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
 	"github.com/pomelowheel/pomelowheel/internal/peers"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/internal/retrybudget"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/upstream"
@@ -51,39 +52,46 @@
 	registerTimeout = time.Second
 	// registerRetryInterval is the pause after a failed attempt to register.
 	registerRetryInterval = 500 * time.Millisecond
+	// callerStallTime is the time without progress after which a connection of a caller may be ended when all are in use. A sound
+	// caller sends a head in one piece or a few.
+	callerStallTime = time.Second
 	// memberTable is the store's table of gateway addresses, for a gateway that starts when no seed responds.
 	memberTable = "gateways"
 )
 
 // gateway holds the components of the process.
 type gateway struct {
-	settings     *platform.Settings
-	log          *slog.Logger
-	store        *platform.Store
-	view         *fleet.View
-	table        *fleetroute.Table
-	limits       *fleetgateway.Limits
-	demand       *fleetgateway.Demand
-	metrics      *fleetgateway.Metrics
-	pool         *upstream.Pool
-	sessions     *transport.Pool
-	mesh         *peers.Mesh
-	agents       *agentclient.Client
-	follower     *discovery.Follower
-	freshness    *freshness.Tracker
-	stale        atomic.Bool // the last check found the configuration too old
-	lease        *duty.Lease
-	planner      *fleetplanner.Planner
-	duties       duties
-	server       *fleetgateway.Server
-	logSink      interface{ Dropped() expvar.Var }
-	callers      *arrivals.Tracker // connections of callers
-	shares       descriptors.Shares
-	reclaimer    *descriptors.Reclaimer
-	bodies       *memorybudget.Budget // of callers
-	shortBodies  *memorybudget.Budget
-	answers      *memorybudget.Budget // of servers
-	peerListener net.Listener
+	settings      *platform.Settings
+	log           *slog.Logger
+	store         *platform.Store
+	view          *fleet.View
+	table         *fleetroute.Table
+	limits        *fleetgateway.Limits
+	demand        *fleetgateway.Demand
+	metrics       *fleetgateway.Metrics
+	pool          *upstream.Pool
+	sessions      *transport.Pool
+	mesh          *peers.Mesh
+	agents        *agentclient.Client
+	follower      *discovery.Follower
+	freshness     *freshness.Tracker
+	stale         atomic.Bool // the last check found the configuration too old
+	lease         *duty.Lease
+	planner       *fleetplanner.Planner
+	duties        duties
+	server        *fleetgateway.Server
+	logSink       interface{ Dropped() expvar.Var }
+	callers       *arrivals.Tracker // connections of callers
+	shares        descriptors.Shares
+	reclaimer     *descriptors.Reclaimer
+	bodies        *memorybudget.Budget // of callers
+	shortBodies   *memorybudget.Budget
+	answers       *memorybudget.Budget // of servers
+	heads         *memorybudget.Budget // of callers' requests
+	operatorHeads *memorybudget.Budget
+	frames        *memorybudget.Budget // of other gateways and agents
+	refusals      refusals.Set
+	peerListener  net.Listener
 }
 
 func newGateway(settings *fleetprocess.Settings, log *slog.Logger) (*gateway, error) {
@@ -102,7 +110,7 @@
 	reclaimer := descriptors.NewReclaimer(log)
 	shares := descriptors.Divide(descriptors.Allowance(s.Connections))
 	g := &gateway{
-		shares: shares, reclaimer: reclaimer, callers: arrivals.New(arrivals.Options{MaxConnections: shares.Callers, Log: log}),
+		shares: shares, reclaimer: reclaimer,
 		settings: s, log: log, store: platform.NewStore(s.Store.Address, reclaimer), view: fleet.NewView(), table: fleetroute.NewTable(),
 		freshness: freshness.New(s.Bounds.Configuration), demand: fleetgateway.NewDemand(), metrics: fleetgateway.NewMetrics(),
 		sessions: transport.NewPoolWithControl(platform.SetTCPUserTimeout),
@@ -113,6 +121,12 @@
 		logSink: settings.Sink, peerListener: listener,
 	}
 	memory := memorybudget.Divide(s.MemoryBytes)
+	g.heads, g.operatorHeads = memorybudget.New(memory.Heads), memorybudget.New(memory.OperatorHeads)
+	g.frames = memorybudget.New(memory.Frames)
+	g.callers = arrivals.New(arrivals.Options{MaxConnections: shares.Callers, Log: log, Limits: arrivals.Limits{
+		Refusals: g.refusals.Recorder("callers", log), MaxFields: s.Clients.MaxFields, Heads: g.heads, BodyStall: s.Clients.BodyStall, Unread: s.Clients.Unread,
+		StallTime: callerStallTime,
+	}})
 	g.bodies, g.shortBodies = memorybudget.New(memory.Bodies), memorybudget.New(memory.ShortBodies)
 	g.answers = memorybudget.New(memory.Answers)
 	g.sessions.ReclaimWith(reclaimer)
@@ -122,9 +136,10 @@
 		Host: s.Host, DataCentre: s.DataCentre, Role: "gateway", Incarnation: uuid.NewString(), Address: s.ControlAddress,
 	}
 	clock := bootclock.Clock(bootclock.Now)
+	g.duties.scaling = newScaling(s)
 	g.mesh = peers.New(peers.Options{
 		Identity: identity, Seeds: func() []string { return settings.Get().Seeds }, Pool: g.sessions, Clock: clock,
-		Source: g, Sink: g, Usage: g.usageSource(identity), OnUsage: g.receiveUsage, Log: log,
+		Source: g, Sink: g, Usage: g.usageSource(identity), OnUsage: g.receiveUsage, Scale: g.scaleSource(), OnScale: g.receiveScale, Log: log,
 	})
 	g.limits = fleetgateway.NewLimits(clock, g.mesh.Count, func() float64 {
 		if s.FirstStart {
@@ -157,7 +172,7 @@
 	g.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
 		CheckConfiguration: g.checkConfiguration, ConfigurationBehind: g.freshness.Behind,
-		Demand: g.demand, Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
+		Demand: g.demand, ServiceDemand: g.serviceDemand(), Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
 		CountBegun: g.countBegun(), Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
@@ -172,7 +187,8 @@
 	group.Go("discovery", g.follower.Run)
 	group.Go("peers", g.mesh.Run)
 	peerSessions := transport.NewServer(g.peerListener, nil, g.handlePeer, g.log,
-		transport.WithDescriptors(g.shares.PeerSessions, g.reclaimer))
+		transport.WithDescriptors(g.shares.PeerSessions, g.reclaimer),
+		transport.WithFrames(g.frames, g.refusals.Recorder("peers", g.log)))
 	g.reclaimer.Add("peer sessions without a stream", peerSessions.CloseIdle)
 	group.Go("peer sessions", peerSessions.Serve)
 	group.Go("registration", g.register)
@@ -183,13 +199,16 @@
 	group.Go("cleaning", g.cleanUp)
 	group.Go("prompt guard", g.runGuard)
 	group.Go("readiness", func(ctx context.Context) error {
-		return g.endpoint(g.settings.ReadinessAddress).Serve(ctx, g.readiness())
+		return g.endpoint("readiness", g.settings.ReadinessAddress).Serve(ctx, g.readiness())
 	})
 }
 
 // endpoint returns a server for the platform or for operators.
-func (g *gateway) endpoint(address string) fleetprocess.Endpoint {
-	return fleetprocess.Endpoint{Address: address, MaxConnections: g.shares.Operators, Reclaim: g.reclaimer, Log: g.log}
+func (g *gateway) endpoint(name, address string) fleetprocess.Endpoint {
+	return fleetprocess.Endpoint{
+		Name: name, Address: address, MaxConnections: g.shares.Operators, Reclaim: g.reclaimer, Log: g.log,
+		Clients: g.settings.Clients, Heads: g.operatorHeads, Refusals: &g.refusals,
+	}
 }
 
 // readiness returns the handler of readiness checks. It responds on every path, because the platform requests only
@@ -215,10 +234,13 @@
 	vars["bodies_refused"] = expvar.Func(func() any { return g.bodies.Refused() })
 	vars["answer_bytes"] = expvar.Func(func() any { return g.answers.Held() })
 	vars["answers_refused"] = expvar.Func(func() any { return g.answers.Refused() })
+	vars["head_bytes"] = expvar.Func(func() any { return g.heads.Held() + g.operatorHeads.Held() })
+	vars["clients_refused"] = g.refusals.Var()
 	vars["store_calls"] = expvar.Func(func() any { all, _ := g.store.Calls(); return all })
 	vars["store_failures"] = expvar.Func(func() any { _, failed := g.store.Calls(); return failed })
 	vars["backend_connections_opened"] = expvar.Func(func() any { return g.pool.Dials() })
 	vars["active_requests"] = expvar.Func(func() any { return g.server.Active() })
+	vars["requests_waiting"] = expvar.Func(func() any { return g.server.Waiting() })
 	vars["gateways_heard"] = expvar.Func(func() any { heard, _ := g.mesh.Count(); return heard })
 	vars["agents_reporting"] = expvar.Func(func() any { fresh, _ := g.agents.Counts(bootclock.Now()); return fresh })
 	vars["config_version"] = expvar.Func(func() any {
@@ -231,6 +253,7 @@
 		age, _ := g.freshness.Age(bootclock.Now())
 		return age.Milliseconds()
 	})
+	vars["server_speeds"] = expvar.Func(func() any { return g.table.Speeds() })
 	vars["refused_prompts"] = expvar.Func(func() any { list, _ := g.server.Prompts().Refusals(); return len(list) })
 	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
 	g.addDutyVars(vars)
@@ -278,7 +301,8 @@
 	}
 }
 
-// cleanUp periodically closes expired idle connections and removes the loads and signs of servers that are no longer listed.
+// cleanUp periodically closes expired idle connections and removes the loads and signs of servers that are no longer
+// listed and the queues in which nothing waits.
 func (g *gateway) cleanUp(ctx context.Context) error {
 	for {
 		if err := background.Sleep(ctx, cleanupInterval); err != nil {
@@ -288,6 +312,7 @@
 		replicas := g.view.Snapshot().Replicas
 		g.table.Prune(func(id string) bool { return replicas[id] != nil })
 		g.server.PruneSigns()
+		g.server.PruneQueues()
 	}
 }
 
--- a/internal/duty/metering.go
+++ b/internal/duty/metering.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
-	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -32,6 +29,8 @@
 	lateFraction = 0.4
 	// gatherTime is the time after the lease was acquired in which the other gateways send what they counted.
 	gatherTime = 1500 * time.Millisecond
+	// firstMargin is how long before the first holder another gateway may have started.
+	firstMargin = 2 * time.Second
 	// maxBatch limits the windows that are settled in one transaction.
 	maxBatch = 32
 	// maxGap limits the windows without a row that are reported after a time in which nothing could be settled.
@@ -73,13 +72,6 @@
 	Log    *slog.Logger
 }
 
-// usageRow is the value of the row of a settled window. It is written once.
-type usageRow struct {
-	Counts map[string]int64 `json:"counts"`
-	// Acknowledged is the last window up to which all reports had been acknowledged when the row was written.
-	Acknowledged int64 `json:"acknowledged"`
-}
-
 // pendingReport is a settled window whose report has not been acknowledged.
 type pendingReport struct {
 	counts   map[string]int64
@@ -90,12 +82,13 @@
 // Metering settles the windows of usage and reports them while its gateway holds the lease. A window is settled by the first write of
 // its row; what is sent is what the row contains. It is safe for concurrent use.
 type Metering struct {
-	opts MeteringOptions
+	opts    MeteringOptions
+	started time.Time
 
 	mu           sync.Mutex
 	epoch        int64 // of the lease for which the fields below were read from the store, or zero
 	acquiredAt   time.Duration
-	next         int64                    // first window to settle; zero if no window has been settled yet
+	next         int64                    // first window to settle
 	acknowledged int64                    // all reports up to this window are acknowledged
 	pending      map[int64]*pendingReport // by window
 	stored       []int64                  // windows with a row, ascending
@@ -116,7 +109,7 @@
 }
 
 // NewMetering returns a Metering. Call Run to start it.
-func NewMetering(opts MeteringOptions) *Metering { return &Metering{opts: opts} }
+func NewMetering(opts MeteringOptions) *Metering { return &Metering{opts: opts, started: opts.Wall()} }
 
 // Stats returns the counters.
 func (m *Metering) Stats() MeteringStats {
@@ -147,8 +140,8 @@
 	return group.Wait()
 }
 
-// Settle reads the rows after the lease was acquired, writes the rows of the windows that are due and removes old rows. It makes at
-// most one call to the store. Settle must not be called concurrently with itself.
+// Settle reads the rows after the lease was acquired, or else writes the rows of the windows that are due, or else removes old rows.
+// Settle must not be called concurrently with itself.
 func (m *Metering) Settle(ctx context.Context) {
 	epoch, now := m.opts.Epoch(), m.opts.Clock()
 	m.mu.Lock()
@@ -175,51 +168,6 @@
 	}
 }
 
-// load reads the settled windows.
-func (m *Metering) load(ctx context.Context, epoch int64) error {
-	page, err := m.opts.Store.List(ctx, usageTable)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.epoch, m.acquiredAt, m.next, m.acknowledged, m.stored = epoch, m.opts.Clock(), 0, 0, nil
-	m.pending, m.retrySendAt, m.backoff, m.batch = make(map[int64]*pendingReport), 0, 0, maxBatch
-	for _, r := range page.Rows {
-		m.adopt(r)
-	}
-	slices.Sort(m.stored)
-	maps.DeleteFunc(m.pending, func(window int64, _ *pendingReport) bool { return window <= m.acknowledged })
-	if m.next != 0 {
-		m.opts.Ledger.Settle(m.next - 1)
-	}
-	m.opts.Log.Info("usage reports continue", "token", epoch, "next_window", m.next, "rows", len(page.Rows),
-		"not_acknowledged", len(m.pending))
-	return nil
-}
-
-// adopt takes over a stored row. The caller holds m.mu.
-func (m *Metering) adopt(r platform.Row) {
-	window, err := strconv.ParseInt(r.Key, 10, 64)
-	var row usageRow
-	if err == nil {
-		err = json.Unmarshal(r.Value, &row)
-	}
-	if err != nil {
-		m.opts.Log.Error("row of a usage window not decoded; ignoring it", "key", r.Key, "error", err)
-		if window == 0 {
-			return
-		}
-	} else if m.pending[window] == nil {
-		if row.Counts == nil {
-			row.Counts = make(map[string]int64)
-		}
-		m.pending[window] = &pendingReport{counts: row.Counts}
-	}
-	m.stored = append(m.stored, window)
-	m.next, m.acknowledged = max(m.next, window+1), max(m.acknowledged, row.Acknowledged)
-}
-
 // due returns the windows to settle now, in order.
 func (m *Metering) due(now time.Duration) []int64 {
 	m.mu.Lock()
@@ -229,12 +177,6 @@
 	}
 	wall := m.opts.Wall()
 	current := usage.WindowAt(wall, m.opts.Window)
-	if m.next == 0 {
-		m.next = current
-		if oldest, ok := m.opts.Ledger.Oldest(); ok {
-			m.next = min(oldest, current)
-		}
-	}
 	if current-m.next > maxGap {
 		m.opts.Log.Error("usage windows are too old to be reported", "from", m.next, "to", current-maxGap-1)
 		m.next = current - maxGap
@@ -256,16 +198,9 @@
 	m.mu.Lock()
 	acknowledged := m.acknowledged
 	m.mu.Unlock()
-	var expected []platform.Precondition
-	var puts []platform.Row
-	for _, w := range windows {
-		value, err := json.Marshal(usageRow{Counts: m.opts.Ledger.Totals(w), Acknowledged: acknowledged})
-		if err != nil {
-			return err
-		}
-		key := strconv.FormatInt(w, 10)
-		expected = append(expected, platform.Precondition{Table: usageTable, Key: key})
-		puts = append(puts, platform.Row{Table: usageTable, Key: key, Value: value})
+	expected, puts, err := usageRows(windows, acknowledged, m.opts.Ledger.Totals)
+	if err != nil {
+		return err
 	}
 	_, rows, held, err := m.opts.Store.Commit(ctx, expected, puts)
 	if err != nil {
@@ -298,30 +233,6 @@
 	return nil
 }
 
-// removable returns the keys of rows that are not needed any more.
-func (m *Metering) removable() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var keys []string
-	for _, w := range m.stored {
-		if w > m.acknowledged || w >= m.next-keptWindows {
-			break
-		}
-		keys = append(keys, strconv.FormatInt(w, 10))
-	}
-	return keys
-}
-
-func (m *Metering) remove(ctx context.Context, keys []string) error {
-	if err := m.opts.Store.Remove(ctx, usageTable, keys); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.stored = m.stored[len(keys):]
-	return nil
-}
-
 // Send sends the oldest report that may be sent now. Send must not be called concurrently with itself.
 func (m *Metering) Send(ctx context.Context) {
 	window, report, epoch := m.nextReport()
--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/contention"
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/failover"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
@@ -43,17 +44,24 @@
 func (q *request) run(ctx context.Context) errkind.Kind {
 	s := q.server
 	s.budget(q.service).CountRequest(s.opts.Clock())
+	s.hedgeBudget(q.service).CountRequest(s.opts.Clock())
 	q.race = failover.New(failover.Options{
 		Repeatable: q.route.Repeatable(), MaxRuns: q.route.MaxAttempts, MaxNotRun: maxNotRunAttempts,
 	})
 	defer q.endAttempts()
+	defer q.leaveQueue()
 	for {
 		choice, replica, err := q.choose(ctx)
 		q.countDemand(choice)
+		q.countScaled(choice)
 		if err != nil {
-			return q.giveUp(q.finalError(ctx, err))
+			return q.endRefused(ctx, err)
 		}
 		r, ok := q.begin(ctx, ctx, choice, replica)
+		if q.waiter != nil && ok {
+			s.opts.Metrics.afterWait.Add(rankName(q.waiter.rank), 1)
+		}
+		q.leaveQueue() // only now, so that the next waiting request is decided on with this one's load
 		if ok {
 			r = q.await(ctx)
 		}
@@ -62,11 +70,18 @@
 			return errkind.None
 		}
 		if !q.shouldRetry(ctx, r) {
-			return q.giveUp(q.finalError(ctx, q.lastError(r)))
+			return q.endRefused(ctx, q.lastError(r))
 		}
 	}
 }
 
+// endRefused ends a request that no server answered, and returns the kind of the outcome. err is the error of the last attempt.
+func (q *request) endRefused(ctx context.Context, err error) errkind.Kind {
+	final := q.finalError(ctx, err)
+	q.scaled.countRefused(err, errkind.Of(final).NotRun())
+	return q.giveUp(final)
+}
+
 // outputTokenCost is the cost of one output token in prompt tokens, for the demand of a model. All requests in a
 // batch share its steps, and a step takes about as long as processing some hundred prompt tokens.
 const outputTokenCost = 8
@@ -78,17 +93,20 @@
 		return
 	}
 	q.demandCounted = true
-	work := outputTokenCost * q.outputTokens
+	q.server.opts.Demand.Add(q.service, q.model, q.work(c))
+}
+
+// work returns the request's work in prompt tokens. c is the chosen server, or nil if there is none yet.
+func (q *request) work(c *fleetroute.Candidate) float64 {
 	if c != nil {
-		work += c.UncachedTokens
-	} else {
-		work += float64(q.prompt.TotalTokens) / 2
+		return outputTokenCost*q.outputTokens + c.UncachedTokens
 	}
-	q.server.opts.Demand.Add(q.service, q.model, work)
+	return outputTokenCost*q.outputTokens + float64(q.prompt.TotalTokens)/2
 }
 
 // choose returns the best server for the request, or the error with which to refuse it. It waits while the model is
-// being loaded, if the response can still be in time.
+// being loaded, if the response can still be in time, or for room at a server. A request that waited for room stays in its queue until
+// leaveQueue is called.
 func (q *request) choose(ctx context.Context) (*fleetroute.Candidate, *fleet.Replica, error) {
 	s := q.server
 	for {
@@ -99,15 +117,30 @@
 		if err := q.checkPrompt(); err != nil {
 			return nil, nil, err
 		}
+		if err := q.displacedRefusal(); err != nil {
+			return nil, nil, err
+		}
+		if q.waiter != nil && !q.awaitTurn(ctx) {
+			if ctx.Err() != nil {
+				return nil, nil, errkind.Wrap(errkind.Overloaded, ctx.Err(), "no room at a server in time")
+			}
+			continue
+		}
 		now := s.opts.Clock()
 		list, byID, why := q.candidates(now)
-		if at := fleetroute.Choose(list, s.opts.DataCentre); at >= 0 {
+		at := s.pick(list)
+		policy := q.gated()
+		if policy == nil || at < 0 {
+			q.leaveQueue()
+		}
+		if at >= 0 {
 			c := &list[at]
-			q.logChoice(c, len(list))
-			if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
-				return c, nil, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
-					c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
+			if send, err := q.mayTake(policy, list, at); err != nil {
+				return c, nil, err
+			} else if !send {
+				continue // it waits for room
 			}
+			q.countScaled(c) // the demand of requests that wait counts, too
 			if q.waitForTurn(ctx, c, byID[c.ID]) && q.mayStillSend(q.config, byID[c.ID]) {
 				return c, byID[c.ID], nil
 			}
@@ -124,6 +157,7 @@
 				retryAfter(q.loadTime() / 2)}
 		}
 		q.countDemand(nil) // the planner must know the demand of waiting requests
+		q.countScaled(nil)
 		select {
 		case <-change:
 		case <-time.After(waitPollInterval):
@@ -133,6 +167,25 @@
 	}
 }
 
+// mayTake reports whether the request is sent to the best candidate, which is at the given position. err says why it is refused. If it is
+// neither sent nor refused, it waits for room and has to be decided on again.
+func (q *request) mayTake(policy *contention.Policy, list []fleetroute.Candidate, at int) (send bool, err error) {
+	c := &list[at]
+	if policy != nil {
+		if send, err = q.seekRoom(policy, list, at); send {
+			q.logChoice(c, len(list))
+		}
+		return send, err
+	}
+	q.logChoice(c, len(list))
+	if left := q.timeLeft(); c.Predicted() > time.Duration(maxDeadlineShare*float64(left)) {
+		q.scaled.tooLong = !fitsIdle(*c, time.Duration(maxDeadlineShare*float64(left)))
+		return false, &refusal{errkind.New(errkind.DeadlineUnreachable, "predicted time %v at server %s, time left %v",
+			c.Predicted().Round(time.Millisecond), c.ID, left.Round(time.Millisecond)), retryAfter(c.Predicted() / 2)}
+	}
+	return true, nil
+}
+
 func retryAfter(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
 
 func (q *request) loadTime() time.Duration {
--- a/internal/fleetgateway/metrics.go
+++ b/internal/fleetgateway/metrics.go
@@ -22,8 +22,12 @@
 	outcomes *expvar.Map
 	cut      *expvar.Map // requests whose caller got an incomplete answer or none, by outcome
 	sends    *expvar.Int
+	hedges   *expvar.Map // hedged requests: sent, and answered first by the second server
 	signs    *expvar.Map // signs in servers' responses, by kind
 
+	noRoom    *expvar.Map // requests refused because no room at a server was expected, by reason and rank
+	afterWait *expvar.Map // requests sent after a wait for room, by rank
+
 	serversEnded *expvar.Int // servers that ended and broke off a response of this gateway
 
 	mu            sync.Mutex
@@ -34,7 +38,9 @@
 // NewMetrics returns metrics without any request.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), signs: new(expvar.Map), serversEnded: new(expvar.Int),
+		outcomes: new(expvar.Map), cut: new(expvar.Map), sends: new(expvar.Int), hedges: new(expvar.Map), signs: new(expvar.Map),
+		serversEnded: new(expvar.Int),
+		noRoom:       new(expvar.Map), afterWait: new(expvar.Map),
 		firstEvent: make(map[string]*hdrhistogram.Histogram), wholeResponse: make(map[string]*hdrhistogram.Histogram),
 	}
 }
@@ -42,13 +48,16 @@
 // Vars returns the variables by their published names. Latencies are in milliseconds.
 func (m *Metrics) Vars() map[string]expvar.Var {
 	return map[string]expvar.Var{
-		"requests_by_outcome": m.outcomes,
-		"answers_cut":         m.cut,
-		"sends":               m.sends,
-		"server_signs":        m.signs,
-		"servers_ended":       m.serversEnded,
-		"first_event_ms":      expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
-		"whole_answer_ms":     expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
+		"requests_by_outcome":  m.outcomes,
+		"answers_cut":          m.cut,
+		"sends":                m.sends,
+		"hedges":               m.hedges,
+		"server_signs":         m.signs,
+		"servers_ended":        m.serversEnded,
+		"refused_without_room": m.noRoom,
+		"sent_after_wait":      m.afterWait,
+		"first_event_ms":       expvar.Func(func() any { return m.quantiles(m.firstEvent) }),
+		"whole_answer_ms":      expvar.Func(func() any { return m.quantiles(m.wholeResponse) }),
 	}
 }
 
--- a/internal/fleetgateway/server.go
+++ b/internal/fleetgateway/server.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -54,7 +55,9 @@
 	Pool       *upstream.Pool
 	Limits     *Limits
 	Demand     *Demand
-	Retry      retrybudget.Options
+	// ServiceDemand counts the demand for services with scaling; nil if it is not needed.
+	ServiceDemand *ServiceDemand
+	Retry         retrybudget.Options
 	// CheckConfiguration returns an error if the view's configuration is too old to be used.
 	CheckConfiguration func() error
 	// ConfigurationBehind reports whether a newer configuration than the view's is in force.
@@ -65,6 +68,7 @@
 	Bodies              *memorybudget.Budget // bytes of long bodies; a default if nil, like the two below
 	ShortBodies         *memorybudget.Budget // bytes of bodies, of each up to shortBodyBytes
 	Answers             *memorybudget.Budget // bytes of servers' answers that are not relayed yet
+	Random              rand.Source          // of the choices among servers, safe for concurrent use; the process's own if nil
 	Metrics             *Metrics
 	CountBegun          func(organisation string) // is called once for each request that began to run for an organisation; may be nil
 	Log                 *slog.Logger
@@ -73,17 +77,21 @@
 // Server is the http.Handler for callers. It is safe for concurrent use.
 type Server struct {
 	opts     Options
+	random   *rand.Rand
 	draining atomic.Pointer[time.Duration] // the clock's reading when draining began, or nil
 	active   atomic.Int64
 	excluded *exclusions
 	signs    *signs
 	ends     *serverEnds
 	prompts  *PromptGuard
+	rooms    *rooms
+	loadsAt  atomic.Int64    // reading of the clock when another gateway last reported its loads, or zero
 	ending   context.Context // ends with EndRequests
 	end      context.CancelFunc
 
 	mu      sync.Mutex
 	retries map[string]*retrybudget.Budget // by service
+	hedges  map[string]*retrybudget.Budget // by service, counting hedged requests as retries
 	changed chan struct{}                  // closed and replaced when the fleet may have changed
 
 	coldMu       sync.Mutex
@@ -92,17 +100,26 @@
 	agentRetryAt map[string]time.Duration // until when an agent that did not reply is not asked for turns
 }
 
+// processRandom is the random source of the process, which is safe for concurrent use.
+type processRandom struct{}
+
+// Uint64 implements rand.Source.
+func (processRandom) Uint64() uint64 { return rand.Uint64() }
+
 // New returns a server that accepts requests.
 func New(opts Options) *Server {
 	shares := memorybudget.Divide(0)
 	opts.Bodies = cmp.Or(opts.Bodies, memorybudget.New(shares.Bodies))
 	opts.ShortBodies = cmp.Or(opts.ShortBodies, memorybudget.New(shares.ShortBodies))
 	opts.Answers = cmp.Or(opts.Answers, memorybudget.New(shares.Answers))
+	if opts.Random == nil {
+		opts.Random = processRandom{}
+	}
 	ending, end := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), ending: ending, end: end,
+		opts: opts, random: rand.New(opts.Random), excluded: newExclusions(), signs: newSigns(), ends: newServerEnds(), prompts: newPromptGuard(opts), rooms: newRooms(), ending: ending, end: end,
 		cold: coldstart.New(), coldNextTurn: make(map[string]time.Duration), agentRetryAt: make(map[string]time.Duration),
-		retries: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
+		retries: make(map[string]*retrybudget.Budget), hedges: make(map[string]*retrybudget.Budget), changed: make(chan struct{}),
 	}
 }
 
@@ -175,13 +192,16 @@
 	exchanges     sync.WaitGroup                     // goroutines of the attempts
 	messages      chan message                       // from the attempts
 	interrupt     atomic.Pointer[context.CancelFunc] // ends a choice that a message makes unnecessary
+	hedge         *attempt                           // sent because the first server was late, or nil
 	answering     *attempt                           // whose response the caller gets
 	failure       *message                           // whole response of a server that failed, or nil
 	retryReserved bool                               // the retry budget has been charged for the next attempt
 	reservedAt    string                             // service whose budget has been charged
 	budgetLogged  bool                               // a refusal of the retry budget has been logged
 	demandCounted bool                               // the request is counted in the model's demand
+	scaled        scaledRequest                      // what is counted for a service with scaling
 	begunCounted  atomic.Bool                        // the request is counted as one that began to run
+	waiter        *waiter                            // of the request while it waits for room at a server, or nil
 	headSent      bool                               // the status line and header of the response were sent
 	lastEvent     string                             // ID of the last event that was sent to the caller
 	firstEvent    time.Duration                      // from the arrival to the first event of a stream, or to a response that is not a stream
--- a/internal/fleetprocess/fleetprocess.go
+++ b/internal/fleetprocess/fleetprocess.go
@@ -21,25 +21,21 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/pomelowheel/pomelowheel/internal/arrivals"
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
-	"github.com/pomelowheel/pomelowheel/internal/listener"
 	"github.com/pomelowheel/pomelowheel/internal/logsink"
 	"github.com/pomelowheel/pomelowheel/internal/memorybudget"
+	"github.com/pomelowheel/pomelowheel/internal/operatorserver"
 	"github.com/pomelowheel/pomelowheel/internal/process"
+	"github.com/pomelowheel/pomelowheel/internal/refusals"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
 const (
 	// settingsPollInterval is the pause between two reads of the settings file, which may change without a signal.
 	settingsPollInterval = 2 * time.Second
-	// shutdownTimeout limits the shutdown of a server started by Endpoint.Serve.
-	shutdownTimeout = 200 * time.Millisecond
 	// minPause is the time between two polls from which the process counts as paused.
 	minPause = 500 * time.Millisecond
-	// headerTimeout limits reading the header of a request to a server started by Endpoint.Serve.
-	headerTimeout = 2 * time.Second
 )
 
 // Main parses the flags in args, loads the settings and calls run with them. The log goes to stdout, and usage and
@@ -143,8 +139,12 @@
 
 // Endpoint is an HTTP server for operators or the platform.
 type Endpoint struct {
+	Name           string // in the log
 	Address        string // IP:port to listen on
 	MaxConnections int    // zero for no limit
+	Clients        platform.ClientLimits
+	Heads          *memorybudget.Budget // memory of parsed heads
+	Refusals       *refusals.Set        // may be nil
 	Reclaim        *descriptors.Reclaimer
 	Log            *slog.Logger
 }
@@ -168,20 +168,10 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	tracker := arrivals.New(arrivals.Options{MaxConnections: e.MaxConnections, Log: e.Log})
-	tracker.Attach(server)
-	stop := context.AfterFunc(ctx, func() {
-		end, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(end) // connections that remain end with the process
+	return operatorserver.Serve(ctx, l, handler, operatorserver.Options{
+		Name: e.Name, MaxConnections: e.MaxConnections, HeaderBytes: e.Clients.OperatorHeaderBytes, RequestTime: e.Clients.OperatorTime,
+		MaxFields: e.Clients.MaxFields, Heads: e.Heads, Refusals: e.Refusals, Reclaim: e.Reclaim, Log: e.Log,
 	})
-	defer stop()
-	l = tracker.Listener(listener.Persistent(l, listener.Options{Name: e.Address, Reclaim: e.Reclaim, Log: e.Log}))
-	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", e.Address, err)
-	}
-	return ctx.Err()
 }
 
 // WaitIdle polls idle until it has reported true continuously for the duration quiet, and returns true. It returns false
