--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -210,6 +210,7 @@
 		refusing.SetFaults(fake.StoreFaults{Refuse: true})
 		other := newGateway(refusing)
 		Eventually(g.servers, eventuallyTimeout).Should(Equal(1))
+		Eventually(g.version, eventuallyTimeout).Should(BeEquivalentTo(3)) // the two tables are read independently
 		rows := g.follower.Rows()
 		for i := range rows {
 			other.follower.Apply(rows[len(rows)-1-i:len(rows)-i], false)
--- a/internal/fleetgateway/connection_test.go
+++ b/internal/fleetgateway/connection_test.go
@@ -158,6 +158,9 @@
 		c := s.dial()
 		c.send(http.MethodPost, 8*time.Second, lines, body)
 		Eventually(s.server.Active, "2s", "5ms").Should(BeEquivalentTo(1))
+		if marker == "model_not_resident" {
+			Eventually(s.demand.Totals, "3s", "5ms").ShouldNot(BeEmpty()) // it waits for the model
+		}
 		s.server.EndRequests()
 		status, text := c.receive()
 		Expect(status).To(Equal(http.StatusServiceUnavailable), text)
