Hold the memory of a refused head until its connection has closed

Cause: with other tests running, TestCallersWithTheLongestHeadsWithoutARoute took 76 MB at its bound of 64 (one run of the whole package with -race; 47 to 55 without load). A refusal gave the account back at once, while net/http still held what it had parsed, so more heads were parsed than the account covers before the garbage collector had run.

Change: the account gets the memory back when the connection has closed.

--- a/internal/arrivals/limits.go
+++ b/internal/arrivals/limits.go
@@ -172,10 +172,10 @@
 }
 
 // refuseUnparsed answers a request before the server has read its head. No answer is in progress then, because the server reads
-// the next head after it has sent the answer before.
+// the next head after it has sent the answer before. The memory of the head is given back when the connection has closed, because
+// what is parsed of it is in use until then.
 func (c *arrivalConn) refuseUnparsed(why string) {
 	c.arrivals.opts.Limits.Refusals.Record(why, c.RemoteAddr().String())
-	c.head.reset()
 	status, body := refusalFor(why)
 	now := time.Now()
 	_ = c.Conn.SetDeadline(now.Add(refusalTime)) // fails on a closed connection only
