--- a/internal/fleetgateway/appointments.go
+++ b/internal/fleetgateway/appointments.go
@@ -60,31 +60,17 @@
 	}
 }
 
-// keepRoom sets the time for which room is kept for callers that return soon. It takes at most half of the allowance of a request that
-// can be in time, and doesn't put its target at risk. Late work leaves the whole room.
+// keepRoom sets the time for which room is kept for callers that return soon.
 func (q *request) keepRoom(p *contention.Policy, a contention.Request, list []fleetroute.Candidate, at int) {
 	q.appointment.ahead = 0
 	book := q.server.opts.Appointments
-	if book == nil || book.Known() == 0 || a.Returned {
+	if book == nil || book.Known() == 0 {
 		return
 	}
-	due := book.Due(q.server.opts.Clock(), appointment.NewQueue(q.service, q.model))
-	if due == 0 {
-		return
-	}
-	best := serverState(&list[at])
-	own := best.Predicted - best.WaitAhead
-	ahead := time.Duration(due / fleetRate(&list[at], best, len(list)) * float64(time.Millisecond))
-	allowance := p.Allowance(a, own)
-	switch {
-	case !a.CanMeetTarget(own):
-		ahead = min(ahead, allowance)
-	case a.Target > 0:
-		ahead = min(ahead, allowance/2, max(0, a.Target-a.Elapsed-best.Predicted))
-	default:
-		ahead = min(ahead, allowance/2)
+	if due := book.Due(q.server.opts.Clock(), appointment.NewQueue(q.service, q.model)); due > 0 {
+		best := serverState(&list[at])
+		q.appointment.ahead = p.KeepRoom(a, best, time.Duration(due/fleetRate(&list[at], best, len(list))*float64(time.Millisecond)))
 	}
-	q.appointment.ahead = ahead
 }
 
 // serverState returns the state of a candidate as the policy sees it, with the room that is kept for callers that return.
