Keep room for returning callers only as far as it is needed

Cause: all work due within 300 ms counted as wait ahead, although the servers drain while the callers are under way, so more new drafts were refused than needed.

Change: the room kept is the due work beyond what the servers process until each return, until 100 ms after it. The appointments of a queue are kept in order.

--- a/cmd/pomelo-fleet-gateway/appointments.go
+++ b/cmd/pomelo-fleet-gateway/appointments.go
@@ -16,7 +16,7 @@
 // receiveAppointments adds the changes of appointments that a peer sent.
 func (g *gateway) receiveAppointments(peer string, changes *wirepb.Appointments) {
 	if err := g.appointments.Receive(bootclock.Now(), changes); err != nil {
-		g.log.Warn("appointments of peer ignored", "peer", peer, "error", err)
+		g.log.Warn("invalid appointments of a peer", "peer", peer, "error", err)
 	}
 }
 
--- a/internal/appointment/book.go
+++ b/internal/appointment/book.go
@@ -6,7 +6,9 @@
 package appointment
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +32,7 @@
 	// returnShare is the part of the servers' rate that is planned for returning callers. The rest serves new requests.
 	returnShare = 0.5
 	// keepBefore and keepAfter are the times before and after the return time in which room is kept for a caller.
-	keepBefore, keepAfter = 300 * time.Millisecond, 200 * time.Millisecond
+	keepBefore, keepAfter = 300 * time.Millisecond, 100 * time.Millisecond
 
 	// maxKnown bounds the appointments that a gateway knows, maxPerOrganisation those of each organisation among them.
 	maxKnown, maxPerOrganisation = 512, 64
@@ -110,6 +112,9 @@
 
 func (e *entry) key() Key { return Key(e.id & keyMask) }
 
+// compareReturn orders appointments by return time.
+func compareReturn(e *entry, returnAt time.Duration) int { return cmp.Compare(e.returnAt, returnAt) }
+
 func (e *entry) expiresAt() time.Duration { return e.returnAt + grace }
 
 // Book holds the appointments that a gateway knows. It is safe for concurrent use.
@@ -120,6 +125,7 @@
 	mu            sync.Mutex
 	random        *rand.Rand
 	entries       map[Key]*entry
+	queues        map[Queue][]*entry       // the same ones by return time
 	organisations map[Organisation]int     // appointments of each
 	ended         map[uint64]time.Duration // until when an appointment that ended is remembered, by ID
 	closedUntil   time.Duration            // until when no appointments of peers are taken, because one that ended may be forgotten
@@ -133,7 +139,7 @@
 // New returns a book without appointments. seed should differ between gateways.
 func New(seed uint64) *Book {
 	return &Book{
-		random: rand.New(rand.NewPCG(seed, 0)), entries: make(map[Key]*entry), organisations: make(map[Organisation]int),
+		random: rand.New(rand.NewPCG(seed, 0)), entries: make(map[Key]*entry), queues: make(map[Queue][]*entry), organisations: make(map[Organisation]int),
 		ended: make(map[uint64]time.Duration), bytes: bytesPerSecond,
 	}
 }
@@ -210,23 +216,6 @@
 	}
 }
 
-// Due returns the prompt tokens for which room is kept now.
-func (b *Book) Due(now time.Duration, q Queue) float64 {
-	if b.known.Load() == 0 {
-		return 0
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.expire(now)
-	sum := 0
-	for _, e := range b.entries {
-		if e.queue == q && e.returnAt <= now+keepBefore && e.returnAt >= now-keepAfter {
-			sum += e.tokens
-		}
-	}
-	return float64(sum)
-}
-
 // end removes an appointment and announces its end.
 func (b *Book) end(e *entry, now time.Duration) {
 	b.remove(e)
@@ -243,12 +232,19 @@
 		b.nextExpiry = e.expiresAt()
 	}
 	b.entries[e.key()] = e
+	list := b.queues[e.queue]
+	at, _ := slices.BinarySearchFunc(list, e.returnAt, compareReturn)
+	b.queues[e.queue] = slices.Insert(list, at, e)
 	b.organisations[e.organisation]++
 	b.known.Store(int64(len(b.entries)))
 }
 
 func (b *Book) remove(e *entry) {
 	delete(b.entries, e.key())
+	list := slices.DeleteFunc(b.queues[e.queue], func(other *entry) bool { return other == e })
+	if b.queues[e.queue] = list; len(list) == 0 {
+		delete(b.queues, e.queue)
+	}
 	if b.organisations[e.organisation]--; b.organisations[e.organisation] == 0 {
 		delete(b.organisations, e.organisation)
 	}
--- a/internal/fleetgateway/appointments.go
+++ b/internal/fleetgateway/appointments.go
@@ -67,9 +67,10 @@
 	if book == nil || book.Known() == 0 {
 		return
 	}
-	if due := book.Due(q.server.opts.Clock(), appointment.NewQueue(q.service, q.model)); due > 0 {
-		best := serverState(&list[at])
-		q.appointment.ahead = p.KeepRoom(a, best, time.Duration(due/fleetRate(&list[at], best, len(list))*float64(time.Millisecond)))
+	best := serverState(&list[at])
+	due := book.Due(q.server.opts.Clock(), appointment.NewQueue(q.service, q.model), fleetRate(&list[at], best, len(list)))
+	if due > 0 {
+		q.appointment.ahead = p.KeepRoom(a, best, due)
 	}
 }
 
