Test the bounds of appointments

Cause: the property test draws too few requests to reach the bounds.

Change: a test makes 200 refusals of one organisation and 1,200 of 20, with and without peers.

--- a/internal/appointment/appointment_test.go
+++ b/internal/appointment/appointment_test.go
@@ -103,6 +103,23 @@
 	}
 }
 
+// Guards against appointments whose number or bytes grow with the refusals.
+func TestNumberAndBytesAreBounded(t *testing.T) {
+	for _, c := range []struct{ organisations, refusals, peers, most int }{{1, 200, 0, 64}, {20, 1200, 0, 512}, {20, 1200, 27, 8}} {
+		b, made := appointment.New(1), 0
+		for i := range c.refusals {
+			r := refused(fmt.Sprint(i%c.organisations), fmt.Sprint(i), 1)
+			r.Rate, r.Peers = 1e6, c.peers
+			if _, _, outcome := b.Make(time.Hour, r); outcome == appointment.Made {
+				made++
+			}
+		}
+		if made != c.most {
+			t.Errorf("%+v: %d appointments", c, made)
+		}
+	}
+}
+
 // Guards against appointments that exceed a bound, last for longer than 5 s, are redeemed more than once between two exchanges at
 // different gateways, or by a caller that has none.
 func TestAppointmentsAreBoundedAndRedeemedOnce(t *testing.T) {
