--- a/internal/contention/order.go
+++ b/internal/contention/order.go
@@ -9,8 +9,9 @@
 // those, organisations take turns.
 const levelShare = 0.05
 
-// levels is the number of levels: urgentShare in steps of levelShare, and level 0 of requests that can't be in time.
-const levels = 13
+// levels is the number of levels: urgentShare in steps of levelShare, level 0 of requests that can't be in time, and the highest level
+// of callers that returned as told.
+const levels = 14
 
 // Standing decides the position of a waiting request in its queue.
 type Standing struct {
@@ -25,6 +26,9 @@
 	s := Standing{late: !r.CanMeetTarget(own), served: r.Served, elapsed: r.Elapsed}
 	if !s.late {
 		s.level = max(1, int(Share(r)/levelShare+0.5))
+		if r.Returned {
+			s.level++ // before those that have waited for as long as they can
+		}
 	}
 	return s
 }
--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -111,17 +111,20 @@
 func (q *request) admission(p *contention.Policy, now time.Duration) contention.Request {
 	return contention.Request{
 		Rank: p.Rank(fleet.PriorityOf(q.route, q.org)), Target: q.route.Target, Elapsed: now - q.arrivedAt, Left: q.timeLeft(), FairShare: 1,
+		Returned: q.appointment.redeemed,
 	}
 }
 
 // seekRoom decides whether the request is sent to the best candidate, which is at the given position. Otherwise the request waits in
 // its queue, or err says why it is refused.
 func (q *request) seekRoom(p *contention.Policy, list []fleetroute.Candidate, at int) (send bool, err error) {
+	q.redeemAppointment()
 	r, now := q.server.rooms, q.server.opts.Clock()
 	a, best := q.admission(p, now), contention.ServerOf(&list[at])
+	q.findRoomDue(&list[at], best, len(list), now)
 	calm := q.waiter == nil && r.waiting.Load() == 0 && now-time.Duration(r.contended.Load()) > contentionEnd
 	if calm {
-		if reason, _ := p.MaySend(a, best); reason == contention.Allowed {
+		if reason, _ := p.MaySend(a, q.withRoomKept(p, a, best)); reason == contention.Allowed {
 			return true, nil
 		}
 	}
@@ -152,6 +155,7 @@
 	if a.Served = served; !queue.Idle(now) {
 		a.FairShare = factor
 	}
+	best = q.withRoomKept(p, a, best)
 	var waiting *contention.Waiter
 	if q.waiter != nil {
 		waiting = &q.waiter.Waiter
@@ -159,6 +163,7 @@
 	load := queue.Load(waiting, a, best, gateways, len(list), now)
 	load.Draw = rand.Float64()
 	v := p.Decide(a, best, load)
+	q.describeRefusal(&list[at], best, len(list), v.RetryAfter)
 	if v.Action == contention.Send {
 		return true, nil
 	}
@@ -267,7 +272,7 @@
 	q.server.opts.Metrics.noRoom.Add(string(contention.QueueFull)+"/"+rankName(q.waiter.rank), 1)
 	q.server.opts.Log.Info("request refused: another one took its place among those that wait", "request_id", q.caller.ID,
 		"service", q.service, "model", q.modelKey, "rank", q.waiter.rank, "elapsed", q.elapsed(), "waiting", r.waiting.Load())
-	return &refusal{errkind.New(errkind.Overloaded, "a request that can be in time took its place among those that wait"), maxRetryAfter}
+	return &refusal{errkind.New(errkind.Overloaded, "a request that can be in time took its place among those that wait"), q.appoint(maxRetryAfter)}
 }
 
 // noRoom returns the error with which to refuse the request.
@@ -279,7 +284,7 @@
 		kind = errkind.Overloaded
 	}
 	return &refusal{errkind.New(kind, "no room at server %s: wait ahead %v, allowance %v, time left %v", c.ID,
-		best.WaitAhead.Round(time.Millisecond), v.Allowance.Round(time.Millisecond), a.Left.Round(time.Millisecond)), retryAfter(v.RetryAfter)}
+		best.WaitAhead.Round(time.Millisecond), v.Allowance.Round(time.Millisecond), a.Left.Round(time.Millisecond)), q.appoint(retryAfter(v.RetryAfter))}
 }
 
 func rankName(rank int) string { return strconv.Itoa(rank) }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -154,7 +154,7 @@
 func (s *sentState) unchanged(u *wirepb.PeerUpdate) bool {
 	same := u.GetIdentity() == nil && len(u.GetMembers()) == 0 && len(u.GetRows()) == 0 && len(u.GetLoads()) == 0 &&
 		len(u.GetOffers()) == 0 && u.GetFreshness() == nil && u.GetGuard() == nil && len(u.GetUse()) == 0 && len(u.GetDemand()) == 0 && u.GetUsage() == nil && u.GetScale() == nil &&
-		!u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
+		u.GetAppointments() == nil && !u.GetLeaving() && u.GetPlannerEpoch() == s.plannerEpoch &&
 		u.GetStoreAway() == s.storeUnreachable && u.GetKnowledge() == s.rowsHash
 	s.plannerEpoch, s.storeUnreachable, s.rowsHash = u.GetPlannerEpoch(), u.GetStoreAway(), u.GetKnowledge()
 	return same
@@ -258,6 +258,9 @@
 	if u.GetUsage() != nil && m.opts.OnUsage != nil {
 		m.opts.OnUsage(identity.GetIncarnation(), u.GetUsage())
 	}
+	if u.GetAppointments() != nil && m.opts.OnAppointments != nil {
+		m.opts.OnAppointments(identity.GetHost(), u.GetAppointments())
+	}
 	m.receiveOffers(identity.GetAddress(), u.GetOffers())
 	m.AddAddresses(u.GetMembers())
 	return true
