--- a/internal/contention/keep.go
+++ b/internal/contention/keep.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// keptShare is the part of a request's allowance that room kept for returning callers may take. With 0.5, kept room cost new requests
-// more than returning callers gained.
+// keptShare is the part of a request's allowance that room kept for returning callers may take. It is small because kept room costs
+// new requests more than returning callers gain, by a little in the load of internal/appointment.
 const keptShare = 0.25
 
 // KeepRoom returns the time that counts as wait ahead of a request because room is kept for callers that return, given the time that
