Check that an appointment is what lets the returned caller go first

Without precedence the spec passed, too, once the loads of the peer had expired. The returned caller must now be served before its allowance would cover the wait without an appointment.

--- a/internal/fleetgateway/appointments_test.go
+++ b/internal/fleetgateway/appointments_test.go
@@ -97,7 +97,9 @@
 	returned := second.inBackground("returned", caller)
 	Eventually(second.server.Waiting, "2s", "2ms").Should(BeEquivalentTo(2))
 	setLoad(time.Second) // within the allowance of the most urgent requests only
-	Expect((<-returned).status).To(Equal(http.StatusOK))
+	served := <-returned
+	Expect(served.status).To(Equal(http.StatusOK))
+	Expect(served.duration).To(BeNumerically("<", time.Second), "the time after which its allowance would cover the wait without an appointment")
 	setLoad(0)
 	Expect((<-fresh).status).To(Equal(http.StatusOK))
 	mu.Lock()
