--- a/internal/fleetgateway/attempts.go
+++ b/internal/fleetgateway/attempts.go
@@ -66,6 +66,8 @@
 			r = q.await(ctx)
 		}
 		if r.kind == errkind.None {
+			q.cancelAppointment()
+			q.cancelAppointment()
 			q.log(errkind.None, slog.String("server", r.server))
 			return errkind.None
 		}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -106,7 +106,12 @@
 	// reported, by service. epoch is that of this gateway for which it reports. The map must not be used after the call. OnScale may
 	// be nil.
 	OnScale func(from *wirepb.Identity, epoch int64, demand map[string]*wirepb.ServiceDemand)
-	Log     *slog.Logger
+	// Appointments returns this gateway's changes of appointments after a position that it returned before or zero, or nil, and the
+	// position up to which it reports. If it is nil, none are sent.
+	Appointments func(after uint64) (*wirepb.Appointments, uint64)
+	// OnAppointments receives the changes of appointments that a peer sent. It may be nil.
+	OnAppointments func(peer string, changes *wirepb.Appointments)
+	Log            *slog.Logger
 }
 
 type peer struct {
