--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -124,7 +124,7 @@
 	q.findRoomDue(&list[at], best, len(list), now)
 	calm := q.waiter == nil && r.waiting.Load() == 0 && now-time.Duration(r.contended.Load()) > contentionEnd
 	if calm {
-		if reason, _ := p.MaySend(a, q.withRoomKept(p, a, best)); reason == contention.Allowed {
+		if v := p.Decide(a, q.withRoomKept(p, a, best), contention.Load{First: true}); v.Action == contention.Send {
 			return true, nil
 		}
 	}
