--- a/internal/arrivals/arrivals.go
+++ b/internal/arrivals/arrivals.go
@@ -314,35 +314,6 @@
 	return !c.serving
 }
 
-type arrivalListener struct {
-	net.Listener
-	arrivals  *Tracker
-	closeOnce sync.Once
-	closed    chan struct{}
-}
-
-// Close implements net.Listener.
-func (l *arrivalListener) Close() error {
-	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-// Accept implements net.Listener.
-func (l *arrivalListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &arrivalConn{Conn: conn, arrivals: l.arrivals}
-		c.head.limits = &l.arrivals.opts.Limits
-		if l.arrivals.add(c) {
-			return c, nil
-		}
-		_ = conn.Close() // nothing was read from it
-	}
-}
-
 // arrivalConn is a connection of a caller. Its state is protected by the mutex of arrivals.
 type arrivalConn struct {
 	net.Conn
