--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -14,11 +14,6 @@
 	urgentShare = 0.6
 	// rankFactor is the allowance of each rank, as a part of that of the rank before it.
 	rankFactor = 0.65
-	// agingShare is the part of its target after which a request that waits has the allowance of the most urgent. The rest of the
-	// target is for finding room with it.
-	agingShare = 0.5
-	// maxAging bounds that time, for requests with long targets: they would otherwise be sent when their target has passed.
-	maxAging = time.Second
 	// minShare is the least allowance of a request that can be in time, as a part of the shortest target.
 	minShare = 0.15
 	// lateShare is the allowance of requests that can't be in time any longer, as a part of the shortest target: such a short
@@ -145,7 +140,7 @@
 		scale = r.Elapsed + r.Left
 	}
 	if scale > 0 {
-		share += (urgentShare - share) * min(1, float64(r.Elapsed)/min(agingShare*float64(scale), float64(maxAging)))
+		share += (urgentShare - share) * min(1, float64(r.Elapsed)/float64(scale))
 	}
 	return share * r.FairShare
 }
