--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -16,8 +16,8 @@
 	rankFactor = 0.65
 	// minShare is the least allowance of a request that can be in time, as a part of the shortest target.
 	minShare = 0.15
-	// lateShare is the allowance of requests that can't be in time any longer, as a part of the shortest target: such a short
-	// wait means that nobody else needs the room.
+	// lateShare is the allowance of requests that can't be in time any longer, as a part of the shortest target: with so short a
+	// queue the requests that can be in time are sent all the same.
 	lateShare = 0.15
 	// gapShare is the part of the longest pause between events that outstanding prompts may take. The rest covers the steps
 	// of the running streams and the prompts that other gateways send before they learn of this one.
