--- a/internal/fleetgateway/contention.go
+++ b/internal/fleetgateway/contention.go
@@ -176,6 +176,7 @@
 		return false, q.noRoom(v, a, &list[at], best)
 	}
 	q.countDemand(&list[at]) // the planner must know the demand of waiting requests
+	q.countScaled(&list[at])
 	q.enterQueue(queue, key, v, a, &list[at], best, now)
 	return false, nil
 }
@@ -231,6 +232,7 @@
 	if left <= 0 {
 		return true
 	}
+	defer q.scaled.waitForRoom()()
 	timer := time.NewTimer(min(left, waitPollInterval))
 	defer timer.Stop()
 	select {
