--- a/internal/appointment/book.go
+++ b/internal/appointment/book.go
@@ -1,4 +1,4 @@
-// Package appointment reserves capacity for callers that were refused for lack of room and return when they were told to. Use
+// Package appointment reserves capacity for callers that were refused for lack of room and return at the advised time. Use
 // it in a gateway that refuses requests with a Retry-After, and whose callers' retries reach other gateways.
 //
 // A Book plans the times at which callers return, one after the other at the rate at which the servers process prompts, and
@@ -82,7 +82,7 @@
 	CapacityIn   time.Duration // after which capacity is expected
 	Rate         float64       // prompt tokens per millisecond that all candidates process together
 	Left         time.Duration // until the caller's deadline
-	Peers        int           // gateways that are told
+	Peers        int           // gateways that are notified
 }
 
 // Outcome says what became of a request for an appointment, or of a caller that may have one.
@@ -94,7 +94,7 @@
 	Made                    // the appointment is new
 	Kept                    // an earlier appointment remains
 	Early                   // the caller has an appointment and came before its time
-	Redeemed                // the caller has come as told
+	Redeemed                // the caller returned at the advised time
 )
 
 // Stats counts appointments since the start. Made and Expired are those of this gateway, Redeemed and Early those whose callers
@@ -181,7 +181,7 @@
 	return returnIn, e.id, Made
 }
 
-// Redeem ends the appointment of a caller that has come as told, and reports when the caller was due. A caller that arrived before
+// Redeem ends the appointment of a caller that returned at the advised time, and reports when the caller was due. A caller that arrived before
 // its time keeps its appointment.
 func (b *Book) Redeem(now, arrivedAt time.Duration, key Key) (returnAt time.Duration, id uint64, outcome Outcome) {
 	if b.known.Load() == 0 {
--- a/internal/appointment/exchange.go
+++ b/internal/appointment/exchange.go
@@ -10,7 +10,7 @@
 // maxPerUpdate bounds the changes in one update to a peer.
 const maxPerUpdate = 64
 
-// change is the beginning or the end of an appointment, which the peers are told of.
+// change is the beginning or the end of an appointment, which is sent to the peers.
 type change struct {
 	position uint64
 	id       uint64
--- a/internal/appointment/load_test.go
+++ b/internal/appointment/load_test.go
@@ -203,7 +203,7 @@
 	return p
 }
 
-// Guards against appointments that don't help, in one load above the rate of the servers: callers that return as told must be in time
+// Guards against appointments that don't help, in one load above the rate of the servers: callers that return at the advised time must be in time
 // more often with an appointment than without. And guards against appointments that stop new urgent requests: of these, at least 0.95
 // of those must be in time that are without any appointments.
 func TestReturningCallersAreServed(t *testing.T) {
--- a/internal/contention/decide.go
+++ b/internal/contention/decide.go
@@ -74,7 +74,7 @@
 	Left      time.Duration // until its deadline
 	Served    float64       // work that the organisation got recently, by Shares
 	FairShare float64       // factor of the allowance by Shares; 1 for an organisation within its fair share
-	Returned  bool          // the caller was refused before and has returned when it was told to
+	Returned  bool          // the caller was refused before and has returned at the advised time
 }
 
 // Server is the state of one server that may get the request.
@@ -125,7 +125,7 @@
 
 // Share returns the allowance of a request that can be in time, as a part of the shortest target. It depends on the rank, grows
 // with the time waited to that of the most urgent, so that no kind of request is starved, and is lower beyond the fair share. A request
-// whose caller has returned as told has that of the most urgent at once.
+// whose caller has returned at the advised time has that of the most urgent at once.
 func Share(r Request) float64 {
 	if r.Returned {
 		return urgentShare * r.FairShare
--- a/internal/contention/order.go
+++ b/internal/contention/order.go
@@ -10,7 +10,7 @@
 const levelShare = 0.05
 
 // levels is the number of levels: urgentShare in steps of levelShare, level 0 of requests that can't be in time, and the highest level
-// of callers that returned as told.
+// of callers that returned at the advised time.
 const levels = 14
 
 // Standing decides the position of a waiting request in its queue.
--- a/internal/contention/queue.go
+++ b/internal/contention/queue.go
@@ -145,7 +145,7 @@
 }
 
 // Displace takes the place of a waiter that can't be in time, and whose body is at least as long, for a request that can. It reports
-// whether it did; the waiter is told.
+// whether it did; the waiter is notified.
 func (q *Queue) Displace(r Request, best Server, bytes int64, now time.Duration) bool {
 	if !r.CanMeetTarget(best.own()) {
 		return false
@@ -169,7 +169,7 @@
 }
 
 // Load returns the contention for a request with the given best server. w is the request's waiter, or nil if it has just arrived. The
-// queues of the other gateways are taken to be as long as this one has been recently, and the requests to want the servers equally.
+// queues of the other gateways are taken to be as long as this one has been recently, and the requests to be spread over the servers evenly.
 func (q *Queue) Load(w *Waiter, r Request, best Server, gateways, servers int, now time.Duration) Load {
 	var backlog time.Duration
 	for _, other := range q.waiters {
--- a/internal/fleetgateway/appointments.go
+++ b/internal/fleetgateway/appointments.go
@@ -12,7 +12,7 @@
 // appointmentState is what a request to a covered service knows about the return of its caller.
 type appointmentState struct {
 	key      appointment.Key // zero until it is needed
-	redeemed bool            // the caller has returned as told
+	redeemed bool            // the caller has returned at the advised time
 	early    bool            // the caller has an appointment and returned before its time
 	due      time.Duration   // time that the servers need for other callers that return soon
 
@@ -40,7 +40,7 @@
 	return q.org.Name
 }
 
-// redeemAppointment checks whether the caller has returned when it was told to. The request's arrival decides, so that one that
+// redeemAppointment checks whether the caller has returned at the advised time. The request's arrival decides, so that one that
 // comes early and waits has no advantage.
 func (q *request) redeemAppointment() {
 	s, state := q.server, &q.appointment
