Give no new appointment the ID of one that ended a short time ago

Each appointment was redeemed once; but gateways that remember the end ignore the new one. Ruled out: an exchange that loses an end; the failing draw, replayed with the IDs printed, makes the same ID twice.

Change: an ID whose end is remembered is not drawn.

--- a/internal/appointment/appointment_test.go
+++ b/internal/appointment/appointment_test.go
@@ -186,6 +186,20 @@
 	})
 }
 
+// Guards against an appointment that the peers ignore because an earlier one of the same caller had its ID.
+func TestTheIDOfAnEndedAppointmentIsNotUsedAgain(t *testing.T) {
+	b, r, used := appointment.New(1), refused("0", "0", 300), make(map[uint64]bool)
+	for i := range 600 {
+		now := time.Duration(i) * 6 * time.Millisecond // all within the time for which ends are remembered
+		_, id, outcome := b.Make(now, r)
+		if outcome != appointment.Made || used[id] {
+			t.Fatalf("appointment %d: outcome %v, ID %x used before: %v", i, outcome, id, used[id])
+		}
+		used[id] = true
+		b.Cancel(now, r.Key)
+	}
+}
+
 // Guards against a peer whose values are out of bounds, of which valid ones get lost or invalid ones are taken over.
 func FuzzReceive(f *testing.F) {
 	valid := &wirepb.AppointmentQueue{Queue: uint32(queue), Ids: []uint64{0xabcffff}, ReturnMs: []uint32{500}, Tokens: []uint32{70},
--- a/internal/appointment/book.go
+++ b/internal/appointment/book.go
@@ -172,7 +172,7 @@
 		b.end(e, now)
 	}
 	e := &entry{
-		id: uint64(r.Key)&keyMask | b.random.Uint64()&^keyMask, queue: r.Queue, organisation: r.Organisation,
+		id: b.newID(r.Key), queue: r.Queue, organisation: r.Organisation,
 		returnAt: now + returnIn, tokens: int(min(max(0, r.Tokens), maxTokens)), own: true,
 	}
 	b.add(e)
@@ -181,6 +181,17 @@
 	return returnIn, e.id, Made
 }
 
+// newID returns an ID for an appointment of a caller. One that ended a short time ago is not used again: the peers would take the new
+// appointment for it and ignore it.
+func (b *Book) newID(key Key) uint64 {
+	for {
+		id := uint64(key)&keyMask | b.random.Uint64()&^keyMask
+		if _, used := b.ended[id]; !used {
+			return id
+		}
+	}
+}
+
 // Redeem ends the appointment of a caller that returned at the advised time, and reports when the caller was due. A caller that arrived before
 // its time keeps its appointment.
 func (b *Book) Redeem(now, arrivedAt time.Duration, key Key) (returnAt time.Duration, id uint64, outcome Outcome) {
