Make appointments a setting that is off by default

Cause: a caller that returns has mostly missed its target already, and its precedence takes room from requests that could be in time.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -174,11 +174,15 @@
 		Stalled:      func(server string) bool { return g.table.Stalled(server, clock()) },
 		FirstStart:   s.FirstStart, Log: log,
 	})
+	offered := g.appointments
+	if !s.Appointments {
+		offered = nil
+	}
 	g.server = fleetgateway.New(fleetgateway.Options{
 		DataCentre: s.DataCentre, View: g.view, Table: g.table, Agents: g.agents, Pool: g.pool, Limits: g.limits,
 		CheckConfiguration: g.checkConfiguration, ConfigurationBehind: g.freshness.Behind,
 		Demand: g.demand, ServiceDemand: g.serviceDemand(), Clock: clock, Gateways: g.mesh.Count, Rank: g.mesh.Rank, Metrics: g.metrics, Log: log,
-		CountBegun: g.countBegun(), Appointments: g.appointments, Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
+		CountBegun: g.countBegun(), Appointments: offered, Bodies: g.bodies, ShortBodies: g.shortBodies, Answers: g.answers,
 		Retry: retrybudget.Options{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, UsedFraction: retryUsedFraction,
 			StartedAt: clock(), Restarted: !s.FirstStart,
