--- a/internal/appointment/exchange.go
+++ b/internal/appointment/exchange.go
@@ -134,7 +134,7 @@
 		return nil
 	}
 	if known := b.entries[e.key()]; known != nil {
-		// Two gateways refused the caller before they heard of each other. All gateways keep the same one of both.
+		// Two gateways refused the caller before they heard of each other. All gateways keep the same one of the two.
 		if known.id >= e.id {
 			return nil
 		}
--- a/internal/fleetgateway/answer.go
+++ b/internal/fleetgateway/answer.go
@@ -53,7 +53,7 @@
 
 // limitRest limits the time to read the rest of a request whose body was not read, and to write the response after it. net/http reads
 // the rest before it sends the response, or after it if the response closes the connection. Without a limit on the response, a caller
-// that sends requests ahead and reads nothing would keep its connection for good.
+// that sends requests ahead and reads nothing would keep its connection open without limit.
 func (q *request) limitRest() {
 	deadline := time.Now().Add(minRestTime)
 	if due := q.callerDeadline(); due.After(deadline) {
