--- a/review/_lib-2/system.sh
+++ b/review/_lib-2/system.sh
@@ -71,10 +71,16 @@
 
 # start_engine N FLAGS...: a model replica at $NET.2N:9301 and the agent beside it.
 start_engine() {
-  local n=$1 ip=$NET.2$1
+  local n=$1
+  start_agent "$n"
   shift
-  run "engine-$n" "$TOOLS/fake-fleet" replica -listen "$ip:9301" -store "$STORE" -id "engine-$n" -service brush-assistant \
+  run "engine-$n" "$TOOLS/fake-fleet" replica -listen "$NET.2$n:9301" -store "$STORE" -id "engine-$n" -service brush-assistant \
     -data-centre north "$@"
+}
+
+# start_agent N: the agent beside the model replica at $NET.2N:9301.
+start_agent() {
+  local n=$1 ip=$NET.2$1
   cat >"$WORK/agent-$n.json" <<S
 {"node_name":"side-$n","role":"agent","machine_class":"side","serves":["side"],"ip":"$ip","zone":"north","region":"r",
 "port_range":[8310,8319],"seeds":["$NET.11:8302"],"bootstrap":true,"app":"$ip:9301","service":"brush-assistant",
--- a/review/_standins-2/crowd/main.go
+++ b/review/_standins-2/crowd/main.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,7 +17,7 @@
 )
 
 var (
-	mode    = flag.String("mode", "", "`KIND` of clients: streams, ahead or bookings")
+	mode    = flag.String("mode", "", "`KIND` of clients: streams, ahead, trickle, adapters, readers or bookings")
 	gateway = flag.String("gateway", "", "`ADDRESS` (IP:port) for callers")
 	host    = flag.String("host", "crew.example", "Host header")
 	key     = flag.String("key", "", "API key")
@@ -55,8 +56,12 @@
 				got = aheadClient(i)
 			case "trickle":
 				got = trickleClient(i)
+			case "adapters":
+				got = adapterClient(i)
+			case "readers":
+				got = readerClient(i)
 			case "bookings":
-				got = bookingClient()
+				got = bookingClient(i)
 			default:
 				fmt.Fprintln(os.Stderr, "crowd: unknown mode", *mode)
 				os.Exit(2)
@@ -155,14 +160,14 @@
 }
 
 // bookingClient is an ordinary caller: it books four times a second on a new connection each.
-func bookingClient() map[string]int {
+func bookingClient(i int) map[string]int {
 	got := make(map[string]int)
 	for n := 0; time.Since(started) < *length; n++ {
-		id := fmt.Sprintf("b%x%06x", os.Getpid(), n)
+		id := fmt.Sprintf("b%x%02x%06x", os.Getpid(), i, n)
 		began := time.Now()
 		outcome := book(id)
 		got[outcome]++
-		record(map[string]any{"booking": id, "outcome": outcome, "took_ms": time.Since(began).Milliseconds()})
+		record(map[string]any{"booking": id, "client": i, "outcome": outcome, "took_ms": time.Since(began).Milliseconds()})
 		time.Sleep(250 * time.Millisecond)
 	}
 	return got
@@ -189,27 +194,42 @@
 	return fmt.Sprint(resp.StatusCode)
 }
 
-// trickleClient sends the body of a request byte by byte, and begins again when its connection ends.
+// trickleClient sends the body of a request byte by byte, one every pause, and begins again when its connection ends. With head zero
+// it sends the body in one piece, and again some time after the answer.
 func trickleClient(i int) map[string]int {
 	got := make(map[string]int)
 	for n := 0; time.Since(started) < *length; n++ {
 		got[trickle(fmt.Sprintf("%x%04x%04x", os.Getpid(), i, n))]++
-		time.Sleep(50 * time.Millisecond)
+		if *head == 0 {
+			time.Sleep(7 * *pause)
+		} else {
+			time.Sleep(50 * time.Millisecond)
+		}
 	}
 	return got
 }
 
 func trickle(id string) string {
+	const body = 600
 	conn, err := net.DialTimeout("tcp", *gateway, time.Second)
 	if err != nil {
 		return "not connected"
 	}
 	defer func() { _ = conn.Close() }()
-	body := 600
 	if _, err := fmt.Fprintf(conn, "POST /chat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Request-Id: %s\r\n"+
 		"X-Deadline-Ms: 12000\r\nX-Model: brush-small\r\nX-Token-Usage: 60,30\r\nContent-Length: %d\r\n\r\n", *host, *key, id, body); err != nil {
 		return "not sent"
 	}
+	if *head == 0 {
+		if _, err := io.WriteString(conn, strings.Repeat("x", body)); err != nil {
+			return "closed"
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(12 * time.Second))
+		if _, err := conn.Read(make([]byte, 512)); err != nil {
+			return "no answer"
+		}
+		return "answered"
+	}
 	for range body {
 		_ = conn.SetReadDeadline(time.Now().Add(*pause))
 		if _, err := conn.Read(make([]byte, 512)); err == nil {
@@ -226,3 +246,104 @@
 	}
 	return "whole"
 }
+
+// adapterClient is an ordinary caller that requests a stream of one of 16 adapters every pause.
+func adapterClient(i int) map[string]int {
+	got := make(map[string]int)
+	for n := 0; time.Since(started) < *length; n++ {
+		id := fmt.Sprintf("a%x%02x%06x", os.Getpid(), i, n)
+		got[stream(id, fmt.Sprintf("brush-small/a%d", rand.N(16)+1))]++
+		time.Sleep(*pause)
+	}
+	return got
+}
+
+func stream(id, model string) string {
+	conn, err := net.DialTimeout("tcp", *gateway, time.Second)
+	if err != nil {
+		return "not connected"
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+	if _, err := fmt.Fprintf(conn, "POST /chat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Request-Id: %s\r\n"+
+		"X-Deadline-Ms: 4000\r\nX-Model: %s\r\nX-Token-Usage: 60,30\r\nX-Prompt-Prefix: 5c1e07a2:40,91bd3f06:10,%s:10\r\nContent-Length: 2\r\n\r\n{}",
+		*host, *key, id, model, id); err != nil {
+		return "not sent"
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer"
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Sprint(resp.StatusCode, " cut")
+	}
+	return fmt.Sprint(resp.StatusCode)
+}
+
+// readerClient is an ordinary caller that requests a stream every pause and prints which pieces of which runs it got.
+func readerClient(i int) map[string]int {
+	got := make(map[string]int)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for n := 0; time.Since(started) < *length; n++ {
+		id := fmt.Sprintf("r%x%02x%06x", os.Getpid(), i, n)
+		all.Go(func() {
+			outcome, pieces := readStream(id)
+			record(map[string]any{"stream": id, "outcome": outcome, "pieces": pieces})
+			mu.Lock()
+			defer mu.Unlock()
+			got[outcome]++
+		})
+		time.Sleep(*pause)
+	}
+	all.Wait()
+	return got
+}
+
+// segment is a sequence of pieces of one run that a caller got one after the other.
+type segment struct {
+	Run   string `json:"run"`
+	First int    `json:"first"`
+	Last  int    `json:"last"`
+}
+
+func readStream(id string) (outcome string, pieces []segment) {
+	conn, err := net.DialTimeout("tcp", *gateway, time.Second)
+	if err != nil {
+		return "not connected", nil
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(12 * time.Second))
+	if _, err := fmt.Fprintf(conn, "POST /chat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Request-Id: %s\r\n"+
+		"X-Deadline-Ms: 12000\r\nX-Model: brush-small\r\nX-Token-Usage: 826,294\r\nX-Prompt-Prefix: 5c1e07a2:119,91bd3f06:79,%s:628\r\n"+
+		"Content-Length: 2\r\n\r\n{}", *host, *key, id, id); err != nil {
+		return "not sent", nil
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer", nil
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var p struct {
+			Run   string
+			Piece int
+		}
+		if err := json.Unmarshal([]byte(data), &p); err != nil {
+			return "not an event: " + data, pieces
+		}
+		if last := len(pieces) - 1; last >= 0 && pieces[last].Run == p.Run && pieces[last].Last+1 == p.Piece {
+			pieces[last].Last = p.Piece
+			continue
+		}
+		pieces = append(pieces, segment{p.Run, p.Piece, p.Piece})
+	}
+	if lines.Err() != nil {
+		return fmt.Sprint(resp.StatusCode, " cut"), pieces
+	}
+	return fmt.Sprint(resp.StatusCode), pieces
+}
