--- a/review/_standins-2/sampler/main.go
+++ b/review/_standins-2/sampler/main.go
@@ -126,15 +126,17 @@
 	tokens, _ := strconv.ParseFloat(prompt, 64)
 	run := fmt.Sprintf("%s/%d", *id, runs.Add(1))
 	sent := 0
+	var begun time.Time // when the run had its first token
 	defer func() {
 		printMu.Lock()
 		defer printMu.Unlock()
-		fmt.Printf(`{"run":%q,"request":%q,"last_event_id":%q,"first":%d,"events_sent":%d}`+"\n",
-			run, r.Header.Get("X-Request-Id"), last, first, sent)
+		fmt.Printf(`{"run":%q,"request":%q,"last_event_id":%q,"first":%d,"events_sent":%d,"begun_ms":%d,"end_ms":%d}`+"\n",
+			run, r.Header.Get("X-Request-Id"), last, first, sent, max(0, begun.UnixMilli()), time.Now().UnixMilli())
 	}()
 	if !work(r, time.Duration(tokens / *prefill * float64(time.Millisecond))) {
 		return
 	}
+	begun = time.Now()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("X-Response-Signature", fmt.Sprintf("%x", rand.Uint64()))
 	flush := http.NewResponseController(w)
