upstream: a reset that ends a body without a length breaks the answer off

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: a socket reports a reset once, to whichever of its readers and writers asks first. If the goroutine that writes the request got it, the one that reads the response saw an ordinary end of the connection, which ends a body without a length.

Change: at the end of a body with neither a length nor chunks, the reader waits for the writing of the request. If the write got no error, the connection was not reset before, so its end was a proper close. The wait ends with the request's context, and with the time of ReadRest.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,11 +54,28 @@
 	conn        *conn
 	body        io.ReadCloser
 	idleTimeout time.Duration
-	written     <-chan error
+	request     *writing
+	giveUp      <-chan time.Time // ends the wait for the end of the request; may be nil
 	stopCancel  func() bool
 	complete    bool
 }
 
+// writing is the writing of a request.
+type writing struct {
+	done chan struct{} // closed when it has ended
+	err  error         // valid after that
+}
+
+// startWriting writes r in a goroutine of its own, because a server may respond before it has read the request.
+func startWriting(c *conn, r Request) *writing {
+	w := &writing{done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		w.err = write(c, r)
+	}()
+	return w
+}
+
 // Do sends r and reads the status line and the header of the response. The connection is reset when ctx ends. The
 // error wraps ErrNotSent if the server cannot have got any byte of the request, also ErrWithdrawn if r.MayStillSend returned
 // false, and ctx.Err() if ctx ended before the response.
@@ -76,15 +93,13 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrWithdrawn)
 	}
 	stopCancel := context.AfterFunc(ctx, c.abort)
-	written := make(chan error, 1)
-	go func() { written <- write(c, r) }()
+	request := startWriting(c, r)
 	resp, err := readHead(c, r)
 	if err != nil {
 		stopCancel()
 		_ = c.Close()
-		if writeErr := <-written; writeErr != nil {
-			err = errors.Join(err, writeErr)
-		}
+		<-request.done
+		err = errors.Join(err, request.err)
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
 		}
@@ -92,7 +107,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		pool: p, conn: c, body: resp.Body, idleTimeout: keepAliveTimeout(resp), written: written, stopCancel: stopCancel,
+		pool: p, conn: c, body: resp.Body, idleTimeout: keepAliveTimeout(resp), request: request, stopCancel: stopCancel,
 	}, nil
 }
 
@@ -163,17 +178,36 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err == io.EOF {
-		r.complete = true
+		err = r.checkEnd()
+		r.complete = err == io.EOF
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body, whose end was read, is complete. A body that is not framed ends with the connection. If that was
+// reset while the request was written, the write may have got the error, and the read only the end.
+func (r *Response) checkEnd() error {
+	if r.Framed {
+		return io.EOF
+	}
+	select {
+	case <-r.request.done:
+	case <-r.giveUp:
+		return errors.New("the connection ended while the request was written")
+	}
+	if r.request.err != nil {
+		return fmt.Errorf("the connection ended before the whole request was written: %w", r.request.err)
+	}
+	return io.EOF
+}
+
 // ReadRest reads the rest of the body and returns it, so that Close can keep the connection. It gives up, and Close then closes the
 // connection, if the body is longer than maxBytes or takes longer than maxTime.
 func (r *Response) ReadRest(maxBytes int64, maxTime time.Duration) ([]byte, error) {
 	if err := r.conn.SetReadDeadline(time.Now().Add(maxTime)); err != nil {
 		return nil, fmt.Errorf("read the response body: %w", err)
 	}
+	r.giveUp = time.After(maxTime)
 	body, err := io.ReadAll(io.LimitReader(r, maxBytes))
 	switch {
 	case err != nil:
@@ -190,8 +224,8 @@
 	stopped := r.stopCancel()
 	if r.complete && stopped && r.idleTimeout > 0 && r.conn.reader.Buffered() == 0 {
 		select {
-		case err := <-r.written:
-			if err == nil {
+		case <-r.request.done:
+			if r.request.err == nil {
 				r.pool.putIdle(r.conn, r.idleTimeout)
 				return
 			}
