responsecheck: the clients of net/http report a reset that their writer met

A report that counts as acknowledged is deleted; an order as accepted is not repeated.

Cause: http.Transport has one goroutine that writes and one that reads, and the reset goes to one of them only.

Change: responsecheck wraps the connections of a transport. A read that meets the end of the connection waits for a write in progress, and returns its error if it failed. It stands below TLS, too.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/responsecheck"
 )
 
 const (
@@ -52,7 +53,7 @@
 	t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	t.DisableCompression = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: t, CheckRedirect: noRedirect}
+	return &http.Client{Transport: responsecheck.NewTransport(t), CheckRedirect: noRedirect}
 }
 
 // State is what the engine reports about itself. Memory is in mebibytes.
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/responsecheck"
 )
 
 const (
@@ -51,7 +53,7 @@
 type Options struct {
 	URL      string           // of the list
 	Interval time.Duration    // mean time between two reads, before jitter; 2 s if zero or less
-	Client   *http.Client     // http.DefaultClient if nil
+	Client   *http.Client     // one with the settings of http.DefaultClient if nil
 	Log      *slog.Logger     // nothing is logged if nil
 	Now      func() time.Time // time.Now if nil
 }
@@ -80,7 +82,7 @@
 		opts.Interval = defaultInterval
 	}
 	if opts.Client == nil {
-		opts.Client = http.DefaultClient
+		opts.Client = responsecheck.NewClient()
 	}
 	if opts.Now == nil {
 		opts.Now = time.Now
--- a/internal/operator/prompts.go
+++ b/internal/operator/prompts.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"github.com/pomelowheel/pomelowheel/internal/responsecheck"
 )
 
 // maxPromptsBytes bounds a fleet gateway's list of refused prompts, in bytes.
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, usagef("%v", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := responsecheck.NewClient().Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/plainclient/client.go
+++ b/internal/plainclient/client.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/pomelowheel/pomelowheel/internal/errkind"
+	"github.com/pomelowheel/pomelowheel/internal/responsecheck"
 )
 
 const (
@@ -60,7 +61,7 @@
 	t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	t.DisableCompression = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: t, CheckRedirect: noRedirect}
+	return &http.Client{Transport: responsecheck.NewTransport(t), CheckRedirect: noRedirect}
 }
 
 // Request is one call.
--- a/internal/tablestore/dynamodb.go
+++ b/internal/tablestore/dynamodb.go
@@ -18,6 +18,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/aws/smithy-go"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	"github.com/pomelowheel/pomelowheel/internal/responsecheck"
 )
 
 const (
@@ -67,7 +69,7 @@
 	if opts.Client == nil {
 		t := http.DefaultTransport.(*http.Transport).Clone()
 		t.MaxIdleConnsPerHost = maxIdleConnections
-		opts.Client = &http.Client{Transport: t}
+		opts.Client = &http.Client{Transport: responsecheck.NewTransport(t)}
 	}
 	client := *opts.Client
 	if client.Transport == nil {
