Refuse responses whose status does not exist

What callers saw: of a backend server in trouble that sent a response with status 000, callers of the sidecar's client for plain services got the response as an answer. The gateway of the fleet took it for an interim response: the caller was told only at its deadline (504). A status of 600 or more was delivered by both. An order to an engine counted as refused, and a usage report as rejected, because of such a status.

Cause: net/http accepts any three characters that strconv.Atoi takes for a number that is not negative, "+20" among them. upstream skipped each status below 200, http.Transport only 100 to 199.

The table service, the host list and pomeloctl refused these statuses already; their tests stay.

Change: responsecheck.Head checks a head while it arrives, before net/http parses it. upstream scans each head with it, and the connections of responsecheck the heads after each request, interim ones included. A status outside of 100 to 599 (RFC 9110, section 15) ends the connection; the request fails as after a response that breaks off. Over TLS the status is checked after parsing. net/http does not repeat the request, since a part of the response arrived. Bytes that a server sends before the first request fail that request.

--- a/internal/engineclient/broken_test.go
+++ b/internal/engineclient/broken_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/pomelowheel/pomelowheel/internal/errkind"
 	"github.com/pomelowheel/pomelowheel/internal/fake/rawserver"
 )
 
@@ -41,3 +42,21 @@
 		}
 	})
 })
+
+// Guards against an answer whose head is malformed.
+var _ = Describe("an answer with a malformed head", func() {
+	for name, head := range rawserver.MalformedHeads("X-Request-Id: ID\r\n") {
+		It(name+" fails the call", func() {
+			ctx := context.Background()
+			c := startRaw(rawserver.Answer{Text: head + "{  }"})
+			_, err := c.State(ctx)
+			Expect(errkind.Of(err)).To(Equal(errkind.BackendUnreachable))
+			accepted, err := c.Load(ctx, "m", 1, 1)
+			Expect(err).To(HaveOccurred())
+			Expect(accepted).To(BeFalse())
+			Expect(c.UnloadAdapter(ctx, "a")).NotTo(Succeed())
+			_, err = c.Chat(ctx, ChatRequest{RequestID: "r", Model: "m", Body: []byte("{}")}, func(Chunk) error { return nil })
+			Expect(errkind.Of(err)).To(Equal(errkind.OutcomeUnknown))
+		})
+	}
+})
--- a/internal/fake/rawserver/rawserver.go
+++ b/internal/fake/rawserver/rawserver.go
@@ -52,6 +52,7 @@
 	listener    net.Listener
 	connections atomic.Int64
 	requests    atomic.Int64
+	reused      atomic.Bool
 }
 
 // Start starts a server on a loopback port.
@@ -84,6 +85,9 @@
 // Requests returns the number of requests whose head arrived.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
+// Reused reports whether a connection carried more than one request.
+func (s *Server) Reused() bool { return s.reused.Load() }
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
@@ -99,12 +103,15 @@
 func (s *Server) serve(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for {
+	for first := true; ; first = false {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		s.requests.Add(1)
+		if !first {
+			s.reused.Store(true)
+		}
 		if !s.answer.Early {
 			if _, err := io.Copy(io.Discard, request.Body); err != nil {
 				return
--- a/internal/fleetgateway/broken_test.go
+++ b/internal/fleetgateway/broken_test.go
@@ -87,3 +87,40 @@
 		Entry("with a length, before a reset", once, rawserver.Answer{Early: true, Text: rawStatus + rawFields + rawLength4 + "\r\nfour", End: rawserver.Reset}, "four"),
 	)
 })
+
+// Guards against an answer whose head is malformed: it must not reach the caller, keep it waiting, or leave a connection in use.
+var _ = Describe("an answer with a malformed head", func() {
+	for name, head := range rawserver.MalformedHeads(rawFields) {
+		answer := rawserver.Answer{Text: head + "four"}
+		DescribeTable(name+" is replaced by an error at once", func(kind int) {
+			s := newTestGateway(route(kind, 4*time.Second))
+			server := s.addRaw("i-1", answer)
+			for range 3 {
+				_, a := s.send(http.MethodPost, "/a/", nil, "")
+				Expect(a.err).NotTo(HaveOccurred())
+				Expect(a.status).To(Equal(http.StatusBadGateway))
+				Expect(a.header).NotTo(HaveKey("X-Response-Signature"))
+				Expect(a.duration).To(BeNumerically("<", 2*time.Second))
+			}
+			Expect(server.Requests()).To(Equal(3))
+			Expect(server.Reused()).To(BeFalse())
+		},
+			Entry("once", once),
+			Entry("idempotent", idempotent),
+			Entry("stream", stream),
+			Entry("resumable stream", resumable),
+		)
+
+		It(name+" is replaced by another server's if the request may be repeated", func() {
+			s := newTestGateway(route(idempotent, 4*time.Second))
+			broken := s.addRaw("i-1", answer)
+			s.add("i-2", fake.ReplicaOptions{}, fake.ReplicaFaults{})
+			for range 8 {
+				id, a := s.send(http.MethodPost, "/a/", nil, "")
+				Expect(a.status).To(Equal(http.StatusOK))
+				Expect(a.body).To(Equal(fake.Body(id, 0, 0)))
+			}
+			Expect(broken.Reused()).To(BeFalse())
+		})
+	}
+})
--- a/internal/plainclient/broken_test.go
+++ b/internal/plainclient/broken_test.go
@@ -53,3 +53,21 @@
 		Entry("with a length", rawserver.Answer{Early: true, Text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"}),
 	)
 })
+
+// Guards against an answer whose head is malformed: nothing of it may reach the caller.
+var _ = Describe("an answer with a malformed head", func() {
+	for name, head := range rawserver.MalformedHeads("X-Request-Id: ID\r\n") {
+		DescribeTable(name+" ends as unknown and is not requested again", func(repeatable bool) {
+			server := startRaw(rawserver.Answer{Text: head + "four"})
+			client := New("http://"+server.Address, DefaultMaxResponseBytes)
+			for range 3 {
+				into := new(responseRecorder)
+				r := Request{RequestID: "r1", Method: http.MethodGet, Path: "/", Repeatable: repeatable}
+				Expect(errkind.Of(client.Do(context.Background(), r, into))).To(Equal(errkind.OutcomeUnknown))
+				Expect(into.status).To(BeZero())
+			}
+			Expect(server.Requests()).To(Equal(3))
+			Expect(server.Reused()).To(BeFalse())
+		}, Entry("once", false), Entry("repeatable", true))
+	}
+})
--- a/internal/responsecheck/transport.go
+++ b/internal/responsecheck/transport.go
@@ -1,15 +1,19 @@
-// Package responsecheck makes the clients of net/http report broken responses that net/http takes for whole. Use it for each
-// http.Transport that reads from a backend server or from the platform. internal/upstream, which reads responses without a transport,
-// makes the same checks.
+// Package responsecheck makes clients report broken responses that net/http takes for sound ones. Use NewTransport for each
+// http.Transport that reads from a backend server or from the platform, and Head where responses are read without a transport, as
+// internal/upstream does.
 package responsecheck
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// NewTransport changes t, which must not have been used, so that its connections are checked, and returns it.
+type transport struct{ *http.Transport }
+
+// NewTransport returns a RoundTripper that uses t, which must not have been used, and checks what servers send. The heads of responses are
+// checked before net/http parses them, except over TLS: there only the status is checked.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -22,10 +26,30 @@
 		}
 		return &conn{Conn: c}, nil
 	}
-	return t
+	return transport{t}
 }
 
-// NewClient returns a client with the settings of http.DefaultClient whose connections are checked.
+// NewClient returns a client with the settings of http.DefaultClient that checks what servers send.
 func NewClient() *http.Client {
 	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 }
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info.Conn
+		if c, ok := used.(*conn); ok {
+			c.beginResponse()
+		}
+	}}
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil && !ValidStatus(response.StatusCode) {
+		_ = response.Body.Close()
+		if used != nil {
+			_ = used.Close() // it may be idle already
+		}
+		return nil, ErrStatus
+	}
+	return response, err
+}
--- a/internal/responsecheck/transport_test.go
+++ b/internal/responsecheck/transport_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -90,3 +93,107 @@
 		})
 	}
 }
+
+// Guards against a malformed response that is delivered, repeated by net/http, or followed by another request on its connection.
+func TestAMalformedResponseEndsItsConnection(t *testing.T) {
+	for name, head := range rawserver.MalformedHeads("") {
+		t.Run(name, func(t *testing.T) {
+			server, err := rawserver.Start(rawserver.Answer{Text: head + "four"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Stop()
+			client := &http.Client{Transport: responsecheck.NewTransport(&http.Transport{})}
+			for i := 1; i <= 3; i++ {
+				response, err := client.Get("http://" + server.Address)
+				if err == nil {
+					_ = response.Body.Close()
+					t.Fatalf("got status %d", response.StatusCode)
+				}
+				if server.Requests() != i || server.Connections() != i {
+					t.Fatalf("%d requests on %d connections after %d calls", server.Requests(), server.Connections(), i)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a response that net/http requests again because it came on a connection in use again, and against responses that are not
+// checked there.
+func TestAMalformedResponseOnAKeptConnectionIsNotRequestedAgain(t *testing.T) {
+	server, err := rawserver.Start(rawserver.Answer{Text: "HTTP/1.1 ID Status\r\nContent-Length: 0\r\n\r\n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Stop()
+	client := &http.Client{Transport: responsecheck.NewTransport(&http.Transport{})}
+	get := func(status string) error {
+		request, err := http.NewRequest(http.MethodGet, "http://"+server.Address, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("X-Request-Id", status)
+		response, err := client.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	if err := errors.Join(get("200"), get("404")); err != nil || server.Connections() != 1 {
+		t.Fatalf("%v, %d connections", err, server.Connections())
+	}
+	if err := get("000"); !errors.Is(err, responsecheck.ErrStatus) {
+		t.Fatalf("error %v, expected ErrStatus", err)
+	}
+	if err := get("200"); err != nil || server.Connections() != 2 || server.Requests() != 4 {
+		t.Fatalf("%v, %d requests on %d connections", err, server.Requests(), server.Connections())
+	}
+}
+
+// Guards against a status that is checked on plain connections only.
+func TestAStatusThatDoesNotExistIsRefusedOverTLS(t *testing.T) {
+	var connections atomic.Int64
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		connections.Add(1)
+		c, buffer, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = buffer.WriteString("HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
+		_ = buffer.Flush()
+		_, _ = buffer.ReadByte() // until the client closes
+	}))
+	defer server.Close()
+	settings := server.Client().Transport.(*http.Transport).TLSClientConfig
+	client := &http.Client{Transport: responsecheck.NewTransport(&http.Transport{TLSClientConfig: settings})}
+	for i := int64(1); i <= 2; i++ {
+		if response, err := client.Get(server.URL); !errors.Is(err, responsecheck.ErrStatus) || connections.Load() != i {
+			t.Fatalf("response %v, error %v, %d connections", response, err, connections.Load())
+		}
+	}
+}
+
+// Guards against an answer that a server sent before it had a request.
+func TestBytesBeforeTheRequestAreNoResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
+			defer func() { _ = c.Close() }()
+		}
+	}()
+	for range 200 {
+		if _, err := send(responsecheck.NewTransport(&http.Transport{}), l.Addr().String(), "x"); err == nil {
+			t.Fatal("no error")
+		}
+	}
+}
--- a/internal/tablestore/broken_test.go
+++ b/internal/tablestore/broken_test.go
@@ -33,3 +33,17 @@
 		}
 	})
 })
+
+// Guards against a call that counts as made, or as not made, because of an answer whose head is malformed.
+var _ = Describe("an answer with a malformed head", func() {
+	for name, head := range rawserver.MalformedHeads("") {
+		It(name+" tells nothing about the call", func() {
+			store := startRaw(rawserver.Answer{Text: head + "{  }"})
+			Expect(store.Write(context.Background(), "w", put("a", tablestore.Any, "v"))).To(MatchError(tablestore.ErrUnknown))
+			_, err := store.Get(context.Background(), key("a"))
+			Expect(err).To(MatchError(tablestore.ErrUnavailable))
+			_, err = store.Query(context.Background(), "p", "", 10)
+			Expect(err).To(MatchError(tablestore.ErrUnavailable))
+		})
+	}
+})
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -105,3 +107,25 @@
 		})
 	}
 }
+
+// Guards against a response with a malformed head that reaches the caller, keeps it waiting, or leaves its connection in use, also where
+// the head was read along with an earlier one.
+func TestAResponseWithAMalformedHeadIsAnError(t *testing.T) {
+	const late = "HTTP/1.1 200 OK\r\nX-Id: late\r\nContent-Length: 4\r\n\r\nlate"
+	for name, head := range rawserver.MalformedHeads("X-Id: 1\r\n") {
+		for _, before := range []string{"", late, "HTTP/1.1 100 Continue\r\n\r\n"} {
+			t.Run(fmt.Sprintf("%s after %d bytes", name, len(before)), func(t *testing.T) {
+				server := startRaw(t, rawserver.Answer{Text: before + head + "four"})
+				p := pool()
+				for range 2 {
+					if got, err := sendWithin(5*time.Second, p, server.Address, "1", "x"); err == nil || errors.Is(err, context.DeadlineExceeded) {
+						t.Fatalf("got %q, %v", got, err)
+					}
+				}
+				if server.Requests() != 2 || server.Connections() != 2 {
+					t.Fatalf("%d requests on %d connections", server.Requests(), server.Connections())
+				}
+			})
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -140,7 +140,9 @@
 // so that it arrives where the next one is expected; such responses are skipped.
 func readHead(c *conn, r Request) (*http.Response, error) {
 	for range maxSkippedResponses + 1 {
-		c.inHead, c.headLeft = true, maxHeadBytes
+		if err := c.beginHead(); err != nil {
+			return nil, fmt.Errorf("read response: %w", err)
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.inHead = false
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/descriptors"
+	"github.com/pomelowheel/pomelowheel/internal/responsecheck"
 )
 
 const (
@@ -78,12 +79,21 @@
 	idleAt   time.Time // when it last became idle
 	headLeft int       // bytes that may still be read while the header of a response is read
 	inHead   bool
+	head     responsecheck.Head // of the response whose header is read
 }
 
 // errHeadTooLarge means that the server sent more than maxHeadBytes without ending the header of its response.
 var errHeadTooLarge = errors.New("the header of the response exceeds the size limit")
 
-// Read implements io.Reader. It bounds the bytes of a header, which net/http reads without a limit.
+// beginHead tells that the next bytes are those of a response.
+func (c *conn) beginHead() error {
+	c.inHead, c.headLeft, c.head = true, maxHeadBytes, responsecheck.Head{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
+	_, err := c.head.Scan(buffered)
+	return err
+}
+
+// Read implements io.Reader. It bounds the bytes of a header, which net/http reads without a limit, and checks them.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.inHead {
 		if c.headLeft <= 0 {
@@ -92,7 +102,12 @@
 		b = b[:min(len(b), c.headLeft)]
 	}
 	n, err := c.Conn.Read(b)
-	c.headLeft -= n
+	if c.inHead {
+		c.headLeft -= n
+		if _, malformed := c.head.Scan(b[:n]); malformed != nil {
+			return 0, malformed
+		}
+	}
 	return n, err
 }
 
