--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -77,13 +77,17 @@
 }
 
 // Guards against the same on a real connection, where either side may meet the reset.
-func TestAResetWhileTheRequestIsWrittenBreaksOffABodyWithoutLength(t *testing.T) {
-	server := startRaw(t, rawserver.Answer{Early: true, Text: "HTTP/1.1 200 OK\r\n\r\npart", End: rawserver.Reset})
-	p, body := pool(), strings.Repeat("b", uploadBytes)
-	for i := range 60 {
-		if got, err := sendWithin(20*time.Second, p, server.Address, fmt.Sprint(i), body); err == nil {
-			t.Fatalf("request %d: no error for the truncated response %q", i, got)
-		}
+func TestAResetBreaksOffABodyWithoutLength(t *testing.T) {
+	for name, early := range map[string]bool{"while the request is written": true, "after the request": false} {
+		t.Run(name, func(t *testing.T) {
+			server := startRaw(t, rawserver.Answer{Early: early, Text: "HTTP/1.1 200 OK\r\n\r\npart", End: rawserver.Reset})
+			p, body := pool(), strings.Repeat("b", uploadBytes)
+			for i := range 60 {
+				if got, err := sendWithin(20*time.Second, p, server.Address, fmt.Sprint(i), body); err == nil {
+					t.Fatalf("request %d: no error for the truncated response %q", i, got)
+				}
+			}
+		})
 	}
 }
 
