fake store: come back from an earlier copy

The stand-in of the platform's store could not lose what it had acknowledged, so that no test played what the platform's drills do.

It now sends Store-Era, answers 410 to a feed from a version that it does not have, and comes back from a copy that was taken earlier: versions go back and are given out again, the era rises, and the operator's rows are written again after a time that the test chooses, or not at all. The time away may be zero. The backend servers write their entries again themselves.

--- a/internal/fake/fleet/store.go
+++ b/internal/fake/fleet/store.go
@@ -53,20 +53,23 @@
 	history      []row
 	historyStart int64 // version before the oldest change in history
 	version      int64
+	era          int64 // rises by one with each return from a copy; zero if the store sends none
 	changed      chan struct{}
 	faults       StoreFaults
 	shortUntil   time.Time // end of StoreFaults.ShortFor
+	away         bool      // refuses calls until it comes back from a copy
+	taken        Copy      // by TakeCopy through the control interface
 	calls        int64
 	start        time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[rowKey]row), changed: make(chan struct{}), start: time.Now()}
+	return &Store{rows: make(map[rowKey]row), changed: make(chan struct{}), era: 1, start: time.Now()}
 }
 
 // Handler returns the HTTP interface of the store, and the paths below /control/ by which tests control it: PUT faults,
-// DELETE history, POST rows and GET list.
+// DELETE history, POST copy, POST return, POST rows and GET list.
 func (s *Store) Handler() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/api/rows-tx", s.withFaults(s.transact)).Methods(http.MethodPost)
@@ -82,6 +85,8 @@
 	}).Methods(http.MethodPut)
 	router.HandleFunc("/control/history", func(http.ResponseWriter, *http.Request) { s.DropHistory() }).
 		Methods(http.MethodDelete)
+	router.HandleFunc("/control/copy", func(http.ResponseWriter, *http.Request) { s.TakeCopy() }).Methods(http.MethodPost)
+	router.HandleFunc("/control/return", s.controlReturn).Methods(http.MethodPost)
 	router.HandleFunc("/control/rows", s.transact).Methods(http.MethodPost) // for the operator and the backend servers: no faults
 	router.HandleFunc("/control/list", s.list).Methods(http.MethodGet)
 	return router
@@ -151,6 +156,8 @@
 		s.mu.Lock()
 		s.calls++
 		f := s.faults
+		f.Refuse = f.Refuse || s.away
+		s.setEra(w)
 		s.mu.Unlock()
 		host, _, _ := strings.Cut(r.RemoteAddr, ":")
 		affected := len(f.Hosts) == 0 || slices.Contains(f.Hosts, host)
@@ -215,9 +222,17 @@
 func (s *Store) writeResponse(w http.ResponseWriter, status int, body map[string]any) {
 	body["resource_version"] = s.version
 	body["server_time_ms"] = time.Since(s.start).Milliseconds()
+	s.setEra(w)
 	standin.WriteJSON(w, status, body)
 }
 
+// setEra adds the era to a response. The caller holds s.mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	}
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
@@ -244,7 +259,7 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.historyStart {
+		if after < s.historyStart || after > s.version {
 			s.writeResponse(w, http.StatusGone, map[string]any{})
 			s.mu.Unlock()
 			return
@@ -256,7 +271,7 @@
 			}
 		}
 		changed, f := s.changed, s.faults
-		broken := (f.Refuse || f.Silent || f.Reset) && len(f.Hosts) == 0
+		broken := s.away || (f.Refuse || f.Silent || f.Reset) && len(f.Hosts) == 0
 		if len(rows) > 0 || broken {
 			s.writeResponse(w, http.StatusOK, map[string]any{"rows": rows})
 			s.mu.Unlock()
