Order the store's rows across its return from a copy (CONFIG)

Cause: every process takes the newer version of the store for the newer row. After a return versions are given out again, so that the row of the new manifest has a lower one than the row that the gateways hold; Follower.recordRow and View drop it. A list resets nothing, and where the versions have passed a reader's own, no 410 tells it of the return at all. That the list after the 410 is at fault alone was ruled out by a reader that gets none (the spec "a reader whose version the store has passed").

Change: package rowversion decides the order, in one place. A version is the store's era and its number, joined in platform as rows are read, so that versions, and all tokens and epochs made from them, rise across a return; Compare orders two rows of different eras by what their writer says (the configuration's version; a server's start, state and sequence), and leaves open what may stem from the copy. Rows that are left open, and removals of rows that the copy lacks, wait until their writers had time to write them again. Discovery, View, the tracker of freshness, whose ages also survive a store clock that went back, and the exchange between gateways use it. A store without eras is ordered as before. Beside gateways of earlier releases, whose rows have no era, each gateway reads the store itself.

--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/pomelowheel/pomelowheel/internal/fleetguard"
 	"github.com/pomelowheel/pomelowheel/internal/fleetroute"
 	"github.com/pomelowheel/pomelowheel/internal/freshness"
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -29,12 +31,12 @@
 // HasRow implements peers.Source.
 func (g *gateway) HasRow(table, key string, version int64) bool {
 	r, ok := g.follower.Row(table, key)
-	return ok && r.Version >= version
+	return ok && rowversion.Era(r.Version) == rowversion.Era(version) && r.Version >= version
 }
 
 // ReceiveRow implements peers.Sink.
 func (g *gateway) ReceiveRow(row *wirepb.StoreRow) {
-	g.follower.Apply(fromWire([]*wirepb.StoreRow{row}), false)
+	g.follower.Apply(g.fromWire([]*wirepb.StoreRow{row}), false)
 }
 
 // RowsHash implements peers.Source.
@@ -69,8 +71,8 @@
 		return nil, false
 	}
 	return &wirepb.Freshness{
-		SentAtMs: report.SentAt.Milliseconds(), Version: report.Latest.Version, Hash: report.Latest.Hash,
-		AtMs: report.Latest.At.Milliseconds(),
+		SentAtMs: report.SentAt.Milliseconds(), Era: report.Era, Hash: report.Latest.Hash, AtMs: report.Latest.At.Milliseconds(),
+		Version: rowversion.Number(report.Latest.Version), VersionEra: rowversion.Era(report.Latest.Version),
 	}, g.mesh.IsStoreReader(discovery.ReaderCount)
 }
 
@@ -79,16 +81,11 @@
 
 // Update implements peers.Sink.
 func (g *gateway) Update(peer string, u *wirepb.PeerUpdate, use, demand map[string]float64) {
-	if rows := fromWire(u.GetRows()); len(rows) > 0 {
+	if rows := g.fromWire(u.GetRows()); len(rows) > 0 {
 		g.follower.Apply(rows, false)
 	}
 	if f := u.GetFreshness(); f != nil {
-		g.freshness.Receive(bootclock.Now(), peer, freshness.Report{
-			SentAt: time.Duration(f.GetSentAtMs()) * time.Millisecond,
-			Latest: freshness.Confirmation{
-				Version: f.GetVersion(), Hash: f.GetHash(), At: time.Duration(f.GetAtMs()) * time.Millisecond,
-			},
-		})
+		g.receiveFreshness(peer, f)
 	}
 	if report := u.GetGuard(); report != nil {
 		g.server.Prompts().Receive(func(now time.Duration) fleetguard.Report { return guardFromWire(report, now) })
@@ -117,6 +114,19 @@
 	}
 }
 
+func (g *gateway) receiveFreshness(peer string, f *wirepb.Freshness) {
+	version, err := rowversion.Join(f.GetVersionEra(), f.GetVersion())
+	if _, eraErr := rowversion.Join(f.GetEra(), 0); err != nil || eraErr != nil {
+		g.log.Warn("report of the age of rows ignored", "peer", peer, "error", errors.Join(err, eraErr))
+		return
+	}
+	g.follower.ObserveEra(f.GetEra())
+	g.freshness.Receive(bootclock.Now(), peer, freshness.Report{
+		Era: f.GetEra(), SentAt: time.Duration(f.GetSentAtMs()) * time.Millisecond,
+		Latest: freshness.Confirmation{Version: version, Hash: f.GetHash(), At: time.Duration(f.GetAtMs()) * time.Millisecond},
+	})
+}
+
 // PeerLost implements peers.Sink.
 func (g *gateway) PeerLost(peer string) {
 	g.table.DropPeer(peer)
@@ -154,21 +164,36 @@
 	return freshness.Silence
 }
 
+// readsStore reports whether this gateway is one of the n that read the store. Beside gateways whose rows have no era each gateway
+// reads the store itself, because such rows cannot be ordered after a return of the store from a copy.
+func (g *gateway) readsStore(n int) bool {
+	return g.mesh.IsStoreReader(n) || g.mesh.HearsPeerWithoutEras()
+}
+
 func (g *gateway) publish(rows []platform.Row) { g.mesh.Publish(toWire(rows)) }
 
 func toWire(rows []platform.Row) []*wirepb.StoreRow {
 	list := make([]*wirepb.StoreRow, 0, len(rows))
 	for _, r := range rows {
-		list = append(list, &wirepb.StoreRow{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		list = append(list, &wirepb.StoreRow{
+			Table: r.Table, Key: r.Key, Value: r.Value, Version: rowversion.Number(r.Version), Era: rowversion.Era(r.Version),
+			Deleted: r.Deleted,
+		})
 	}
 	return list
 }
 
-func fromWire(rows []*wirepb.StoreRow) []platform.Row {
+// fromWire returns a peer's rows without those whose version is out of range.
+func (g *gateway) fromWire(rows []*wirepb.StoreRow) []platform.Row {
 	list := make([]platform.Row, 0, len(rows))
 	for _, r := range rows {
+		version, err := rowversion.Join(r.GetEra(), r.GetVersion())
+		if err != nil {
+			g.log.Warn("row from a peer ignored", "table", r.GetTable(), "key", r.GetKey(), "error", err)
+			continue
+		}
 		list = append(list, platform.Row{
-			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted(),
+			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: version, Deleted: r.GetDeleted(),
 		})
 	}
 	return list
--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -158,8 +158,9 @@
 		Demand:  func(service, model string) float64 { return g.planner.DemandOf(service, model) },
 	})
 	g.follower = discovery.New(discovery.Options{
-		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery, Freshness: g.freshness,
-		IsReader: g.mesh.IsStoreReader, Publish: g.publish, RelaysRows: g.mesh.RelaysRows, OnRemoved: g.forgetServers, Log: log,
+		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery,
+		RewriteGrace: s.Bounds.StoreRewrite, Freshness: g.freshness,
+		IsReader: g.readsStore, Publish: g.publish, RelaysRows: g.mesh.RelaysRows, OnRemoved: g.forgetServers, Log: log,
 	})
 	g.lease = duty.NewLease(duty.LeaseOptions{
 		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
@@ -264,6 +265,7 @@
 	})
 	vars["server_speeds"] = expvar.Func(func() any { return g.table.Speeds() })
 	vars["refused_prompts"] = expvar.Func(func() any { list, _ := g.server.Prompts().Refusals(); return len(list) })
+	vars["store_era"] = expvar.Func(func() any { return g.follower.Era() })
 	vars["planner_epoch"] = expvar.Func(func() any { return g.lease.Epoch() })
 	g.addAppointmentVars(vars)
 	g.addDutyVars(vars)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -15,12 +14,12 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
 	"github.com/pomelowheel/pomelowheel/internal/freshness"
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
@@ -40,7 +39,8 @@
 	// outageThreshold is the time without an answer from the store after which the store counts as unreachable and
 	// entries of running servers may have expired. Entries expire after three heartbeats of more than a second.
 	outageThreshold = time.Second
-	// expiryInterval is the interval at which View.Expire removes servers that are missing after an outage.
+	// expiryInterval is the interval at which View.Expire removes servers that are missing after an outage, and at which deferred rows
+	// are checked.
 	expiryInterval = 100 * time.Millisecond
 	// minBackoff and maxBackoff limit the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
@@ -55,10 +55,14 @@
 
 // Options configure a Follower. All fields are required.
 type Options struct {
-	Store        Store
-	View         *fleet.View
-	Clock        bootclock.Clock
-	RemovalGrace time.Duration // time after the end of an outage for which missing servers are kept
+	Store Store
+	View  *fleet.View
+	Clock bootclock.Clock
+	// RemovalGrace is the time after the end of an outage, or a return of the store from a copy, for which missing servers are kept.
+	RemovalGrace time.Duration
+	// RewriteGrace is the time after a return of the store from a copy within which the operator and the servers that run have
+	// written their rows again, and the entries of others have expired.
+	RewriteGrace time.Duration
 	// Freshness records the version of the operator's rows in force here and when a read confirmed them.
 	Freshness *freshness.Tracker
 	// IsReader reports whether this gateway is among the first n gateways that are alive and can read the store.
@@ -78,9 +82,13 @@
 type Follower struct {
 	opts Options
 
-	mu      sync.Mutex
-	rows    map[rowKey]platform.Row // newest row of each key, including removals
-	applied map[string]platform.Row // operator's rows that are in force in the view, by key, without their values
+	mu        sync.Mutex
+	rows      map[rowKey]platform.Row // newest row of each key, including removals
+	applied   map[string]platform.Row // operator's rows that are in force in the view, by key, without their values
+	era       int64                   // latest known one of the store
+	eraSince  time.Duration           // when era was first observed
+	deferred  map[rowKey]deferredRow  // rows of the present era that may stem from the store's copy, and removals of rows that it lacks
+	listedEra map[string]int64        // in which a table was last listed
 
 	lastAnswer atomic.Int64 // time of the store's last answer on Options.Clock, in nanoseconds
 	listed     atomic.Int64 // when the server list was last known to be current, likewise; negative before the first list
@@ -89,7 +97,10 @@
 
 // New returns a follower. Call Run to start it.
 func New(opts Options) *Follower {
-	f := &Follower{opts: opts, rows: make(map[rowKey]platform.Row), applied: make(map[string]platform.Row)}
+	f := &Follower{
+		opts: opts, rows: make(map[rowKey]platform.Row), applied: make(map[string]platform.Row),
+		deferred: make(map[rowKey]deferredRow), listedEra: make(map[string]int64),
+	}
 	f.lastAnswer.Store(int64(opts.Clock()))
 	f.listed.Store(-1)
 	return f
@@ -166,7 +177,7 @@
 		}
 		if errors.Is(err, platform.ErrHistoryGone) {
 			f.opts.Log.Warn("store history no longer covers the known version; listing the table again", "table", table,
-				"version", version)
+				"version", version, "error", err)
 			version = -1
 			continue
 		}
@@ -196,9 +207,10 @@
 		return page, err
 	}
 	f.recordAnswer(table)
+	f.ObserveEra(rowversion.Era(page.Version))
 	if list {
 		f.opts.Log.Info("table listed from the store", "table", table, "rows", len(page.Rows), "version", page.Version)
-		f.Apply(append(page.Rows, f.removalsFor(table, page.Rows, page.Version)...), true)
+		f.applyList(table, page)
 	} else {
 		f.Apply(page.Rows, true)
 	}
@@ -209,23 +221,6 @@
 	return page, nil
 }
 
-// removalsFor returns removals for the known rows of a table that are missing in a newer list of it.
-func (f *Follower) removalsFor(table string, listed []platform.Row, newest int64) []platform.Row {
-	present := make(map[string]bool, len(listed))
-	for _, r := range listed {
-		present[r.Key] = true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var removed []platform.Row
-	for k, r := range f.rows {
-		if k.table == table && !present[k.key] && !r.Deleted && r.Version < newest {
-			removed = append(removed, platform.Row{Table: table, Key: k.key, Version: newest, Deleted: true})
-		}
-	}
-	return removed
-}
-
 // recordAnswer records that the store answered. It must be called before the rows are applied, so that removals after an
 // outage are recognised and delayed.
 func (f *Follower) recordAnswer(table string) {
@@ -261,125 +256,6 @@
 			f.opts.Log.Info("servers not listed again after the store outage; removed", "servers", gone)
 			f.opts.OnRemoved(gone)
 		}
+		f.applyDeferred()
 	}
 }
-
-// Apply merges rows into the view and ignores rows that are not newer than the known ones. fromStore says that this
-// process read the rows from the store itself: then changes are published to the other gateways. Changes of the
-// operator's table are always published, because a peer may reach neither the store nor the sender. In a fleet where no
-// reader reaches all others, changes of servers are published too.
-func (f *Follower) Apply(rows []platform.Row, fromStore bool) {
-	var updates []platform.Row
-	var removedIDs []string
-	for _, row := range rows {
-		if !f.recordRow(row) {
-			continue
-		}
-		switch row.Table {
-		case platform.TableOperator:
-			f.opts.Publish([]platform.Row{row}) // before it is decoded, which takes long on a slow host
-			f.applyOperator(row)
-			f.recordApplied(row)
-		case platform.TableServers:
-			changed, removed := f.applyServer(row)
-			if changed && (fromStore || f.opts.RelaysRows()) {
-				updates = append(updates, row)
-			}
-			if removed {
-				removedIDs = append(removedIDs, row.Key)
-			}
-		}
-	}
-	if updates != nil {
-		f.opts.Publish(updates)
-	}
-	if removedIDs != nil {
-		f.opts.OnRemoved(removedIDs)
-	}
-}
-
-// recordRow stores a row if it is newer than the known one, and reports whether it did.
-func (f *Follower) recordRow(row platform.Row) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	k := rowKey{row.Table, row.Key}
-	if known, ok := f.rows[k]; ok && known.Version >= row.Version {
-		return false
-	}
-	f.rows[k] = row
-	return true
-}
-
-// recordApplied records that an operator's row is in force in the view. A removed row is not part of the hash, because a
-// gateway that listed the table later does not know of it.
-func (f *Follower) recordApplied(row platform.Row) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.applied[row.Key].Version >= row.Version {
-		return
-	}
-	f.applied[row.Key] = platform.Row{Version: row.Version, Deleted: row.Deleted}
-	var state freshness.State
-	for key, r := range f.applied {
-		state.Newest = max(state.Newest, r.Version)
-		if !r.Deleted {
-			state.Hash ^= xxhash.Sum64String(fmt.Sprint(key, "/", r.Version))
-		}
-	}
-	f.opts.Freshness.SetOwn(state)
-}
-
-func (f *Follower) applyOperator(row platform.Row) {
-	if dataCentre, ok := platform.EvacuatedDataCentre(row.Key); ok {
-		if f.opts.View.SetOutOfService(dataCentre, !row.Deleted, row.Version) {
-			f.opts.Log.Info("data centre put in or out of service", "data_centre", dataCentre, "out", !row.Deleted,
-				"version", row.Version)
-		}
-		return
-	}
-	if !platform.IsConfigurationKey(row.Key) || row.Deleted {
-		return
-	}
-	c, err := platform.DecodeConfiguration(row.Value)
-	if err != nil {
-		f.opts.Log.Error("configuration not decoded; keeping the previous one", "version", row.Version, "error", err)
-		return
-	}
-	if f.opts.View.SetConfiguration(c, row.Version) {
-		f.opts.Log.Info("configuration in force", "config_version", c.Version, "version", row.Version,
-			"routes", len(c.Routes), "services", len(c.Services), "organisations", len(c.Organisations))
-		for _, err := range c.Ignored {
-			f.opts.Log.Error("section of the configuration ignored", "config_version", c.Version, "error", err)
-		}
-	}
-}
-
-// applyServer applies an entry of the server list. It reports whether more than the version of the entry changed, and
-// whether the server was removed.
-func (f *Follower) applyServer(row platform.Row) (changed, gone bool) {
-	previous := f.opts.View.Snapshot().Replicas[row.Key]
-	if row.Deleted {
-		removed := f.opts.View.RemoveReplica(row.Key, row.Version, f.opts.Clock())
-		f.opts.Log.Info("server no longer listed", "server", row.Key, "version", row.Version,
-			"kept", !removed && previous != nil)
-		return true, removed
-	}
-	r, err := platform.DecodeReplica(row.Key, row.Value, row.Version)
-	if err != nil {
-		f.opts.Log.Warn("server entry not decoded; ignoring it", "server", row.Key, "version", row.Version, "error", err)
-		return true, false
-	}
-	if !f.opts.View.SetReplica(r) {
-		return false, false
-	}
-	if previous == nil || previous.Draining != r.Draining || previous.Address != r.Address || previous.Born != r.Born {
-		f.opts.Log.Info("server entry changed", "server", r.ID, "service", r.Service, "address", r.Address,
-			"data_centre", r.DataCentre, "draining", r.Draining, "cold", r.Cold, "version", row.Version)
-		return true, false
-	}
-	return r.Cold > 0 || previous.Cold > 0 || !slices.EqualFunc(previous.Models, r.Models, sameModel), false
-}
-
-func sameModel(a, b fleet.ResidentModel) bool {
-	return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
-}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -56,7 +56,7 @@
 	DeferCleanup(server.Close)
 	g.follower = discovery.New(discovery.Options{
 		Store: platform.NewStore(server.Listener.Addr().String(), nil), View: g.view, Clock: bootclock.Now,
-		RemovalGrace: time.Second, IsReader: func(int) bool { return g.reads.Load() }, OnRemoved: func([]string) {},
+		RemovalGrace: time.Second, RewriteGrace: 2 * time.Second, IsReader: func(int) bool { return g.reads.Load() }, OnRemoved: func([]string) {},
 		RelaysRows: g.relays.Load, Freshness: freshness.New(3 * time.Second),
 		Publish: func(rows []platform.Row) {
 			g.mu.Lock()
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 )
 
 // RepeatPolicy says how often a request of a route may run.
@@ -38,6 +40,9 @@
 	Ignored       []error              // why sections that hold invalid values are not in force
 }
 
+// Content orders the versions of the configuration.
+func (c *Configuration) Content() rowversion.Content { return rowversion.Content{c.Version} }
+
 // KeyDigest is the SHA-256 digest of an API key. The keys themselves are not stored.
 type KeyDigest [sha256.Size]byte
 
@@ -135,10 +140,23 @@
 	Draining    bool
 	Cold        time.Duration // time for which the server stays cold, counted from the entry
 	Born        int64         // start of this incarnation in Unix milliseconds; zero if not stated
+	Sequence    int64         // only rises in an incarnation
 	Models      []ResidentModel
 	ListVersion int64 // store version of the entry
 }
 
+// Content orders the states of the server's entry. An incarnation that drains does not stop doing so.
+func (r *Replica) Content() rowversion.Content {
+	if r.Born == 0 {
+		return nil
+	}
+	draining := int64(0)
+	if r.Draining {
+		draining = 1
+	}
+	return rowversion.Content{r.Born, draining, r.Sequence}
+}
+
 // ResidentModel is a base model that a server holds, with its adapters there.
 type ResidentModel struct {
 	Name     string
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 )
 
 // Snapshot is the state of the fleet that a gateway knows at one moment. It is immutable.
@@ -23,12 +25,12 @@
 // Usable reports whether new requests may be sent to the server.
 func (s *Snapshot) Usable(r *Replica) bool { return !r.Draining && !s.OutOfService[r.DataCentre] }
 
-// View merges updates from the store and from peers into a Snapshot. An update of an entry is applied only if its store
-// version is newer than the known one, so late, duplicate and reordered updates have no effect. A View is safe for
-// concurrent use. Times are durations on a monotonic clock.
+// View merges updates from the store and from peers into a Snapshot. An update of an entry is applied only if it is newer than the
+// known one, see rowversion, so late, duplicate and reordered updates have no effect. One whose order is undecided is applied: the
+// caller decides when. A View is safe for concurrent use. Times are durations on a monotonic clock.
 type View struct {
 	mu              sync.Mutex
-	versions        map[string]int64 // store version by entry, including removed entries
+	known           map[string]rowversion.Entry // by entry, including removed entries
 	config          *Configuration
 	replicas        map[string]*Replica
 	out             map[string]bool
@@ -40,7 +42,7 @@
 // NewView returns an empty view.
 func NewView() *View {
 	v := &View{
-		versions: make(map[string]int64), replicas: make(map[string]*Replica),
+		known: make(map[string]rowversion.Entry), replicas: make(map[string]*Replica),
 		out: make(map[string]bool), pendingRemovals: make(map[string]time.Duration),
 	}
 	v.publish()
@@ -87,12 +89,16 @@
 	return h.Sum64()
 }
 
-// advanceVersion records the store version of an entry if it is newer than the known one, and reports whether it is.
-func (v *View) advanceVersion(entry string, version int64) bool {
-	if version <= v.versions[entry] {
+// advance records the state of an entry if it is not older than the known one, and reports whether it did.
+func (v *View) advance(entry string, next rowversion.Entry) bool {
+	held := v.known[entry]
+	if rowversion.Compare(held, next) == rowversion.NotNewer {
 		return false
 	}
-	v.versions[entry] = version
+	if next.Deleted {
+		next.Content = held.Content
+	}
+	v.known[entry] = next
 	return true
 }
 
@@ -104,12 +110,12 @@
 	return nil
 }
 
-// SetConfiguration applies a configuration if both its store version and its own version are newer than the known ones,
-// and reports whether it did.
+// SetConfiguration applies a configuration if both its row and its own version are newer than the known ones, and reports whether it
+// did.
 func (v *View) SetConfiguration(c *Configuration, storeVersion int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.advanceVersion("configuration", storeVersion) || (v.config != nil && c.Version <= v.config.Version) {
+	if !v.advance("configuration", rowversion.Entry{Version: storeVersion, Content: c.Content()}) || (v.config != nil && c.Version <= v.config.Version) {
 		return false
 	}
 	v.config = c
@@ -121,7 +127,7 @@
 func (v *View) SetOutOfService(dataCentre string, out bool, storeVersion int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.advanceVersion("out/"+dataCentre, storeVersion) || v.out[dataCentre] == out {
+	if !v.advance("out/"+dataCentre, rowversion.Entry{Version: storeVersion, Deleted: !out}) || v.out[dataCentre] == out {
 		return false
 	}
 	if out {
@@ -133,12 +139,11 @@
 	return true
 }
 
-// SetReplica records an entry of the server list if its store version is newer than the known one, and reports whether it
-// did.
+// SetReplica records an entry of the server list if it is newer than the known one, and reports whether it did.
 func (v *View) SetReplica(r *Replica) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.advanceVersion("server/"+r.ID, r.ListVersion) {
+	if !v.advance("server/"+r.ID, rowversion.Entry{Version: r.ListVersion, Content: r.Content()}) {
 		return false
 	}
 	delete(v.pendingRemovals, r.ID)
@@ -153,7 +158,7 @@
 func (v *View) RemoveReplica(id string, storeVersion int64, now time.Duration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.advanceVersion("server/"+id, storeVersion) || v.replicas[id] == nil {
+	if !v.advance("server/"+id, rowversion.Entry{Version: storeVersion, Deleted: true}) || v.replicas[id] == nil {
 		return false
 	}
 	if now < v.graceEndsAt {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 )
 
 const (
@@ -32,9 +34,11 @@
 	At      time.Duration
 }
 
-// Report is what a gateway tells its peers.
+// Report is what a gateway tells its peers. Its times are on the store's clock in an era: the clock may go back when the store comes
+// back from a copy.
 type Report struct {
-	SentAt time.Duration // on the store's clock, by the sender's estimate
+	Era    int64
+	SentAt time.Duration // by the sender's estimate of the clock
 	Latest Confirmation  // latest one known to the sender, which need not be of its own rows
 }
 
@@ -44,6 +48,7 @@
 	bound time.Duration
 
 	mu          sync.Mutex
+	era         int64         // whose clock all times below are on
 	offset      time.Duration // estimate, not too high, of the store's clock minus the gateway's, at offsetAt
 	offsetAt    time.Duration
 	offsetKnown bool
@@ -63,7 +68,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.own = s
-	t.confirm(t.latest)
+	t.confirm(t.era, t.latest)
 }
 
 // ConfirmRead records that the gateway has read all changes up to a version of the store. at is the time on the store's clock
@@ -71,19 +76,23 @@
 func (t *Tracker) ConfirmRead(now time.Duration, version int64, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.observeStoreClock(now, at)
-	t.confirm(Confirmation{Version: version, Hash: t.own.Hash, At: at})
+	era := rowversion.Era(version)
+	t.observeStoreClock(now, era, at)
+	t.confirm(era, Confirmation{Version: version, Hash: t.own.Hash, At: at})
 }
 
 // Receive records a peer's report.
 func (t *Tracker) Receive(now time.Duration, peer string, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.observeStoreClock(now, r.SentAt)
+	t.observeStoreClock(now, r.Era, r.SentAt)
+	t.confirm(r.Era, r.Latest)
+	if r.Era < t.era { // of a peer that has not heard of the present era, whose clock may be ahead
+		r.SentAt = min(r.SentAt, t.storeTime(now))
+	}
 	if r.SentAt >= t.peers[peer].SentAt {
 		t.peers[peer] = r
 	}
-	t.confirm(r.Latest)
 }
 
 // Forget removes the report of a peer that is lost.
@@ -93,10 +102,28 @@
 	delete(t.peers, peer)
 }
 
-// observeStoreClock raises the estimate of the store's clock to a time that the clock has passed.
-func (t *Tracker) observeStoreClock(now, storeTime time.Duration) {
-	if !t.offsetKnown || storeTime > t.storeTime(now) {
-		t.offset, t.offsetAt, t.offsetKnown = storeTime-now, now, true
+// observeStoreClock raises the estimate of the store's clock to a time that the clock has passed in an era. Times of an earlier era say
+// nothing.
+func (t *Tracker) observeStoreClock(now time.Duration, era int64, storeTime time.Duration) {
+	switch {
+	case !t.offsetKnown:
+	case era < t.era:
+		return
+	case era > t.era:
+		t.shiftTimes(storeTime - t.storeTime(now))
+	case storeTime <= t.storeTime(now):
+		return
+	}
+	t.era, t.offset, t.offsetAt, t.offsetKnown = era, storeTime-now, now, true
+}
+
+// shiftTimes moves all times to another clock, so that ages stay as they are.
+func (t *Tracker) shiftTimes(by time.Duration) {
+	t.confirmed.At += by
+	t.latest.At += by
+	for peer, r := range t.peers {
+		r.SentAt += by
+		t.peers[peer] = r
 	}
 }
 
@@ -106,7 +133,11 @@
 	return now + t.offset - time.Duration(maxDrift*float64(now-t.offsetAt))
 }
 
-func (t *Tracker) confirm(c Confirmation) {
+// confirm records a confirmation whose time is on the clock of an era.
+func (t *Tracker) confirm(era int64, c Confirmation) {
+	if era < t.era {
+		return
+	}
 	if c.At > t.latest.At {
 		t.latest = c
 	}
@@ -119,7 +150,7 @@
 func (t *Tracker) Report(now time.Duration) (Report, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Report{SentAt: t.storeTime(now), Latest: t.latest}, t.offsetKnown
+	return Report{Era: t.era, SentAt: t.storeTime(now), Latest: t.latest}, t.offsetKnown
 }
 
 // ConfirmedVersion returns the version of the store up to which the gateway's rows are known to contain all changes, or zero.
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -52,7 +52,8 @@
 	Rows() []*wirepb.StoreRow
 	// Row returns the row with the given table and key, or nil if this gateway does not have it.
 	Row(table, key string) *wirepb.StoreRow
-	// HasRow reports whether this gateway has the row in the given version or a newer one.
+	// HasRow reports whether this gateway has the row in the given version or a newer one. Of two versions of different eras the
+	// row's value may tell which one is newer, so that it has to be requested.
 	HasRow(table, key string, version int64) bool
 	// RowsHash returns a hash of the rows, or zero. Gateways with the same rows return the same hash.
 	RowsHash() uint64
@@ -126,6 +127,7 @@
 	leaving          bool   // is shutting down, by its last update
 	rowsHash         uint64 // of the peer's rows, by its last update
 	ignoresOffers    bool   // runs an earlier release, which ignores offers of rows
+	lacksEras        bool   // runs an earlier release, whose rows have no era
 	provided         bool   // this gateway is one of the peer's providers, as of providedAt
 	providedAt       time.Duration
 	rows             *background.Queue[*wirepb.StoreRow] // to be sent to the peer
@@ -286,6 +288,19 @@
 	return heard
 }
 
+// HearsPeerWithoutEras reports whether a gateway sent a recent update that runs an earlier release, whose rows have no era of the store.
+func (m *Mesh) HearsPeerWithoutEras() bool {
+	now := m.opts.Clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.name != "" && !p.leaving && p.lacksEras && now-p.lastUpdateAt <= peerTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // Alone reports whether no other gateway may be alive: every known one was heard and has announced its shutdown.
 func (m *Mesh) Alone() bool {
 	_, known := m.Count()
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -224,7 +224,7 @@
 	now := m.opts.Clock()
 	newlyHeard := p.name == "" || p.lost || p.incarnation != identity.GetIncarnation()
 	if u.GetIdentity() != nil {
-		p.ignoresOffers = !u.GetRequestsRows()
+		p.ignoresOffers, p.lacksEras = !u.GetRequestsRows(), !u.GetStoreEras()
 	}
 	if p.incarnation != identity.GetIncarnation() {
 		// A new incarnation's first totals only set the base values: use and demand from before are not reported as changes.
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -53,7 +53,7 @@
 	}
 	source := m.opts.Source
 	sent := newSentState()
-	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, RequestsRows: true}
+	u := &wirepb.PeerUpdate{Identity: m.opts.Identity, RequestsRows: true, StoreEras: true}
 	var pending []*wirepb.StoreRow
 	lastSend := time.Now()
 	differsSince := time.Now()
--- a/internal/peers/transfer.go
+++ b/internal/peers/transfer.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 	"github.com/pomelowheel/pomelowheel/internal/transport"
 	"github.com/pomelowheel/pomelowheel/internal/wire"
 	"github.com/pomelowheel/pomelowheel/internal/wire/wirepb"
@@ -39,7 +40,7 @@
 // rowFetch is the state of getting a large row that this gateway lacks. One transfer at a time runs for each row, so that the
 // copies do not compete for a slow link.
 type rowFetch struct {
-	version   int64    // newest version offered
+	version   int64    // newest version offered, see rowversion
 	providers []string // addresses of the peers that offer it and have not been tried, in the order of their offers
 	running   bool
 }
@@ -47,6 +48,7 @@
 // compressedRow is the compressed value of the row that was last sent, because several peers request the same one.
 type compressedRow struct {
 	key     rowKey
+	era     int64
 	version int64
 	data    []byte
 }
@@ -57,7 +59,7 @@
 	size := 0
 	for i, r := range pending {
 		if receiverRequests && len(r.GetValue()) > maxInlineRowBytes {
-			offers = append(offers, &wirepb.RowOffer{Table: r.GetTable(), Key: r.GetKey(), Version: r.GetVersion()})
+			offers = append(offers, &wirepb.RowOffer{Table: r.GetTable(), Key: r.GetKey(), Version: r.GetVersion(), Era: r.GetEra()})
 			continue
 		}
 		if size += len(r.GetValue()); size > maxUpdateRowBytes && len(rows) > 0 {
@@ -71,7 +73,12 @@
 // receiveOffers starts transfers of the offered rows that this gateway lacks.
 func (m *Mesh) receiveOffers(address string, offers []*wirepb.RowOffer) {
 	for _, o := range offers {
-		if m.opts.Source.HasRow(o.GetTable(), o.GetKey(), o.GetVersion()) {
+		version, err := rowversion.Join(o.GetEra(), o.GetVersion())
+		if err != nil {
+			m.opts.Log.Warn("offer of a row ignored", "peer", address, "key", o.GetKey(), "error", err)
+			continue
+		}
+		if m.opts.Source.HasRow(o.GetTable(), o.GetKey(), version) {
 			continue
 		}
 		k := rowKey{o.GetTable(), o.GetKey()}
@@ -86,10 +93,10 @@
 			f = new(rowFetch)
 			m.fetches[k] = f
 		}
-		if o.GetVersion() > f.version {
-			f.version, f.providers = o.GetVersion(), nil
+		if version > f.version {
+			f.version, f.providers = version, nil
 		}
-		if o.GetVersion() == f.version && !slices.Contains(f.providers, address) {
+		if version == f.version && !slices.Contains(f.providers, address) {
 			f.providers = append(f.providers, address)
 		}
 		ctx := m.ctx
@@ -186,7 +193,7 @@
 		if chunk.GetLast() {
 			size = compressed.Len()
 			value, err := decompress(&compressed)
-			return &wirepb.StoreRow{Table: k.table, Key: k.key, Value: value, Version: chunk.GetVersion()}, size, err
+			return &wirepb.StoreRow{Table: k.table, Key: k.key, Value: value, Version: chunk.GetVersion(), Era: chunk.GetEra()}, size, err
 		}
 		if err := stream.SetReadDeadline(time.Now().Add(chunkTimeout)); err != nil {
 			return nil, compressed.Len(), err
@@ -212,7 +219,7 @@
 	for {
 		part := data[:min(chunkBytes, len(data))]
 		data = data[len(part):]
-		chunk := &wirepb.RowChunk{Version: row.GetVersion(), Data: part, Last: len(data) == 0}
+		chunk := &wirepb.RowChunk{Version: row.GetVersion(), Era: row.GetEra(), Data: part, Last: len(data) == 0}
 		if err := stream.SetWriteDeadline(time.Now().Add(chunkTimeout)); err != nil {
 			return
 		}
@@ -231,7 +238,7 @@
 func (m *Mesh) compressed(k rowKey, row *wirepb.StoreRow) ([]byte, error) {
 	m.compressMu.Lock()
 	defer m.compressMu.Unlock()
-	if m.lastCompressed.key == k && m.lastCompressed.version == row.GetVersion() {
+	if m.lastCompressed.key == k && m.lastCompressed.version == row.GetVersion() && m.lastCompressed.era == row.GetEra() {
 		return m.lastCompressed.data, nil
 	}
 	var buffer bytes.Buffer
@@ -245,7 +252,7 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	m.lastCompressed = compressedRow{k, row.GetVersion(), buffer.Bytes()}
+	m.lastCompressed = compressedRow{k, row.GetEra(), row.GetVersion(), buffer.Bytes()}
 	return m.lastCompressed.data, nil
 }
 
