Keep fencing tokens and the lease across a return of the store (ONE)

Cause: the version of the store after a write is the agent's token and the planner's epoch, and versions go back with the store. What is left is who may act: the lease's row may be missing in the copy, or name an earlier holder that released it, and whoever reads that acquires it at once beside the holder.

Change: a lease row names the era for which it was written. Only a row of the present era tells that the lease was released, or that its holder ran on this host; a missing row tells that there was no holder only at the first start of the fleet. In all other cases a gateway waits until the row has not changed for a whole term. The holder writes its row again, under its old epoch, as long as its term has not ended, so that planning goes on; after that it waits like the others. A renewal that expects a version of the earlier era counts for nothing, also if it held by chance. Agents write the list of held models again when a gateway names a new era, spread over 4 s.

--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -154,8 +154,9 @@
 	}, g.view.Organisation)
 	g.agents = agentclient.New(agentclient.Options{
 		Identity: identity, View: g.view, Pool: g.sessions, Port: agentPort, Clock: clock, Log: log,
-		Changed: func() { g.server.FleetChanged() },
-		Demand:  func(service, model string) float64 { return g.planner.DemandOf(service, model) },
+		Changed:  func() { g.server.FleetChanged() },
+		Demand:   func(service, model string) float64 { return g.planner.DemandOf(service, model) },
+		StoreEra: func() int64 { return g.follower.Era() },
 	})
 	g.follower = discovery.New(discovery.Options{
 		Store: g.store, View: g.view, Clock: clock, RemovalGrace: s.Bounds.ServerListRecovery,
@@ -166,7 +167,7 @@
 		Store: g.store, Host: s.Host, Incarnation: identity.GetIncarnation(), Clock: clock, Log: log,
 		Demand:        func() map[string]float64 { return g.planner.Demand() },
 		OnAcquired:    func(demand map[string]float64) { g.planner.InheritDemand(demand) },
-		HandoverPause: s.Bounds.Lease,
+		HandoverPause: s.Bounds.Lease, Restarted: !s.FirstStart,
 	})
 	g.newDuties(clock)
 	g.planner = fleetplanner.New(fleetplanner.Options{
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,7 @@
 type Agent struct {
 	opts          Options
 	fencingNumber atomic.Int64 // zero until the store issued one
+	storeEra      atomic.Int64 // latest one that a gateway named
 
 	mu              sync.Mutex
 	report          *fleet.Report
@@ -183,6 +184,7 @@
 func (a *Agent) SetTarget(t *wirepb.AgentTarget) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.storeEra.Store(max(a.storeEra.Load(), t.GetStoreEra()))
 	if a.target.GetBorn() > t.GetBorn() {
 		return // the gateway's server list is older
 	}
--- /dev/null
+++ b/internal/agent/era_test.go
@@ -0,0 +1,68 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
+)
+
+var _ = Describe("after the store came back from a copy", func() {
+	var h *host
+	notRewritten := fake.Return{RewriteAfter: -1}
+	writeRows := func() {
+		for i := range 30 {
+			h.store.Put("status", fmt.Sprint("row-", i), []byte("{}"))
+		}
+	}
+	restart := func(adapter string) {
+		GinkgoHelper()
+		h.stop()
+		h.start()
+		Eventually(func() error { return h.ensureAdapter(adapter) }, eventuallyTimeout).Should(Succeed())
+		h.expectNoCrash()
+	}
+
+	BeforeEach(func() {
+		h = newHost("a")
+		Eventually(func() error { return h.ensureAdapter("a1") }, eventuallyTimeout).Should(Succeed())
+	})
+
+	// Guards against orders whose fencing token is lower than that of earlier orders to the same engine, because the store gave out
+	// its versions again.
+	It("an agent that starts again has a higher fencing number", func() {
+		taken := h.store.TakeCopy()
+		writeRows()
+		restart("a2")
+		h.store.ReturnFrom(taken, notRewritten)
+		restart("a3")
+		h.store.ReturnFrom(taken, notRewritten)
+		Eventually(func() error { return h.ensureAdapter("a4") }, eventuallyTimeout).Should(Succeed(), "without a start")
+		restart("a5")
+	})
+
+	It("an agent has a higher fencing number although the copy lacks its row", func() {
+		empty := fake.NewStore().TakeCopy()
+		writeRows()
+		restart("a2")
+		h.store.ReturnFrom(empty, notRewritten)
+		restart("a3")
+	})
+
+	It("an agent writes its row again when a gateway tells of the return", func() {
+		h.store.ReturnFrom(fake.NewStore().TakeCopy(), notRewritten)
+		row := func() string {
+			r, _, err := h.client.Get(context.Background(), "agents", "side-1")
+			Expect(err).NotTo(HaveOccurred())
+			return string(r.Value)
+		}
+		Expect(row()).To(BeEmpty())
+		t := target(0)
+		t.StoreEra = h.store.Era()
+		h.agent.SetTarget(t)
+		Eventually(row, 2*eventuallyTimeout).Should(ContainSubstring(`"a"`))
+	})
+})
--- a/internal/agent/restore.go
+++ b/internal/agent/restore.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/fleet"
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
 // agentsTable is the store's table with one row for each agent. The row's version after the write at an agent's start is
-// the agent's fencing number until its next start. The row's value lists the models that the engine held.
+// the agent's fencing number until its next start, also if the store loses the row. The row's value lists the models that the engine
+// held.
 const agentsTable = "agents"
 
 const (
@@ -24,6 +27,8 @@
 	// means that a restart restores an older list.
 	rowWriteInterval     = 2 * time.Second
 	reorderWriteInterval = 10 * time.Second
+	// rewriteSpread is the time over which the agents write their rows again after the store came back from a copy.
+	rewriteSpread = 4 * time.Second
 	// restoreInterval is the pause between two checks for models to restore.
 	restoreInterval = 40 * time.Millisecond
 	// restorePeriod is the time after a restart within which lost models are restored. After that the planner has made new
@@ -36,12 +41,13 @@
 }
 
 // maintainRow acquires the fencing number, retrying until it succeeds, and then writes the list of held models to the row
-// whenever it changes.
+// whenever it changes or the store may have lost it.
 func (a *Agent) maintainRow(ctx context.Context) error {
 	var written []string
+	var version int64 // of the row
 	for {
 		var err error
-		if written, err = a.acquireFencingNumber(ctx); err == nil {
+		if written, version, err = a.acquireFencingNumber(ctx); err == nil {
 			break
 		}
 		if ctx.Err() == nil {
@@ -56,14 +62,23 @@
 			return err
 		}
 		held := a.heldModels()
-		if slices.Equal(held, written) || sameModels(held, written) && time.Since(at) < reorderWriteInterval {
+		lost := a.storeEra.Load() > rowversion.Era(version)
+		if lost {
+			if err := background.Sleep(ctx, rand.N(rewriteSpread)); err != nil {
+				return err
+			}
+		} else if slices.Equal(held, written) || sameModels(held, written) && time.Since(at) < reorderWriteInterval {
 			continue
 		}
-		if _, err := a.writeRow(ctx, held); err != nil {
+		next, err := a.writeRow(ctx, held)
+		if err != nil {
 			a.opts.Log.Warn("list of held models not written to the store; retrying", "error", err)
 			continue
 		}
-		written, at = held, time.Now()
+		if lost {
+			a.opts.Log.Info("list of held models written again after the store came back from a copy", "version", next)
+		}
+		written, version, at = held, next, time.Now()
 	}
 }
 
@@ -76,13 +91,13 @@
 }
 
 // acquireFencingNumber reads from the row which models the engine held before this start, and writes the row again to get a
-// new version, which becomes the fencing number. It returns the models in the row.
-func (a *Agent) acquireFencingNumber(ctx context.Context) ([]string, error) {
+// new version, which becomes the fencing number. It returns the models in the row and its version.
+func (a *Agent) acquireFencingNumber(ctx context.Context) (models []string, version int64, err error) {
 	call, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	row, _, err := a.opts.Store.Get(call, agentsTable, a.opts.Host)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	var before rowValue
 	if len(row.Value) > 0 {
@@ -90,9 +105,9 @@
 			a.opts.Log.Warn("agent's row cannot be decoded; no models are restored from it", "error", err)
 		}
 	}
-	version, err := a.writeRow(ctx, before.Models)
+	version, err = a.writeRow(ctx, before.Models)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	a.mu.Lock()
 	if len(a.held) == 0 {
@@ -103,7 +118,7 @@
 	a.mu.Unlock()
 	a.fencingNumber.Store(version)
 	a.opts.Log.Info("fencing number acquired", "fence", version, "held_before", before.Models)
-	return before.Models, nil
+	return before.Models, version, nil
 }
 
 func (a *Agent) writeRow(ctx context.Context, models []string) (int64, error) {
--- a/internal/agentclient/agentclient.go
+++ b/internal/agentclient/agentclient.go
@@ -51,6 +51,8 @@
 	// Changed is called after a report whose sequence number, busy flag, incarnation or number of models differs from
 	// the previous report's.
 	Changed func()
+	// StoreEra returns the latest era of the store that this gateway knows. It may be nil.
+	StoreEra func() int64
 }
 
 // ReceivedReport is the newest report of one engine.
@@ -163,6 +165,9 @@
 	t := &wirepb.AgentTarget{
 		Identity: a.opts.Identity, Replica: r.ID, Born: r.Born, WeightsMb: e.WeightsMB, AdapterSlots: int32(e.AdapterSlots),
 	}
+	if a.opts.StoreEra != nil {
+		t.StoreEra = a.opts.StoreEra()
+	}
 	for _, name := range e.Names() {
 		m := e.Models[name]
 		t.Models = append(t.Models, &wirepb.ModelSize{Model: name, WeightsMb: m.WeightsMB, AdapterMb: m.AdapterMB})
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/pomelowheel/pomelowheel/internal/background"
 	"github.com/pomelowheel/pomelowheel/internal/bootclock"
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
 
@@ -52,7 +54,7 @@
 	Commit(ctx context.Context, expected []platform.Precondition, puts []platform.Row) (int64, []platform.Row, bool, error)
 }
 
-// LeaseOptions configure a Lease. All fields but HandoverPause are required.
+// LeaseOptions configure a Lease. All fields but HandoverPause and Restarted are required.
 type LeaseOptions struct {
 	Store       LeaseStore
 	Host        string
@@ -65,11 +67,16 @@
 	OnAcquired func(demand map[string]float64)
 	// HandoverPause is the time after the last call that another holder can have made before which Token permits none.
 	HandoverPause time.Duration
-	Log           *slog.Logger
+	// Restarted says that another process may have held the lease before, so that a missing row does not mean that it is free.
+	Restarted bool
+	Log       *slog.Logger
 }
 
 // Lease lets the gateways elect one holder of all duties: the gateway that holds the lease plans and calls the cloud interface. Its
 // epoch is the store version of the write that acquired it. The epoch is also the fencing token of calls.
+//
+// After a return of the store from a copy the row may be missing or name an earlier holder. The holder keeps the lease, and its epoch,
+// if it writes the row again before its term ends. Any other gateway first waits for a whole term, whatever the row says.
 type Lease struct {
 	opts LeaseOptions
 
@@ -84,20 +91,29 @@
 	expiresAt   time.Duration // of the lease held by this gateway
 	peerHeardAt time.Duration // when another planner's epoch was last received
 	peerEpoch   int64
-	seenVersion int64         // store version of another holder's row
+	seen        bool          // seenVersion was read
+	seenVersion int64         // store version of another holder's row, or of its absence
 	seenAt      time.Duration // when seenVersion was first read
+	firstEra    int64         // of the store, or unknownEra
 }
 
+// unknownEra stands for an era of the store that has not been read yet.
+const unknownEra = -1
+
 type leaseRow struct {
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
 	Released    bool   `json:"released,omitempty"`
+	// Era is the store's era for which the row was written. In a later one the row stems from a copy.
+	Era int64 `json:"era,omitempty"`
 	// Demand is in prompt tokens per second, by service and model joined by a zero byte.
 	Demand map[string]float64 `json:"demand,omitempty"`
 }
 
 // NewLease returns a lease that is not held.
-func NewLease(opts LeaseOptions) *Lease { return &Lease{opts: opts, peerHeardAt: -plannerTimeout} }
+func NewLease(opts LeaseOptions) *Lease {
+	return &Lease{opts: opts, peerHeardAt: -plannerTimeout, firstEra: unknownEra}
+}
 
 // Epoch returns the epoch if this gateway holds the lease now, or 0.
 func (l *Lease) Epoch() int64 {
@@ -188,9 +204,9 @@
 	return l.epoch != 0
 }
 
-func (l *Lease) row(released bool) []platform.Row {
+func (l *Lease) row(released bool, era int64) []platform.Row {
 	value, err := json.Marshal(leaseRow{
-		Host: l.opts.Host, Incarnation: l.opts.Incarnation, Released: released, Demand: l.opts.Demand(),
+		Host: l.opts.Host, Incarnation: l.opts.Incarnation, Released: released, Era: era, Demand: l.opts.Demand(),
 	})
 	if err != nil {
 		panic("encode a lease row, which holds only strings, booleans and finite numbers: " + err.Error())
@@ -198,13 +214,16 @@
 	return []platform.Row{{Table: leaseTable, Key: leaseKey, Value: value}}
 }
 
+// writtenInEraOf reports whether the row with this value was written in its present era, and so is not from a copy of the store.
+func (r leaseRow) writtenInEraOf(row platform.Row) bool { return r.Era == rowversion.Era(row.Version) }
+
 // commit writes the row if its store version is the expected one. owned reports that the stored row is this
 // incarnation's. It was written by an earlier call whose answer was lost unless written is set.
 func (l *Lease) commit(ctx context.Context, expected int64, released bool) (version int64, owned, written bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	version, rows, committed, err := l.opts.Store.Commit(ctx,
-		[]platform.Precondition{{Table: leaseTable, Key: leaseKey, Version: expected}}, l.row(released))
+		[]platform.Precondition{{Table: leaseTable, Key: leaseKey, Version: expected}}, l.row(released, rowversion.Era(expected)))
 	switch {
 	case err != nil:
 		return 0, false, false, err
@@ -213,7 +232,7 @@
 	}
 	for _, r := range rows {
 		var row leaseRow
-		if json.Unmarshal(r.Value, &row) == nil && row.Incarnation == l.opts.Incarnation && !row.Released {
+		if json.Unmarshal(r.Value, &row) == nil && row.Incarnation == l.opts.Incarnation && !row.Released && row.writtenInEraOf(r) {
 			return r.Version, true, false, nil
 		}
 	}
@@ -228,11 +247,44 @@
 	l.mu.Unlock()
 	sent := l.opts.Clock()
 	next, owned, written, err := l.commit(ctx, version, false)
+	if errors.Is(err, platform.ErrEraChanged) {
+		l.renewInNewEra(ctx, epoch)
+		return
+	}
 	if owned && !written {
 		// The other gateways count the term from the earlier write, so it does not extend the lease from now.
 		sent = l.opts.Clock()
 		next, owned, written, err = l.commit(ctx, next, false)
 	}
+	l.recordRenewal(epoch, sent, next, owned, written, err)
+}
+
+// renewInNewEra writes the row again after the store came back from a copy, if the lease has not expired: until then no other gateway
+// acquires it. The caller holds l.writeMu.
+func (l *Lease) renewInNewEra(ctx context.Context, epoch int64) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	row, _, err := l.opts.Store.Get(call, leaseTable, leaseKey)
+	cancel()
+	if err != nil {
+		l.recordRenewal(epoch, 0, 0, false, false, err)
+		return
+	}
+	sent := l.opts.Clock()
+	l.mu.Lock()
+	expired := sent >= l.expiresAt
+	l.mu.Unlock()
+	if expired {
+		l.recordRenewal(epoch, sent, 0, false, false, nil)
+		return
+	}
+	l.opts.Log.Warn("planner's lease is written again after the store came back from a copy", "epoch", epoch,
+		"store_era", rowversion.Era(row.Version))
+	next, owned, written, err := l.commit(ctx, row.Version, false)
+	l.recordRenewal(epoch, sent, next, owned, written, err)
+}
+
+// recordRenewal records the result of commit for the lease that is held under the given epoch.
+func (l *Lease) recordRenewal(epoch int64, sent time.Duration, next int64, owned, written bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -271,12 +323,9 @@
 		l.opts.Log.Debug("planner's lease not read; retrying", "error", err)
 		return
 	}
-	var lastCall time.Duration // of an earlier holder
-	if exists {
-		gone := false
-		if gone, lastCall = l.holderGone(row); !gone {
-			return
-		}
+	gone, lastCall := l.holderGone(row, exists)
+	if !gone {
+		return
 	}
 	expected := row.Version
 	sent := l.opts.Clock()
@@ -292,30 +341,37 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.epoch, l.version, l.acquiredAt, l.expiresAt = version, version, sent, sent+leaseTerm
-	if l.callsFrom = sent; exists {
+	if l.callsFrom = sent; lastCall != 0 {
 		l.callsFrom = max(sent, lastCall+l.opts.HandoverPause)
 	}
 	l.opts.Log.Info("planner's lease acquired; planning starts", "epoch", version, "previous", previous.Host,
 		"models_with_demand", len(previous.Demand), "calls_in", max(0, l.callsFrom-sent))
 }
 
-// holderGone reports whether the holder of the row can no longer act: it released the lease, it was an earlier process on this host, or
-// the row has not changed for leaseTerm plus expiryMargin. A row that does not decode has no holder. lastCall is the latest time at
-// which a call of the holder can arrive: the end of its lease, or sendMargin from now if it ended without one.
-func (l *Lease) holderGone(r platform.Row) (gone bool, lastCall time.Duration) {
+// holderGone reports whether no holder can act any longer: there never was one, it released the lease, it was an earlier process on
+// this host, or the row has not changed for leaseTerm plus expiryMargin. Only a row that was written in its present era tells one of the
+// first three. lastCall is the latest time at which a call of the holder can arrive, or zero: the end of its lease, or sendMargin from
+// now if it ended without one.
+func (l *Lease) holderGone(r platform.Row, exists bool) (gone bool, lastCall time.Duration) {
 	now := l.opts.Clock()
-	var row leaseRow
-	if err := json.Unmarshal(r.Value, &row); err != nil {
-		l.opts.Log.Warn("planner's lease row not decoded; treating the lease as expired", "error", err)
-		return true, now + sendMargin
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.firstEra == unknownEra {
+		l.firstEra = rowversion.Era(r.Version)
 	}
-	if row.Released || row.Host == l.opts.Host {
+	var row leaseRow
+	switch err := json.Unmarshal(r.Value, &row); {
+	case !exists:
+		if !l.opts.Restarted && l.firstEra == rowversion.Era(r.Version) {
+			return true, 0
+		}
+	case err != nil:
+		l.opts.Log.Warn("planner's lease row not decoded; waiting until its lease has expired", "error", err)
+	case row.writtenInEraOf(r) && (row.Released || row.Host == l.opts.Host):
 		return true, now + sendMargin
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.seenVersion != r.Version {
-		l.seenVersion, l.seenAt = r.Version, now
+	if !l.seen || l.seenVersion != r.Version {
+		l.seen, l.seenVersion, l.seenAt = true, r.Version, now
 		return false, 0
 	}
 	return now-l.seenAt > leaseTerm+expiryMargin, l.seenAt + leaseTerm
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -40,7 +40,10 @@
 	return c.demand
 }
 
-func newCandidate(address, name string) *candidate {
+func newCandidate(address, name string) *candidate { return startCandidate(address, name, false) }
+
+// startCandidate starts a candidate; restarted says that another process may have held the lease before.
+func startCandidate(address, name string, restarted bool) *candidate {
 	c := new(candidate)
 	c.lease = duty.NewLease(duty.LeaseOptions{
 		Store: platform.NewStore(address, nil), Host: name, Incarnation: fmt.Sprint(name, time.Now().UnixNano()),
@@ -51,7 +54,7 @@
 			defer c.mu.Unlock()
 			c.demand = d
 		},
-		Log: slog.New(slog.DiscardHandler),
+		Restarted: restarted, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
