discovery: test that servers leave after the store came back (DRAIN)

It is not the grace for missing servers, which ends 2 s after the return; the report comes 3.1 s after it.

The test is the fault's own: a server reports draining, and another is removed, under versions below those of before.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -94,6 +94,22 @@
 		Eventually(func() bool { return g.lists("i-3") }, inForceTime).Should(BeTrue())
 	})
 
+	// Guards against requests to servers that leave, because their entries have versions below those of before the return.
+	It("a server that drains or is removed gets no requests", func() {
+		store.Put("servers", "i-1", bornEntry("ready", 1000, 2))
+		store.Put("servers", "i-2", bornEntry("ready", 1000, 2))
+		write(store, 20)
+		time.Sleep(inForceTime)
+		store.ReturnFrom(taken, notRewritten)
+		store.Put("servers", "i-1", bornEntry("ready", 1000, 3))
+		store.Put("servers", "i-2", bornEntry("ready", 1000, 3))
+		time.Sleep(settleTime)
+		store.Put("servers", "i-1", bornEntry("draining", 1000, 4))
+		Eventually(func() bool { return g.draining("i-1") }, inForceTime).Should(BeTrue())
+		store.Remove("servers", "i-2")
+		Eventually(func() bool { return g.lists("i-2") }, inForceTime).Should(BeFalse())
+	})
+
 	// Guards against states of before the copy that come into force again at gateways that know later ones.
 	It("earlier states of the copy do not come into force", func() {
 		configure(store, 5)
