--- a/cmd/pomelo-fleet-gateway/gateway.go
+++ b/cmd/pomelo-fleet-gateway/gateway.go
@@ -49,16 +49,11 @@
 	retryUsedFraction = 0.8
 	// cleanupInterval is the time between two runs of the cleanup of idle connections and unlisted servers.
 	cleanupInterval = time.Second
-	// registerTimeout bounds one attempt to register this gateway, and the wait for the first message of a peer's
-	// stream.
-	registerTimeout = time.Second
-	// registerRetryInterval is the pause after a failed attempt to register.
-	registerRetryInterval = 500 * time.Millisecond
+	// firstMessageTimeout bounds the wait for the first message of a peer's stream.
+	firstMessageTimeout = time.Second
 	// callerStallTime is the time without progress after which a connection of a caller may be ended when all are in use. A sound
 	// caller sends a head in one piece or a few.
 	callerStallTime = time.Second
-	// memberTable is the store's table of gateway addresses, for a gateway that starts when no seed responds.
-	memberTable = "gateways"
 )
 
 // gateway holds the components of the process.
@@ -274,7 +269,7 @@
 }
 
 func (g *gateway) handlePeer(ctx context.Context, s *transport.Stream) {
-	if err := s.SetReadDeadline(time.Now().Add(registerTimeout)); err != nil {
+	if err := s.SetReadDeadline(time.Now().Add(firstMessageTimeout)); err != nil {
 		return
 	}
 	frame, err := s.Recv()
@@ -285,35 +280,6 @@
 	g.mesh.Serve(ctx, s, frame)
 }
 
-// register writes this gateway's address into the store and connects to the registered gateways. It tries again
-// until it succeeds.
-func (g *gateway) register(ctx context.Context) error {
-	for {
-		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		// The row is written before the list is read, so that of two gateways that start together at least one reads
-		// the other's row.
-		var registered platform.Page
-		_, _, _, err := g.store.Commit(call, nil, []platform.Row{{
-			Table: memberTable, Key: g.settings.Host, Value: []byte(g.settings.ControlAddress),
-		}})
-		if err == nil {
-			registered, err = g.store.List(call, memberTable)
-		}
-		cancel()
-		if err == nil {
-			for _, r := range registered.Rows {
-				g.mesh.AddAddresses([]string{string(r.Value)})
-			}
-			g.log.Info("registered", "gateways", len(registered.Rows))
-			return nil
-		}
-		g.log.Warn("gateway not registered in the store; trying again", "error", err)
-		if err := background.Sleep(ctx, registerRetryInterval); err != nil {
-			return err
-		}
-	}
-}
-
 // cleanUp periodically closes expired idle connections and removes the loads and signs of servers that are no longer
 // listed and the queues in which nothing waits.
 func (g *gateway) cleanUp(ctx context.Context) error {
