autoscale: write counts again that the store lost

The rows of ordered replica counts may be missing, or have earlier counts, when the store comes back from a copy. The holder of the duty wrote nothing again, and whoever read the rows next, after a failed write or as its successor, ordered the earlier count once more.

A row names the era in which it was written. When the holder learns of a new era it reads the rows, keeps the counts that it settled where a row is missing or not of this era, and writes them again without a call.

Measured: of the two cases of the new test, the one in which the copy has an earlier count fails on the code before (6, 9, 6, 9 ordered where 6, 9 are expected); the one without a row holds there, too. Both hold here, with the other tests of the package.

--- a/cmd/pomelo-fleet-gateway/scaling.go
+++ b/cmd/pomelo-fleet-gateway/scaling.go
@@ -42,7 +42,7 @@
 	})
 	s.runner = autoscale.NewRunner(autoscale.RunnerOptions{
 		Duty: scaleDuty{g}, Caller: scaleCaller{g.lease, g.duties.client}, Store: g.store, Services: s.observer.Services,
-		CallsPerSecond: g.settings.Cloud.CallsPerSecond, Clock: clock, Log: g.log,
+		CallsPerSecond: g.settings.Cloud.CallsPerSecond, Era: g.follower.Era, Clock: clock, Log: g.log,
 	})
 }
 
--- a/internal/autoscale/runner.go
+++ b/internal/autoscale/runner.go
@@ -40,7 +40,7 @@
 	Scale(ctx context.Context, token int64, service, dataCentre string, count int) error
 }
 
-// RunnerOptions configure a Runner. All fields are required.
+// RunnerOptions configure a Runner. All fields but Era are required.
 type RunnerOptions struct {
 	Duty   Duty
 	Caller Caller
@@ -48,8 +48,11 @@
 	// Services returns the state of the services without orders; see Observer.Services.
 	Services       func(now time.Duration) []Service
 	CallsPerSecond float64
-	Clock          bootclock.Clock
-	Log            *slog.Logger
+	// Era returns the latest era of the store that this gateway knows. Without it, rows that the store loses are written again only
+	// with the next order.
+	Era   func() int64
+	Clock bootclock.Clock
+	Log   *slog.Logger
 }
 
 // Runner orders the decided counts while its gateway holds the duty. A count is written to the store before the first call,
@@ -59,6 +62,7 @@
 	decider *Decider
 	token   int64 // that the state below belongs to; zero while the duty is not held
 	loaded  bool  // orders are as the store has them
+	era     int64 // of the store, for which they were read
 	orders  map[zoneKey]*order
 
 	nextCall, nextStore pacer // to the platform and to the store
@@ -129,6 +133,9 @@
 
 // current reads the ordered counts if they are not known, and reports whether they are. Without them nothing new is ordered.
 func (r *Runner) current(ctx context.Context, now time.Duration) bool {
+	if r.opts.Era != nil && r.era < r.opts.Era() {
+		r.loaded = false
+	}
 	if r.loaded || now < r.nextStore.next {
 		return r.loaded
 	}
--- a/internal/autoscale/runner_test.go
+++ b/internal/autoscale/runner_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pomelowheel/pomelowheel/internal/autoscale"
+	"github.com/pomelowheel/pomelowheel/internal/rowversion"
 	"github.com/pomelowheel/pomelowheel/internal/vardoc"
 	"github.com/pomelowheel/pomelowheel/platform"
 )
@@ -31,7 +32,8 @@
 	notSent    bool // calls are not sent, as those beyond the permitted rate
 
 	rows        map[string]platform.Row
-	version     int64
+	version     int64 // without the era
+	era         int64
 	storeAway   bool
 	loseWrite   bool // writes are made and fail
 	beforeWrite func()
@@ -51,7 +53,30 @@
 	if f.storeAway {
 		return platform.Page{}, errFake
 	}
-	return platform.Page{Rows: slices.Collect(maps.Values(f.rows)), Version: f.version}, nil
+	page := platform.Page{Version: f.joined(f.version)}
+	for _, r := range f.rows {
+		r.Version = f.joined(r.Version)
+		page.Rows = append(page.Rows, r)
+	}
+	return page, nil
+}
+
+// joined returns a version in the present era.
+func (f *fakePlatform) joined(number int64) int64 {
+	v, err := rowversion.Join(f.era, number)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// returnFrom makes the store come back from a copy of its rows.
+func (f *fakePlatform) returnFrom(rows map[string]platform.Row) {
+	f.rows, f.version = maps.Clone(rows), 0
+	for _, r := range rows {
+		f.version = max(f.version, r.Version)
+	}
+	f.era++
 }
 
 func (f *fakePlatform) Commit(_ context.Context, expected []platform.Precondition, puts []platform.Row) (int64, []platform.Row, bool, error) {
@@ -61,7 +86,10 @@
 	if f.beforeWrite != nil {
 		f.beforeWrite()
 	}
-	if current := f.rows[puts[0].Key]; current.Version != expected[0].Version {
+	if expected[0].Version != 0 && rowversion.Era(expected[0].Version) != f.era {
+		return 0, nil, false, platform.ErrEraChanged
+	}
+	if current := f.rows[puts[0].Key]; current.Version != rowversion.Number(expected[0].Version) {
 		return 0, []platform.Row{current}, false, nil
 	}
 	f.put(puts[0].Key, puts[0].Value)
@@ -71,7 +99,7 @@
 	if f.loseWrite {
 		return 0, nil, false, errFake
 	}
-	return f.version, nil, true, nil
+	return f.joined(f.version), nil, true, nil
 }
 
 func (f *fakePlatform) put(key string, value []byte) {
@@ -119,7 +147,7 @@
 func (f *fakePlatform) gateway(rates map[string]float64) *gateway {
 	g := &gateway{fakePlatform: f, rates: rates}
 	g.runner = autoscale.NewRunner(autoscale.RunnerOptions{
-		Duty: g, Caller: g, Store: f, Services: g.services, CallsPerSecond: 2,
+		Duty: g, Caller: g, Store: f, Services: g.services, CallsPerSecond: 2, Era: func() int64 { return f.era },
 		Clock: func() time.Duration { return f.now }, Log: slog.New(slog.DiscardHandler),
 	})
 	return g
@@ -328,3 +356,35 @@
 		}
 	}
 }
+
+// Guards against an earlier count that is ordered again, by the holder or its successor, because the store came back from a copy.
+func TestCountsThatTheStoreLostAreWrittenAgain(t *testing.T) {
+	for name, older := range map[string]bool{"the copy has an earlier count": true, "the copy lacks the row": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFake()
+			f.era = 1
+			a, b := f.gateway(map[string]float64{"x": 40}), f.gateway(map[string]float64{"x": 60})
+			f.pass(a)
+			taken := maps.Clone(f.rows)
+			f.rounds(12*time.Second, a, b)
+			if older {
+				taken = maps.Clone(f.rows)
+			}
+			a.rates["x"] = 60
+			f.rounds(30*time.Second, a, b)
+			expectCounts(t, f, 6, 9)
+			f.returnFrom(taken)
+			f.rounds(5*time.Second, a, b)
+			expectCounts(t, f, 6, 9)
+			f.pass(b)
+			f.rounds(30*time.Second, a, b)
+			expectCounts(t, f, 6, 9)
+			a.rates["x"], b.rates["x"] = 70, 70
+			f.pass(a)
+			f.rounds(30*time.Second, a, b)
+			if got := f.counts(); got[len(got)-1] <= 9 {
+				t.Fatalf("nothing is ordered any more: %v", got)
+			}
+		})
+	}
+}
