soak: plan with returns of the store from a copy

The new plan "store-returns" plays returns of the store from a copy in series, half of them without time away, and some twice from the same copy, beside kills, stops and pauses of gateways and agents, lost answers, configurations, withdrawn keys, data centres out of service and servers that leave. Before the check of the configuration the store comes back once more, after so many writes that the versions stay below those of before until the end of the run. All plans now check that the fencing numbers of each agent rise.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -90,6 +90,7 @@
 			fail("%s", what)
 		}
 	}
+	s.checkFencingNumbers(fail)
 	r.checkLogs(s.opts.WorkDir, fail)
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -37,6 +37,11 @@
 	stopping sync.Mutex // held while the process is stopped and started again
 }
 
+// logFile returns the path of the log of an incarnation, counted from one.
+func (p *program) logFile(incarnation int) string {
+	return filepath.Join(p.logDir, fmt.Sprintf("%s-%d.log", p.name, incarnation))
+}
+
 // start starts the process if it is not running.
 func (p *program) start() error {
 	p.mu.Lock()
@@ -45,7 +50,7 @@
 		return nil
 	}
 	p.startedAt = append(p.startedAt, time.Now())
-	log, err := os.Create(filepath.Join(p.logDir, fmt.Sprintf("%s-%d.log", p.name, len(p.startedAt))))
+	log, err := os.Create(p.logFile(len(p.startedAt)))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -64,6 +64,11 @@
 	r.InjectedFaults = s.injectFaults(faultCtx, rng, start)
 	<-crashesDone
 	s.clearFaults()
+	if o.Plan == PlanStoreReturns {
+		if err := s.changeAfterReturn(rng); err != nil {
+			return r, err
+		}
+	}
 	time.Sleep(o.Plan.plan().recoveryTime)
 	recoveredAt := time.Now()
 	time.Sleep(loadAfterRecovery)
