planner: an epoch above all that sidecars know

In the stack of pomelo-gateway and pomelo-sidecar the planner's epoch counts on from the lease row. If the table service comes back from a copy, the next planner gets an epoch that was used before, or one that all sidecars refuse as older.

Sidecars tell the highest epoch of the orders that they got in their status, and a planner that acquires or renews the lease takes one above it and above its own.

Measured: both cases of the new test fail on the code before (epoch 2 a second time); here they pass, with the tests of the four packages.

--- a/internal/memoryledger/memoryledger.go
+++ b/internal/memoryledger/memoryledger.go
@@ -139,6 +139,9 @@
 	return nil
 }
 
+// Epoch returns the highest epoch of a planner that was seen, or zero.
+func (l *Ledger) Epoch() int64 { return l.epoch }
+
 // Load reserves mb mebibytes for a model and returns the fencing number of the load order to send. A repeated
 // order uses the same reservation. It refuses with an error of kind MemoryFull.
 func (l *Ledger) Load(now time.Time, model string, mb int64) (uint64, error) {
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -18,7 +18,7 @@
 type leaseRow struct {
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
-	Epoch       int64  `json:"epoch"`   // fencing number of orders; incremented when the lease is acquired
+	Epoch       int64  `json:"epoch"`   // fencing number of orders; higher than all known ones when the lease is acquired
 	Renewal     int64  `json:"renewal"` // incremented at each write
 	TermMS      int64  `json:"term_ms"`
 	Released    bool   `json:"returned,omitempty"` // set when the holder shut down; the row is free at once
@@ -75,17 +75,28 @@
 	if reason == "" {
 		return acquired, nil
 	}
+	known := max(row.Epoch, p.highestEpoch())
 	next := leaseRow{
-		Address: p.opts.Address, Incarnation: p.opts.Incarnation, Epoch: row.Epoch + 1, Renewal: row.Renewal + 1,
+		Address: p.opts.Address, Incarnation: p.opts.Incarnation, Epoch: known + 1, Renewal: row.Renewal + 1,
 		TermMS: p.opts.LeaseTerm.Milliseconds(),
 	}
-	if l.held {
+	if l.held && l.row.Epoch >= known {
 		next.Epoch = l.row.Epoch
 	}
 	confirmed, err := p.writeLease(ctx, next, version, now, reason)
 	return acquired || confirmed, err
 }
 
+// highestEpoch returns the highest epoch that this planner held or that a sidecar got an order of. The row may have a lower one if the
+// table service came back from a copy; sidecars would refuse its orders.
+func (p *Planner) highestEpoch() int64 {
+	highest := p.lease.row.Epoch
+	for _, s := range p.opts.Sidecars.Statuses() {
+		highest = max(highest, s.Status.GetPlannerEpoch())
+	}
+	return highest
+}
+
 // claimReason returns why the row may be written now, or an empty string if it may not.
 func (p *Planner) claimReason(row leaseRow, now time.Duration) string {
 	l := &p.lease
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -77,6 +77,9 @@
 		return &wirepb.OrderReply{Kind: int32(errkind.ProtocolError), Detail: "older epoch"}, nil
 	}
 	s.epoch = o.PlannerEpoch
+	for _, x := range s.statuses {
+		x.Status.PlannerEpoch = s.epoch
+	}
 	i := slices.IndexFunc(s.statuses, func(x SidecarStatus) bool { return x.Address == address })
 	status := s.statuses[i].Status
 	if o.Action == "load" {
@@ -251,4 +254,25 @@
 		}
 		Expect(p.state.demand.Rate("x")).To(BeNumerically("<", 500))
 	})
+
+	// Guards against orders that all sidecars refuse, and against an epoch of two planners, because the lease row is an earlier one.
+	DescribeTable("has a higher epoch than before when the table service came back from a copy", func(holder bool) {
+		first := newPlanner("g1", "i1", 0)
+		runRounds(first, 1)
+		taken := store.row
+		now += time.Minute
+		second := newPlanner("g2", "i2", 0)
+		runRounds(second, 30)
+		Expect(second.HoldsLease()).To(BeTrue())
+		held := second.lease.row.Epoch
+		store.row = taken
+		p := newPlanner("g3", "i3", 0)
+		if holder {
+			p = second
+		}
+		runRounds(p, 30) // longer than two terms
+		Expect(p.HoldsLease()).To(BeTrue())
+		Expect(p.lease.row.Epoch).To(BeNumerically(">", held))
+		Expect(sidecars.refusals).To(BeZero())
+	}, Entry("the holder", true), Entry("another gateway", false))
 })
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -94,6 +94,7 @@
 	status.Running, status.Queued, status.Limit = int64(s.queue.Running()), int64(s.queue.Queued()), int64(limit)
 	status.QueueMs = s.queue.Wait(new(admission.Item), limit).Milliseconds()
 	status.Draining = s.draining
+	status.PlannerEpoch = s.ledger.Epoch()
 	status.BackendIncarnation = s.backendIncarnation
 	status.Prefixes = slices.Clone(s.recentPrefixes)
 	status.Ready = status.GetConfigVersion() > 0 && !s.draining && (!s.isModel() || s.engineStateKnown())
