discovery: a list drops deferred rows that it lacks

A row of a new era that could not be ordered, because its server was known to be removed, was kept for later also if a list without it was read meanwhile, and then brought the server back. Found by reading. The new spec fails without the change (the server is listed again after its grace) and passes with it.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -195,6 +195,17 @@
 			Expect(g.lists("i-1")).To(BeFalse())
 		})
 
+		// Guards against a removed server that comes back because a row that could not be ordered was kept after a list without it.
+		It("that cannot be ordered are dropped if a list lacks them", func() {
+			g.follower.Apply([]platform.Row{row("i-2", version(1, 900), nil), row("i-2", version(2, 4), bornEntry("ready", 1000, 1))}, false)
+			Eventually(func() bool { return g.lists("i-2") }, eventuallyTimeout).Should(BeFalse())
+			store.ReturnFrom(fake.NewStore().TakeCopy(), notRewritten)
+			configure(store, 3)
+			write(store, 20)
+			g.reads.Store(true)
+			Consistently(func() bool { return g.lists("i-2") }, settleTime).Should(BeFalse())
+		})
+
 		It("of an earlier era are not added once the table was listed in a later one", func() {
 			store.ReturnFrom(taken, notRewritten)
 			g.reads.Store(true)
--- a/internal/discovery/rows.go
+++ b/internal/discovery/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,9 +49,16 @@
 // applyList applies the rows of a list of a whole table, and removes the known rows that are missing in it. Missing rows of an earlier
 // era are removed later, if they are not written again.
 func (f *Follower) applyList(table string, page platform.Page) {
-	removed, lost := f.removalsFor(table, page.Rows, page.Version)
+	present := make(map[string]bool, len(page.Rows))
+	for _, r := range page.Rows {
+		present[r.Key] = true
+	}
 	f.mu.Lock()
 	f.listedEra[table] = max(f.listedEra[table], rowversion.Era(page.Version))
+	maps.DeleteFunc(f.deferred, func(k rowKey, d deferredRow) bool {
+		return k.table == table && !present[k.key] && d.row.Version < page.Version
+	})
+	removed, lost := f.removalsFor(table, present, page.Version)
 	for _, r := range lost {
 		if !f.deferRow(r, true) {
 			removed = append(removed, r)
@@ -60,15 +68,9 @@
 	f.Apply(append(page.Rows, removed...), true)
 }
 
-// removalsFor returns removals for the known rows of a table that are missing in a newer list of it. lost are those of rows that may be
-// missing only because the store came back from a copy.
-func (f *Follower) removalsFor(table string, listed []platform.Row, newest int64) (removed, lost []platform.Row) {
-	present := make(map[string]bool, len(listed))
-	for _, r := range listed {
-		present[r.Key] = true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// removalsFor returns removals for the known rows of a table whose keys are not present in a newer list of it. lost are those of rows that
+// may be missing only because the store came back from a copy. The caller holds f.mu.
+func (f *Follower) removalsFor(table string, present map[string]bool, newest int64) (removed, lost []platform.Row) {
 	for k, r := range f.rows {
 		if k.table != table || present[k.key] || r.Deleted || r.Version >= newest {
 			continue
@@ -118,15 +120,17 @@
 	}
 	k := rowKey{row.Table, row.Key}
 	d, ok := f.deferred[k]
+	ok = ok && rowversion.Era(d.row.Version) == rowversion.Era(row.Version)
 	switch {
 	case f.opts.Clock() >= until:
 		return false
-	case !ok || rowversion.Era(d.row.Version) < rowversion.Era(row.Version):
-		f.deferred[k] = deferredRow{row, fromStore, until}
-	case d.row.Version < row.Version && !row.Deleted:
+	case ok && d.row.Version >= row.Version:
+		return true
+	case ok && !row.Deleted:
 		delete(f.deferred, k)
 		return false
 	}
+	f.deferred[k] = deferredRow{row, fromStore, until}
 	return true
 }
 
