--- a/cmd/pomelo-fleet-gateway/era_test.go
+++ b/cmd/pomelo-fleet-gateway/era_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,11 @@
 	return len(page.Rows)
 }
 
+// configureLarge writes a configuration that gateways pass on in parts.
+func configureLarge(store *fake.Store, version int64) {
+	store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,"padding":%q}`, version, strings.Repeat("x", 64<<10)))
+}
+
 // Guards against a configuration that is in force at the gateways that read the store only, against a gateway that starts after the
 // store came back from a copy and acts on what the copy has, and against a gateway that nobody finds because the store lost its row.
 func TestAFleetAfterTheStoreCameBackFromACopy(t *testing.T) {
@@ -70,7 +76,7 @@
 	for i := range 30 {
 		store.Put("status", fmt.Sprint(i), []byte("{}"))
 	}
-	configure(store, 5, "/five/")
+	configureLarge(store, 5)
 	g.Eventually(versions, setupTimeout).Should(Equal(all(5)))
 
 	newest := int64(5)
@@ -81,7 +87,7 @@
 		g.Expect(versions()).To(Equal(all(newest)))
 		fresh.stop()
 		newest++
-		configure(store, int(newest), "/next/")
+		configureLarge(store, newest)
 		g.Eventually(versions, configurationBound).Should(Equal(all(newest)))
 		g.Eventually(func() int { return registered(g, store) }, setupTimeout).Should(BeNumerically(">=", gateways))
 		for _, m := range members {
