--- a/internal/duty/property_test.go
+++ b/internal/duty/property_test.go
@@ -84,6 +84,42 @@
 	}
 }
 
+// inject injects a fault of the given length. A process that ends is started again with start.
+func (s *simFleet) inject(fault string, p *simProcess, length time.Duration, start func(host string) *simProcess) {
+	switch fault {
+	case "kill":
+		s.kill(p, 0)
+		s.advance(length / 4)
+		start(p.host)
+	case "stop":
+		s.stop(p)
+		s.advance(length / 4)
+		start(p.host)
+	case "freeze":
+		p.frozenUntil = s.now + length
+	case "freeze in call":
+		p.freezeCall = length
+	case "freeze before call":
+		p.freezeSend = 2 * length
+	case "freeze before row":
+		p.freezeRow = 2 * length
+	case "cut store":
+		p.cutStore = s.now + length
+	case "cut peers":
+		p.cutPeers = s.now + length
+	case "store down":
+		s.storeDown = s.now + length
+	case "cloud down":
+		s.cloudDown = s.now + length
+	case "cloud limited":
+		s.cloudLimited = s.now + length
+	case "lose":
+		s.loseAnswers = 0.4
+	case "slow":
+		s.storeSlow = 900 * time.Millisecond
+	}
+}
+
 // process returns a running process chosen by n, every other time the holder of the lease.
 func (s *simFleet) process(n int) *simProcess {
 	if n%2 == 0 {
@@ -110,39 +146,9 @@
 			s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause ds")) * 100 * time.Millisecond)
 			length := time.Duration(rapid.IntRange(2, 90).Draw(t, "length ds")) * 100 * time.Millisecond
 			p := s.process(rapid.IntRange(0, 7).Draw(t, "process"))
-			switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze in call", "freeze before call", "freeze before row", "cut store", "cut peers", "store down",
-				"cloud down", "cloud limited", "lose", "slow"}).Draw(t, "fault") {
-			case "kill":
-				s.kill(p, 0)
-				s.advance(length / 4)
-				s.start(p.host)
-			case "stop":
-				s.stop(p)
-				s.advance(length / 4)
-				s.start(p.host)
-			case "freeze":
-				p.frozenUntil = s.now + length
-			case "freeze in call":
-				p.freezeCall = length
-			case "freeze before call":
-				p.freezeSend = 2 * length
-			case "freeze before row":
-				p.freezeRow = 2 * length
-			case "cut store":
-				p.cutStore = s.now + length
-			case "cut peers":
-				p.cutPeers = s.now + length
-			case "store down":
-				s.storeDown = s.now + length
-			case "cloud down":
-				s.cloudDown = s.now + length
-			case "cloud limited":
-				s.cloudLimited = s.now + length
-			case "lose":
-				s.loseAnswers = 0.4
-			case "slow":
-				s.storeSlow = 900 * time.Millisecond
-			}
+			fault := rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze in call", "freeze before call", "freeze before row", "cut store", "cut peers", "store down",
+				"cloud down", "cloud limited", "lose", "slow"}).Draw(t, "fault")
+			s.inject(fault, p, length, s.start)
 		}
 		s.loseAnswers, s.storeSlow, s.storeDown, s.cloudDown, s.cloudLimited = 0, 0, 0, 0, 0
 		const calm = 45 * time.Second
--- a/internal/duty/return_property_test.go
+++ b/internal/duty/return_property_test.go
@@ -44,35 +44,13 @@
 			s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause ds")) * 100 * time.Millisecond)
 			length := time.Duration(rapid.IntRange(2, 90).Draw(t, "length ds")) * 100 * time.Millisecond
 			p := s.process(rapid.IntRange(0, 7).Draw(t, "process"))
-			switch rapid.SampledFrom([]string{"return", "return", "return", "freeze", "freeze", "freeze in call", "freeze before call",
-				"cut store", "cut peers", "store down", "lose", "slow", "kill", "stop"}).Draw(t, "fault") {
-			case "return":
+			fault := rapid.SampledFrom([]string{"return", "return", "return", "freeze", "freeze", "freeze in call", "freeze before call",
+				"cut store", "cut peers", "store down", "lose", "slow", "kill", "stop"}).Draw(t, "fault")
+			if fault == "return" {
 				s.returnStore(time.Duration(rapid.IntRange(0, 120).Draw(t, "age ds")) * 100 * time.Millisecond)
-			case "freeze":
-				p.frozenUntil = s.now + length
-			case "freeze in call":
-				p.freezeCall = length
-			case "freeze before call":
-				p.freezeSend = 2 * length
-			case "cut store":
-				p.cutStore = s.now + length
-			case "cut peers":
-				p.cutPeers = s.now + length
-			case "store down":
-				s.storeDown = s.now + length
-			case "lose":
-				s.loseAnswers = 0.4
-			case "slow":
-				s.storeSlow = 900 * time.Millisecond
-			case "kill":
-				s.kill(p, 0)
-				s.advance(length / 4)
-				s.startAgain(p.host)
-			case "stop":
-				s.stop(p)
-				s.advance(length / 4)
-				s.startAgain(p.host)
+				continue
 			}
+			s.inject(fault, p, length, s.startAgain)
 		}
 		s.loseAnswers, s.storeSlow, s.storeDown = 0, 0, 0
 		s.advance(30 * time.Second)
