duty: warn of windows without a row only where some are skipped

The line appeared at the first start of a fleet, too, with a window that says nothing. Found by reading.

--- a/internal/duty/usagerows.go
+++ b/internal/duty/usagerows.go
@@ -33,14 +33,17 @@
 	returned := m.next != 0 && m.era < rowversion.Era(page.Version)
 	unsettled := m.firstUnsettled(page)
 	m.mu.Unlock()
-	if len(page.Rows) == 0 && !returned || unsettled > m.firstAfter(page.Rows) {
+	skips := unsettled > m.firstAfter(page.Rows)
+	if skips || len(page.Rows) == 0 && !returned {
 		marker, err := m.begin(ctx, unsettled)
 		if err != nil {
 			return err
 		}
-		m.opts.Log.Warn("usage windows without a row are not reported before this one", "window", unsettled)
 		page.Rows = append(page.Rows, marker...)
 	}
+	if skips {
+		m.opts.Log.Warn("usage windows without a row are not reported before this one", "window", unsettled)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.epoch, m.acquiredAt, m.stored = epoch, m.opts.Clock(), nil
@@ -60,11 +63,15 @@
 	return nil
 }
 
-// firstUnsettled returns the first window that no other gateway can have settled in a row that the store lost. A gateway tells its peers
-// what it settled, and writes lost rows again. If no row was written in the present era, it may have ended, or be cut off, before it did
-// either, and all windows count as settled that could be when this process learned of the era. The caller holds m.mu.
+// firstUnsettled returns the first window that no other gateway can have settled in a row that the store lost, or zero if there is no sign of
+// such a row. A gateway tells its peers what it settled, and writes lost rows again. If no row was written in the present era, it may
+// have ended, or be cut off, before it did either, and all windows count as settled that could be when this process learned of the era. The
+// caller holds m.mu.
 func (m *Metering) firstUnsettled(page platform.Page) int64 {
-	first := m.opts.Ledger.Settled() + 1
+	first := int64(0)
+	if settled := m.opts.Ledger.Settled(); settled > 0 {
+		first = settled + 1
+	}
 	newest, era := int64(0), int64(0)
 	for _, r := range page.Rows {
 		var row usageRow
