discovery: test an answer of the earlier era that was under way

A gateway that learned of a return from a peer gets an answer of before it from its own read: nothing goes back, and it reads on in the new era.

--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -158,6 +163,38 @@
 		Eventually(g.follower.Era, eventuallyTimeout).Should(BeEquivalentTo(3))
 	})
 
+	// Guards against a gateway that learned of the return from a peer, and then takes an answer of before it for the present state.
+	It("an answer of the earlier era that was under way changes nothing", func() {
+		handler := store.Handler()
+		var holds atomic.Bool
+		held, release := make(chan struct{}), make(chan struct{})
+		late := newGatewayBehind(store, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, r)
+			if r.URL.Query().Get("table") == "op" && strings.Contains(recorder.Body.String(), "config") && holds.CompareAndSwap(true, false) {
+				close(held)
+				<-release
+			}
+			maps.Copy(w.Header(), recorder.Header())
+			w.WriteHeader(recorder.Code)
+			_, _ = w.Write(recorder.Body.Bytes())
+		}))
+		Eventually(late.version, eventuallyTimeout).Should(BeEquivalentTo(3))
+		holds.Store(true)
+		configure(store, 5)
+		Eventually(held, eventuallyTimeout).Should(BeClosed())
+		store.ReturnFrom(taken, notRewritten)
+		configure(store, 8)
+		Eventually(g.version, inForceTime).Should(BeEquivalentTo(8))
+		late.follower.Apply(g.follower.Rows(), false)
+		Expect(late.version()).To(BeEquivalentTo(8))
+		close(release)
+		Consistently(late.version, 500*time.Millisecond).Should(BeEquivalentTo(8))
+		Expect(late.follower.Era()).To(BeEquivalentTo(2))
+		configure(store, 9)
+		Eventually(late.version, inForceTime).Should(BeEquivalentTo(9), "it reads on in the new era")
+	})
+
 	Describe("rows from peers", func() {
 		version := func(era, number int64) int64 {
 			GinkgoHelper()
