duty: a former holder writes no usage rows again after a return

A property test, repeated in the background, found once in about 60,000 checks that a gateway whose lease had expired while it was frozen in a call wrote the newest usage row again after a return of the store, over the row with which the next holder had marked where it goes on.

The newest row is written again only if it was not written in the present era, and nothing is if the lease is lost meanwhile.

--- a/internal/duty/metering.go
+++ b/internal/duty/metering.go
@@ -170,7 +170,7 @@
 	if !current {
 		err = m.load(call, epoch)
 	} else if lost {
-		err = m.restore(call)
+		err = m.restore(call, epoch)
 	} else if windows := m.due(now); len(windows) > 0 {
 		err = m.settle(call, epoch, windows)
 	} else if keys := m.removable(); len(keys) >= removeBatch {
--- a/internal/duty/usagerows.go
+++ b/internal/duty/usagerows.go
@@ -96,7 +96,7 @@
 
 // restore writes the rows of settled windows again that the store lost in a return from a copy, so that the next holder repeats no
 // report with other counts. It also writes the newest row, which tells the next holder that no other is missing.
-func (m *Metering) restore(ctx context.Context) error {
+func (m *Metering) restore(ctx context.Context, epoch int64) error {
 	page, err := m.opts.Store.List(ctx, usageTable)
 	if err != nil {
 		return err
@@ -109,20 +109,24 @@
 	counts, acknowledged, last := maps.Clone(m.counts), m.acknowledged, m.next-1
 	m.mu.Unlock()
 	newest, found := stored[strconv.FormatInt(last, 10)]
+	var row usageRow
+	if found && json.Unmarshal(newest.Value, &row) != nil {
+		row = usageRow{}
+	}
 	if counts[last] == nil { // all reports up to it are acknowledged
-		var row usageRow
-		if found && json.Unmarshal(newest.Value, &row) != nil {
-			row.Counts = nil
-		}
 		counts[last] = row.Counts
 	}
+	current := found && row.Era == rowversion.Era(page.Version) // written since the return, perhaps by another holder
 	var lost []int64
 	for _, w := range slices.Sorted(maps.Keys(counts)) {
-		if _, ok := stored[strconv.FormatInt(w, 10)]; !ok || w == last {
+		if _, ok := stored[strconv.FormatInt(w, 10)]; !ok || w == last && !current {
 			lost = append(lost, w)
 		}
 	}
 	for windows := range slices.Chunk(lost, maxBatch) {
+		if m.opts.Epoch() != epoch {
+			return ErrNotHolder
+		}
 		expected, puts, err := usageRows(windows, acknowledged, rowversion.Era(page.Version), func(w int64) map[string]int64 { return counts[w] })
 		if err != nil {
 			return err
