--- a/internal/discovery/rows.go
+++ b/internal/discovery/rows.go
@@ -22,8 +22,8 @@
 	until     time.Duration
 }
 
-// ObserveEra records an era of the store that this gateway read or heard of from a peer. In a new era the store has lost what was
-// written before its return and was not in its copy; the operator and the servers write theirs again.
+// ObserveEra records the store's era, as read from the store or received from a peer. A new era means that the store was restored from a
+// copy: it has lost the writes since that copy, and the operator and the servers will repeat theirs.
 func (f *Follower) ObserveEra(era int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -87,7 +87,7 @@
 	defer t.mu.Unlock()
 	t.observeStoreClock(now, r.Era, r.SentAt)
 	t.confirm(r.Era, r.Latest)
-	if r.Era < t.era { // of a peer that has not heard of the present era, whose clock may be ahead
+	if r.Era < t.era { // the peer does not know the present era, and the store's clock of its era may be ahead
 		r.SentAt = min(r.SentAt, t.storeTime(now))
 	}
 	if r.SentAt >= t.peers[peer].SentAt {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,20 +61,23 @@
 		return nil
 	}},
 	{"key withdrawn", func(s *system, rng *rand.Rand) error { return s.configOperator.withdrawKey(rng.IntN(spareKeys)) }},
-	{"data centre taken out and restored", func(s *system, rng *rand.Rand) error {
-		name := dataCentres[rng.IntN(len(dataCentres))]
-		if err := s.configOperator.setOutOfService(name, true); err != nil {
-			return err
-		}
-		time.Sleep(faultDuration(rng))
-		return s.configOperator.setOutOfService(name, false)
-	}},
+	{"data centre taken out and restored", takeDataCentreOut},
 	{"SIGHUP sent in series", sendHangups},
 	{"server silent", silenceServer},
 	{"server leaving", replaceServer},
 	{"server rejects for a stated time", rejectForStatedTime},
 }
 
+// takeDataCentreOut takes a data centre out of service for a time.
+func takeDataCentreOut(s *system, rng *rand.Rand) error {
+	name := dataCentres[rng.IntN(len(dataCentres))]
+	if err := s.configOperator.setOutOfService(name, true); err != nil {
+		return err
+	}
+	time.Sleep(faultDuration(rng))
+	return s.configOperator.setOutOfService(name, false)
+}
+
 func pick[T any](list []T, rng *rand.Rand) T { return list[rng.IntN(len(list))] }
 
 // faultDuration returns a random duration for a fault.
--- a/internal/soak/returns.go
+++ b/internal/soak/returns.go
@@ -36,14 +36,7 @@
 	{"keys withdrawn in series", func(s *system, rng *rand.Rand) error {
 		return s.writeConfigs(rng, func() error { return s.configOperator.withdrawKey(rng.IntN(spareKeys)) })
 	}},
-	{"data centre taken out and restored", func(s *system, rng *rand.Rand) error {
-		name := dataCentres[rng.IntN(len(dataCentres))]
-		if err := s.configOperator.setOutOfService(name, true); err != nil {
-			return err
-		}
-		time.Sleep(faultDuration(rng))
-		return s.configOperator.setOutOfService(name, false)
-	}},
+	{"data centre taken out and restored", takeDataCentreOut},
 	{"server leaving", replaceServer},
 	{"answers of the store lost", func(s *system, rng *rand.Rand) error {
 		if err := s.sendControl(s.storeAddress(), "/control/faults", fake.StoreFaults{Lose: 0.5}); err != nil {
