--- a/internal/duty/lease_era_test.go
+++ b/internal/duty/lease_era_test.go
@@ -70,4 +70,14 @@
 		Consistently(func() []int64 { return []int64{holder.lease.Epoch(), other.lease.Epoch()} }, 5*time.Second).
 			Should(Equal([]int64{epoch, 0}))
 	})
+
+	// Guards against two planners in an upgrade: a row without an era does not tell whether it stems from a copy.
+	It("does not take the row of an earlier release at its word", func() {
+		holder.stop()
+		store.Put("duties", "planner", []byte(`{"host":"g0","incarnation":"earlier","released":true}`))
+		other := startCandidate(address, "g0", true)
+		Consistently(func() int { return holders(other) }, 2*time.Second).Should(Equal(0))
+		Eventually(func() int { return holders(other) }, eventuallyTimeout).Should(Equal(1))
+		Expect(other.lease.Epoch()).To(BeNumerically(">", epoch))
+	})
 })
