--- a/cmd/pomelo-fleet-gateway/era_test.go
+++ b/cmd/pomelo-fleet-gateway/era_test.go
@@ -45,8 +45,8 @@
 }
 
 // Guards against a configuration that is in force at the gateways that read the store only, against a gateway that starts after the
-// store came back from a copy and acts on what the copy has, and against a gateway that nobody finds because the store lost its row.
-func TestAFleetAfterTheStoreCameBackFromACopy(t *testing.T) {
+// store was restored from a copy and acts on what the copy has, and against a gateway that nobody finds because the store lost its row.
+func TestAFleetAfterTheStoreWasRestored(t *testing.T) {
 	g := NewWithT(t)
 	store := fake.NewStore()
 	configure(store, 1, "/one/")
@@ -81,7 +81,7 @@
 
 	newest := int64(5)
 	for era := range int64(2) {
-		store.ReturnFrom(taken, fake.Return{Away: time.Duration(era) * time.Second, RewriteAfter: -1})
+		store.RestoreFrom(taken, fake.Restore{Away: time.Duration(era) * time.Second, RewriteAfter: -1})
 		fresh := startFleetMember(t, g, fmt.Sprint("fresh", era), store, members[0].peers)
 		g.Eventually(func() int64 { return fresh.configVersion() }, setupTimeout).Should(Equal(newest), "its peers know it")
 		g.Expect(versions()).To(Equal(all(newest)))
--- a/cmd/pomelo-fleet-gateway/exchange.go
+++ b/cmd/pomelo-fleet-gateway/exchange.go
@@ -165,7 +165,7 @@
 }
 
 // readsStore reports whether this gateway is one of the n that read the store. Beside gateways whose rows have no era each gateway
-// reads the store itself, because such rows cannot be ordered after a return of the store from a copy.
+// reads the store itself, because such rows cannot be ordered after a restore of the store from a copy.
 func (g *gateway) readsStore(n int) bool {
 	return g.mesh.IsStoreReader(n) || g.mesh.HearsPeerWithoutEras()
 }
--- a/cmd/pomelo-fleet-gateway/register.go
+++ b/cmd/pomelo-fleet-gateway/register.go
@@ -19,12 +19,12 @@
 	registerRetryInterval = 500 * time.Millisecond
 	// eraCheckInterval is the pause between two checks of whether the store may have lost the row.
 	eraCheckInterval = 500 * time.Millisecond
-	// registerSpread is the time over which the gateways write their rows again after the store came back from a copy.
+	// registerSpread is the time over which the gateways write their rows again after the store was restored from a copy.
 	registerSpread = 3 * time.Second
 )
 
 // register writes this gateway's address into the store and connects to the registered gateways, at the start and when the store may
-// have lost the row because it came back from a copy.
+// have lost the row because it was restored from a copy.
 func (g *gateway) register(ctx context.Context) error {
 	for {
 		version, err := g.registerOnce(ctx)
--- a/internal/agent/era_test.go
+++ b/internal/agent/era_test.go
@@ -10,9 +10,9 @@
 	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
 )
 
-var _ = Describe("after the store came back from a copy", func() {
+var _ = Describe("after the store was restored from a copy", func() {
 	var h *host
-	notRewritten := fake.Return{RewriteAfter: -1}
+	notRewritten := fake.Restore{RewriteAfter: -1}
 	writeRows := func() {
 		for i := range 30 {
 			h.store.Put("status", fmt.Sprint("row-", i), []byte("{}"))
@@ -37,9 +37,9 @@
 		taken := h.store.TakeCopy()
 		writeRows()
 		restart("a2")
-		h.store.ReturnFrom(taken, notRewritten)
+		h.store.RestoreFrom(taken, notRewritten)
 		restart("a3")
-		h.store.ReturnFrom(taken, notRewritten)
+		h.store.RestoreFrom(taken, notRewritten)
 		Eventually(func() error { return h.ensureAdapter("a4") }, eventuallyTimeout).Should(Succeed(), "without a start")
 		restart("a5")
 	})
@@ -48,12 +48,12 @@
 		empty := fake.NewStore().TakeCopy()
 		writeRows()
 		restart("a2")
-		h.store.ReturnFrom(empty, notRewritten)
+		h.store.RestoreFrom(empty, notRewritten)
 		restart("a3")
 	})
 
-	It("an agent writes its row again when a gateway tells of the return", func() {
-		h.store.ReturnFrom(fake.NewStore().TakeCopy(), notRewritten)
+	It("an agent writes its row again when a gateway tells of the restore", func() {
+		h.store.RestoreFrom(fake.NewStore().TakeCopy(), notRewritten)
 		row := func() string {
 			r, _, err := h.client.Get(context.Background(), "agents", "side-1")
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/agent/restore.go
+++ b/internal/agent/restore.go
@@ -27,7 +27,7 @@
 	// means that a restart restores an older list.
 	rowWriteInterval     = 2 * time.Second
 	reorderWriteInterval = 10 * time.Second
-	// rewriteSpread is the time over which the agents write their rows again after the store came back from a copy.
+	// rewriteSpread is the time over which the agents write their rows again after the store was restored from a copy.
 	rewriteSpread = 4 * time.Second
 	// restoreInterval is the pause between two checks for models to restore.
 	restoreInterval = 40 * time.Millisecond
@@ -76,7 +76,7 @@
 			continue
 		}
 		if lost {
-			a.opts.Log.Info("list of held models written again after the store came back from a copy", "version", next)
+			a.opts.Log.Info("list of held models written again after the store was restored from a copy", "version", next)
 		}
 		written, version, at = held, next, time.Now()
 	}
--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -76,7 +76,7 @@
 }
 
 // load reads the ordered counts. A row that does not decode keeps its version, so that it can be replaced, and orders nothing. After a
-// return of the store from a copy, the counts that this gateway settled before stay in force and are written again.
+// restore of the store from a copy, the counts that this gateway settled before stay in force and are written again.
 func (r *Runner) load(ctx context.Context, now time.Duration, token int64) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -126,7 +126,7 @@
 			continue
 		}
 		version, err := r.commit(ctx, key, o.version, o.Count, token)
-		r.opts.Log.Warn("replica count written again after the store came back from a copy", "key", key.String(), "count", o.Count,
+		r.opts.Log.Warn("replica count written again after the store was restored from a copy", "key", key.String(), "count", o.Count,
 			"era", era, "error", err)
 		if err != nil {
 			return err
--- a/internal/autoscale/runner_test.go
+++ b/internal/autoscale/runner_test.go
@@ -70,8 +70,8 @@
 	return v
 }
 
-// returnFrom makes the store come back from a copy of its rows.
-func (f *fakePlatform) returnFrom(rows map[string]platform.Row) {
+// restoreFrom restores the store from a copy of its rows.
+func (f *fakePlatform) restoreFrom(rows map[string]platform.Row) {
 	f.rows, f.version = maps.Clone(rows), 0
 	for _, r := range rows {
 		f.version = max(f.version, r.Version)
@@ -357,7 +357,7 @@
 	}
 }
 
-// Guards against an earlier count that is ordered again, by the holder or its successor, because the store came back from a copy.
+// Guards against an earlier count that is ordered again, by the holder or its successor, because the store was restored from a copy.
 func TestCountsThatTheStoreLostAreWrittenAgain(t *testing.T) {
 	for name, older := range map[string]bool{"the copy has an earlier count": true, "the copy lacks the row": false} {
 		t.Run(name, func(t *testing.T) {
@@ -373,7 +373,7 @@
 			a.rates["x"] = 60
 			f.rounds(30*time.Second, a, b)
 			expectCounts(t, f, 6, 9)
-			f.returnFrom(taken)
+			f.restoreFrom(taken)
 			f.rounds(5*time.Second, a, b)
 			expectCounts(t, f, 6, 9)
 			f.pass(b)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,9 +58,9 @@
 	Store Store
 	View  *fleet.View
 	Clock bootclock.Clock
-	// RemovalGrace is the time after the end of an outage, or a return of the store from a copy, for which missing servers are kept.
+	// RemovalGrace is the time after the end of an outage, or a restore of the store from a copy, for which missing servers are kept.
 	RemovalGrace time.Duration
-	// RewriteGrace is the time after a return of the store from a copy within which the operator and the servers that run have
+	// RewriteGrace is the time after a restore of the store from a copy within which the operator and the servers that run have
 	// written their rows again, and the entries of others have expired.
 	RewriteGrace time.Duration
 	// Freshness records the version of the operator's rows in force here and when a read confirmed them.
--- a/internal/discovery/era_test.go
+++ b/internal/discovery/era_test.go
@@ -34,6 +34,14 @@
 	return r != nil && r.Draining
 }
 
+// sequence returns the sequence number of a server's entry, or zero if it is not listed.
+func (g *gateway) sequence(id string) int64 {
+	if r := g.view.Snapshot().Replicas[id]; r != nil {
+		return r.Sequence
+	}
+	return 0
+}
+
 func (g *gateway) lists(id string) bool { return g.view.Snapshot().Replicas[id] != nil }
 
 func (g *gateway) out(dataCentre string) bool { return g.view.Snapshot().OutOfService[dataCentre] }
@@ -52,11 +60,11 @@
 	}
 }
 
-var _ = Describe("after the store came back from a copy", func() {
+var _ = Describe("after the store was restored from a copy", func() {
 	var store *fake.Store
 	var g *gateway
 	var taken fake.Copy
-	notRewritten := fake.Return{RewriteAfter: -1}
+	notRewritten := fake.Restore{RewriteAfter: -1}
 
 	BeforeEach(func() {
 		store = fake.NewStore()
@@ -71,16 +79,16 @@
 	})
 
 	// Guards against requests that are handled by an older configuration for ever, because the row of the newer one has a version of
-	// the store that is below that of before its return.
-	DescribeTable("a new configuration is in force", func(how fake.Return) {
+	// the store that is below that of before its restore.
+	DescribeTable("a new configuration is in force", func(how fake.Restore) {
 		configure(store, 5)
 		Eventually(g.version, eventuallyTimeout).Should(BeEquivalentTo(5))
-		store.ReturnFrom(taken, how)
+		store.RestoreFrom(taken, how)
 		configure(store, 8)
 		Eventually(g.version, inForceTime).Should(BeEquivalentTo(8))
 	},
-		Entry("after an outage", fake.Return{Away: time.Second}),
-		Entry("without an outage", fake.Return{}),
+		Entry("after an outage", fake.Restore{Away: time.Second}),
+		Entry("without an outage", fake.Restore{}),
 		Entry("before the earlier one was written again", notRewritten),
 	)
 
@@ -88,7 +96,7 @@
 	It("a reader whose version the store has passed misses no change", func() {
 		g.reads.Store(false)
 		time.Sleep(inForceTime) // until the calls in progress end
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		configure(store, 8)
 		store.Put("op", "evacuate/b", []byte("{}"))
 		store.Put("servers", "i-3", bornEntry("ready", 2000, 1))
@@ -99,13 +107,13 @@
 		Eventually(func() bool { return g.lists("i-3") }, inForceTime).Should(BeTrue())
 	})
 
-	// Guards against requests to servers that leave, because their entries have versions below those of before the return.
+	// Guards against requests to servers that leave, because their entries have versions below those of before the restore.
 	It("a server that drains or is removed gets no requests", func() {
 		store.Put("servers", "i-1", bornEntry("ready", 1000, 2))
 		store.Put("servers", "i-2", bornEntry("ready", 1000, 2))
+		Eventually(func() []int64 { return []int64{g.sequence("i-1"), g.sequence("i-2")} }, eventuallyTimeout).Should(Equal([]int64{2, 2}))
 		write(store, 20)
-		time.Sleep(inForceTime)
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		store.Put("servers", "i-1", bornEntry("ready", 1000, 3))
 		store.Put("servers", "i-2", bornEntry("ready", 1000, 3))
 		time.Sleep(settleTime)
@@ -123,7 +131,7 @@
 		store.Remove("servers", "i-2")
 		Eventually(g.version, eventuallyTimeout).Should(BeEquivalentTo(5))
 		Eventually(func() bool { return g.out("b") && g.draining("i-1") && !g.lists("i-2") }, eventuallyTimeout).Should(BeTrue())
-		store.ReturnFrom(taken, fake.Return{Away: 100 * time.Millisecond, RewriteAfter: -1})
+		store.RestoreFrom(taken, fake.Restore{Away: 100 * time.Millisecond, RewriteAfter: -1})
 		Consistently(func() string { return fmt.Sprint(g.version(), g.out("b"), g.draining("i-1"), g.usable("i-2")) },
 			800*time.Millisecond, 10*time.Millisecond).Should(Equal("5 true true false"))
 		store.Put("op", "evacuate/b", []byte("{}"))
@@ -137,7 +145,7 @@
 		store.Put("servers", "again", bornEntry("ready", 2000, 1))
 		store.Put("op", "evacuate/b", []byte("{}"))
 		Eventually(func() bool { return g.lists("lost") && g.lists("again") && g.out("b") }, eventuallyTimeout).Should(BeTrue())
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		Consistently(func() bool { return g.lists("lost") && g.out("b") }, 600*time.Millisecond).Should(BeTrue())
 		store.Put("servers", "again", bornEntry("ready", 2000, 1))
 		Eventually(func() bool { return g.lists("lost") || g.out("b") }, eventuallyTimeout).Should(BeFalse())
@@ -147,23 +155,23 @@
 	It("a server that was removed and writes its entry again is listed again", func() {
 		store.Remove("servers", "i-2")
 		Eventually(func() bool { return g.lists("i-2") }, eventuallyTimeout).Should(BeFalse())
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		store.Put("servers", "i-2", bornEntry("ready", 1000, 1)) // as it was before
 		Eventually(func() bool { return g.lists("i-2") }, eventuallyTimeout).Should(BeTrue())
 	})
 
-	It("a second return is recognised while the first one is settling", func() {
+	It("a second restore is recognised while the first one is settling", func() {
 		configure(store, 5)
 		Eventually(g.version, eventuallyTimeout).Should(BeEquivalentTo(5))
-		store.ReturnFrom(taken, fake.Return{})
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, fake.Restore{})
+		store.RestoreFrom(taken, notRewritten)
 		Consistently(g.version, 300*time.Millisecond).Should(BeEquivalentTo(5))
 		configure(store, 8)
 		Eventually(g.version, inForceTime).Should(BeEquivalentTo(8))
 		Eventually(g.follower.Era, eventuallyTimeout).Should(BeEquivalentTo(3))
 	})
 
-	// Guards against a gateway that learned of the return from a peer, and then takes an answer of before it for the present state.
+	// Guards against a gateway that learned of the restore from a peer, and then takes an answer of before it for the present state.
 	It("an answer of the earlier era that was under way changes nothing", func() {
 		handler := store.Handler()
 		var holds atomic.Bool
@@ -183,7 +191,7 @@
 		holds.Store(true)
 		configure(store, 5)
 		Eventually(held, eventuallyTimeout).Should(BeClosed())
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		configure(store, 8)
 		Eventually(g.version, inForceTime).Should(BeEquivalentTo(8))
 		late.follower.Apply(g.follower.Rows(), false)
@@ -213,7 +221,7 @@
 			Expect(g.follower.Era()).To(BeEquivalentTo(2))
 		})
 
-		// Guards against a gateway that was paused and brings the rows of before the return.
+		// Guards against a gateway that was paused and brings the rows of before the restore.
 		It("of an earlier era change nothing that was written again", func() {
 			g.follower.Apply([]platform.Row{row("i-1", version(1, 900), nil), row("i-1", version(1, 901), bornEntry("ready", 900, 7))}, false)
 			Expect(g.lists("i-1")).To(BeTrue())
@@ -236,7 +244,7 @@
 		It("that cannot be ordered are dropped if a list lacks them", func() {
 			g.follower.Apply([]platform.Row{row("i-2", version(1, 900), nil), row("i-2", version(2, 4), bornEntry("ready", 1000, 1))}, false)
 			Eventually(func() bool { return g.lists("i-2") }, eventuallyTimeout).Should(BeFalse())
-			store.ReturnFrom(fake.NewStore().TakeCopy(), notRewritten)
+			store.RestoreFrom(fake.NewStore().TakeCopy(), notRewritten)
 			configure(store, 3)
 			write(store, 20)
 			g.reads.Store(true)
@@ -244,7 +252,7 @@
 		})
 
 		It("of an earlier era are not added once the table was listed in a later one", func() {
-			store.ReturnFrom(taken, notRewritten)
+			store.RestoreFrom(taken, notRewritten)
 			g.reads.Store(true)
 			Eventually(g.follower.Era, eventuallyTimeout).Should(BeEquivalentTo(2))
 			time.Sleep(settleTime)
--- a/internal/discovery/rows.go
+++ b/internal/discovery/rows.go
@@ -32,7 +32,7 @@
 	}
 	now := f.opts.Clock()
 	if f.era != 0 {
-		f.opts.Log.Warn("store came back from an earlier copy; keeping newer rows and waiting for lost ones to be written again",
+		f.opts.Log.Warn("store was restored from an earlier copy; keeping newer rows and waiting for lost ones to be written again",
 			"era", era, "previous", f.era)
 		f.opts.View.StoreRecovered(now + f.opts.RemovalGrace)
 	}
@@ -69,7 +69,7 @@
 }
 
 // removalsFor returns removals for the known rows of a table whose keys are not present in a newer list of it. lost are those of rows that
-// may be missing only because the store came back from a copy. The caller holds f.mu.
+// may be missing only because the store was restored from a copy. The caller holds f.mu.
 func (f *Follower) removalsFor(table string, present map[string]bool, newest int64) (removed, lost []platform.Row) {
 	for k, r := range f.rows {
 		if k.table != table || present[k.key] || r.Deleted || r.Version >= newest {
@@ -105,14 +105,14 @@
 	if len(own)+len(received) == 0 {
 		return
 	}
-	f.opts.Log.Info("applying rows that were not written again since the store came back from a copy", "era", f.Era(),
+	f.opts.Log.Info("applying rows that were not written again since the store was restored from a copy", "era", f.Era(),
 		"rows", len(own)+len(received))
 	f.Apply(own, true)
 	f.Apply(received, false)
 }
 
 // deferRow keeps a row of the present era until its writer had time to write it again, and reports whether it did. It does not if that
-// time is over, or if the row is the second one of this era: then it was written after the return. The caller holds f.mu.
+// time is over, or if the row is the second one of this era: then it was written after the restore. The caller holds f.mu.
 func (f *Follower) deferRow(row platform.Row, fromStore bool) bool {
 	until := f.eraSince + f.opts.RewriteGrace
 	if row.Deleted && row.Table == platform.TableServers {
--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -267,8 +267,8 @@
 	}
 }
 
-// returnStore makes the store come back from a copy that was taken some time ago, or a little earlier.
-func (s *simFleet) returnStore(age time.Duration) {
+// restoreStore restores the store from a copy that was taken some time ago, or a little earlier.
+func (s *simFleet) restoreStore(age time.Duration) {
 	i := len(s.copies) - 1
 	for i > 0 && s.now-s.copies[i].at < age {
 		i--
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -36,7 +36,7 @@
 	maxStartDelay = 60 * time.Millisecond
 	// callTimeout limits a call to the store.
 	callTimeout = 700 * time.Millisecond
-	// newEraAttempts is the number of attempts in a row to write the lease again after the store came back from a copy.
+	// newEraAttempts is the number of attempts in a row to write the lease again after the store was restored from a copy.
 	newEraAttempts = 3
 	// sendMargin is the part of the lease's term before its end in which no call of a duty is sent, so that calls arrive before the
 	// lease ends: connecting, one retransmission and the way take less.
@@ -76,7 +76,7 @@
 // Lease lets the gateways elect one holder of all duties: the gateway that holds the lease plans and calls the cloud interface. Its
 // epoch is the store version of the write that acquired it. The epoch is also the fencing token of calls.
 //
-// After a return of the store from a copy the row may be missing or name an earlier holder. The holder keeps the lease, and its epoch,
+// After a restore of the store from a copy the row may be missing or name an earlier holder. The holder keeps the lease, and its epoch,
 // if it writes the row again before its term ends. Any other gateway first waits for a whole term, whatever the row says.
 type Lease struct {
 	opts LeaseOptions
@@ -107,7 +107,7 @@
 	Host        string `json:"host"`
 	Incarnation string `json:"incarnation"`
 	Released    bool   `json:"released,omitempty"`
-	// Era is the store's era for which the row was written. In a later one the row stems from a copy.
+	// Era is the store's era for which the row was written. In a later one the row is one of a copy.
 	Era int64 `json:"era,omitempty"`
 	// Demand is in prompt tokens per second, by service and model joined by a zero byte.
 	Demand map[string]float64 `json:"demand,omitempty"`
--- a/internal/duty/lease_era_test.go
+++ b/internal/duty/lease_era_test.go
@@ -11,13 +11,13 @@
 	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
 )
 
-var _ = Describe("the planner's lease after the store came back from a copy", func() {
+var _ = Describe("the planner's lease after the store was restored from a copy", func() {
 	var store *fake.Store
 	var address string
 	var empty, taken fake.Copy
 	var holder *candidate
 	var epoch int64
-	notRewritten := fake.Return{RewriteAfter: -1}
+	notRewritten := fake.Restore{RewriteAfter: -1}
 
 	BeforeEach(func() {
 		store = fake.NewStore()
@@ -39,7 +39,7 @@
 
 	// Guards against two planners, because the copy says that the lease is free.
 	DescribeTable("stays with its holder", func(from func() fake.Copy) {
-		store.ReturnFrom(from(), notRewritten)
+		store.RestoreFrom(from(), notRewritten)
 		again := startCandidate(address, "g0", true) // on the host that released the lease
 		other := startCandidate(address, "g2", true)
 		Consistently(func() []int64 { return []int64{holder.lease.Epoch(), again.lease.Epoch(), other.lease.Epoch()} }, 5*time.Second).
@@ -52,7 +52,7 @@
 	DescribeTable("passes after its term, with a higher epoch, if its holder ended", func(from func() fake.Copy) {
 		holder.stop()
 		ended := time.Now()
-		store.ReturnFrom(from(), notRewritten)
+		store.RestoreFrom(from(), notRewritten)
 		again := startCandidate(address, "g0", true)
 		Eventually(func() int { return holders(again) }, eventuallyTimeout).Should(Equal(1))
 		Expect(time.Since(ended)).To(BeNumerically(">", 3*time.Second), "the ended holder could have acted for a whole term")
@@ -64,15 +64,15 @@
 
 	It("stays with its holder when the store comes back twice", func() {
 		other := startCandidate(address, "g2", true)
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		time.Sleep(500 * time.Millisecond)
-		store.ReturnFrom(taken, notRewritten)
+		store.RestoreFrom(taken, notRewritten)
 		Consistently(func() []int64 { return []int64{holder.lease.Epoch(), other.lease.Epoch()} }, 5*time.Second).
 			Should(Equal([]int64{epoch, 0}))
 	})
 
 	// Guards against two planners in an upgrade: a row without an era does not tell whether it stems from a copy.
-	It("does not take the row of an earlier release at its word", func() {
+	It("does not trust the row of an earlier release", func() {
 		holder.stop()
 		store.Put("duties", "planner", []byte(`{"host":"g0","incarnation":"earlier","released":true}`))
 		other := startCandidate(address, "g0", true)
--- a/internal/duty/metering.go
+++ b/internal/duty/metering.go
@@ -148,7 +148,7 @@
 	return group.Wait()
 }
 
-// Settle reads the rows after the lease was acquired, or else writes those again that the store lost in a return from a copy, or else writes the rows of the windows that are due, or else removes old rows.
+// Settle reads the rows after the lease was acquired, or else writes those again that the store lost in a restore, or else writes the rows of the windows that are due, or else removes old rows.
 // Settle must not be called concurrently with itself.
 func (m *Metering) Settle(ctx context.Context) {
 	epoch, now := m.opts.Epoch(), m.opts.Clock()
@@ -170,7 +170,7 @@
 	if !current {
 		err = m.load(call, epoch)
 	} else if lost {
-		err = m.restore(call, epoch)
+		err = m.rewriteLost(call, epoch)
 	} else if windows := m.due(now); len(windows) > 0 {
 		err = m.settle(call, epoch, windows)
 	} else if keys := m.removable(); len(keys) >= removeBatch {
--- a/internal/duty/renewal.go
+++ b/internal/duty/renewal.go
@@ -61,7 +61,7 @@
 	l.recordRenewal(epoch, sent, next, owned, written, err)
 }
 
-// renewInNewEra writes the row again after the store came back from a copy, if the lease has not expired: until then no other gateway
+// renewInNewEra writes the row again after the store was restored from a copy, if the lease has not expired: until then no other gateway
 // acquires it. The caller holds l.writeMu.
 func (l *Lease) renewInNewEra(ctx context.Context, epoch int64) {
 	for range newEraAttempts {
@@ -79,7 +79,7 @@
 			l.recordRenewal(epoch, sent, 0, false, false, nil)
 			return
 		}
-		l.opts.Log.Warn("planner's lease is written again after the store came back from a copy", "epoch", epoch,
+		l.opts.Log.Warn("planner's lease is written again after the store was restored from a copy", "epoch", epoch,
 			"store_era", rowversion.Era(row.Version))
 		next, owned, written, err := l.commit(ctx, row.Version, false)
 		if owned || err != nil {
--- a/internal/duty/return_property_test.go
+++ b/internal/duty/restore_property_test.go
@@ -8,9 +8,9 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against windows that are reported twice with other counts, or never, because the store came back from a copy without their
+// Guards against windows that are reported twice with other counts, or never, because the store was restored from a copy without their
 // rows, and against a lease that changes hands because of it. The store is away for no time; an outage may end the lease.
-func TestReportsWhenTheStoreComesBackFromACopy(t *testing.T) {
+func TestReportsWhenTheStoreIsRestored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimFleet(rapid.Uint64().Draw(t, "seed"))
 		for i := range rapid.IntRange(1, 4).Draw(t, "hosts") {
@@ -18,9 +18,9 @@
 		}
 		s.advance(time.Duration(rapid.IntRange(4, 20).Draw(t, "start s")) * time.Second)
 		epoch := s.process(0).lease.Epoch()
-		for range rapid.IntRange(1, 5).Draw(t, "returns") {
+		for range rapid.IntRange(1, 5).Draw(t, "restores") {
 			s.advance(time.Duration(rapid.IntRange(40, 120).Draw(t, "pause ds")) * 100 * time.Millisecond) // longer than the lease's term
-			s.returnStore(time.Duration(rapid.IntRange(0, 100).Draw(t, "age ds")) * 100 * time.Millisecond)
+			s.restoreStore(time.Duration(rapid.IntRange(0, 100).Draw(t, "age ds")) * 100 * time.Millisecond)
 		}
 		const calm = 25 * time.Second
 		s.advance(calm)
@@ -32,8 +32,8 @@
 }
 
 // Guards against tokens that fall or are shared, holders that alternate within the lease time, and windows that are reported twice with
-// other counts, when processes end, freeze or are cut off around a return of the store.
-func TestHoldersWhenTheStoreComesBackBesideFaults(t *testing.T) {
+// other counts, when processes end, freeze or are cut off around a restore of the store.
+func TestHoldersWhenTheStoreIsRestoredBesideFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimFleet(rapid.Uint64().Draw(t, "seed"))
 		for i := range rapid.IntRange(1, 4).Draw(t, "hosts") {
@@ -44,10 +44,10 @@
 			s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause ds")) * 100 * time.Millisecond)
 			length := time.Duration(rapid.IntRange(2, 90).Draw(t, "length ds")) * 100 * time.Millisecond
 			p := s.process(rapid.IntRange(0, 7).Draw(t, "process"))
-			fault := rapid.SampledFrom([]string{"return", "return", "return", "freeze", "freeze", "freeze in call", "freeze before call",
+			fault := rapid.SampledFrom([]string{"restore", "restore", "restore", "freeze", "freeze", "freeze in call", "freeze before call",
 				"cut store", "cut peers", "store down", "lose", "slow", "kill", "stop"}).Draw(t, "fault")
-			if fault == "return" {
-				s.returnStore(time.Duration(rapid.IntRange(0, 120).Draw(t, "age ds")) * 100 * time.Millisecond)
+			if fault == "restore" {
+				s.restoreStore(time.Duration(rapid.IntRange(0, 120).Draw(t, "age ds")) * 100 * time.Millisecond)
 				continue
 			}
 			s.inject(fault, p, length, s.startAgain)
@@ -60,18 +60,18 @@
 
 // Guards against reports that are lost because the store came back without rows, and their gateway ended when it had had time to write
 // them again.
-func TestReportsAreWholeWhenTheHolderEndsAfterAReturn(t *testing.T) {
+func TestReportsAreWholeWhenTheHolderEndsAfterARestore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimFleet(rapid.Uint64().Draw(t, "seed"))
 		for i := range 3 {
 			s.start(fmt.Sprint("g", i))
 		}
 		s.advance(12 * time.Second)
-		for range rapid.IntRange(1, 4).Draw(t, "returns") {
+		for range rapid.IntRange(1, 4).Draw(t, "restores") {
 			s.advance(time.Duration(rapid.IntRange(40, 120).Draw(t, "pause ds")) * 100 * time.Millisecond)
 			s.cloudDown = s.now + time.Duration(rapid.IntRange(0, 90).Draw(t, "cloud down ds"))*100*time.Millisecond
 			s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "settling ds")) * 100 * time.Millisecond)
-			s.returnStore(time.Duration(rapid.IntRange(0, 120).Draw(t, "age ds")) * 100 * time.Millisecond)
+			s.restoreStore(time.Duration(rapid.IntRange(0, 120).Draw(t, "age ds")) * 100 * time.Millisecond)
 			s.advance(2500 * time.Millisecond) // two renewals, a list and a write
 			p := s.process(0)
 			s.kill(p, 0)
--- a/internal/duty/usagerows.go
+++ b/internal/duty/usagerows.go
@@ -22,7 +22,7 @@
 	Era int64 `json:"era,omitempty"`
 }
 
-// load reads the settled windows. If there is none, it first marks where the reports begin. After a return of the store from a copy it
+// load reads the settled windows. If there is none, it first marks where the reports begin. After a restore of the store from a copy it
 // keeps what this process and its peers know of windows that the copy lacks.
 func (m *Metering) load(ctx context.Context, epoch int64) error {
 	page, err := m.opts.Store.List(ctx, usageTable)
@@ -94,9 +94,9 @@
 	maps.DeleteFunc(m.counts, func(window int64, _ map[string]int64) bool { return window <= m.acknowledged })
 }
 
-// restore writes the rows of settled windows again that the store lost in a return from a copy, so that the next holder repeats no
+// rewriteLost writes the rows of settled windows again that the store lost in a restore, so that the next holder repeats no
 // report with other counts. It also writes the newest row, which tells the next holder that no other is missing.
-func (m *Metering) restore(ctx context.Context, epoch int64) error {
+func (m *Metering) rewriteLost(ctx context.Context, epoch int64) error {
 	page, err := m.opts.Store.List(ctx, usageTable)
 	if err != nil {
 		return err
@@ -116,7 +116,7 @@
 	if counts[last] == nil { // all reports up to it are acknowledged
 		counts[last] = row.Counts
 	}
-	current := found && row.Era == rowversion.Era(page.Version) // written since the return, perhaps by another holder
+	current := found && row.Era == rowversion.Era(page.Version) // written since the restore, perhaps by another holder
 	var lost []int64
 	for _, w := range slices.Sorted(maps.Keys(counts)) {
 		if _, ok := stored[strconv.FormatInt(w, 10)]; !ok || w == last && !current {
@@ -146,7 +146,7 @@
 	m.stored = append(m.stored, lost...)
 	slices.Sort(m.stored)
 	m.stored = slices.Compact(m.stored)
-	m.opts.Log.Warn("usage windows written again after the store came back from a copy", "era", m.era, "rows", len(lost))
+	m.opts.Log.Warn("usage windows written again after the store was restored from a copy", "era", m.era, "rows", len(lost))
 	return nil
 }
 
--- a/internal/fake/fleet/copy.go
+++ b/internal/fake/fleet/copy.go
@@ -20,10 +20,10 @@
 	version      int64
 }
 
-// Return says how the store comes back from a copy.
-type Return struct {
+// Restore says how the store is restored from a copy.
+type Restore struct {
 	Away time.Duration `json:"away"` // for which the store refuses calls before
-	// RewriteAfter is the time from the return until the operator's rows are written again. If it is negative, they are not.
+	// RewriteAfter is the time from the restore until the operator's rows are written again. If it is negative, they are not.
 	RewriteAfter time.Duration `json:"rewrite_after"`
 }
 
@@ -40,7 +40,7 @@
 	return s.era
 }
 
-// TakeCopy returns a copy of the store and keeps it for a return through the control interface.
+// TakeCopy returns a copy of the store and keeps it for a restore through the control interface.
 func (s *Store) TakeCopy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,9 +48,9 @@
 	return s.taken
 }
 
-// ReturnFrom makes the store come back from a copy: what was written since the copy was taken is lost, versions are given out again, and
+// RestoreFrom restores the store from a copy: what was written since the copy was taken is lost, versions are given out again, and
 // the era rises. It blocks until the operator's rows, as they were before, are written again. The backend servers write theirs.
-func (s *Store) ReturnFrom(c Copy, how Return) {
+func (s *Store) RestoreFrom(c Copy, how Restore) {
 	s.mu.Lock()
 	s.away = how.Away > 0
 	s.notifyFeeds()
@@ -78,7 +78,7 @@
 	s.rewrite(operator, c)
 }
 
-// rewrite writes the operator's rows again, unless a row has been written since the return.
+// rewrite writes the operator's rows again, unless a row has been written since the restore.
 func (s *Store) rewrite(operator map[rowKey]row, c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,8 +98,8 @@
 	s.notifyFeeds()
 }
 
-func (s *Store) controlReturn(w http.ResponseWriter, r *http.Request) {
-	var how Return
+func (s *Store) controlRestore(w http.ResponseWriter, r *http.Request) {
+	var how Restore
 	if err := json.NewDecoder(r.Body).Decode(&how); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -111,5 +111,5 @@
 		http.Error(w, fmt.Sprintf("no copy was taken in era %d", s.Era()), http.StatusConflict)
 		return
 	}
-	s.ReturnFrom(taken, how)
+	s.RestoreFrom(taken, how)
 }
--- a/internal/fake/fleet/store.go
+++ b/internal/fake/fleet/store.go
@@ -57,7 +57,7 @@
 	changed      chan struct{}
 	faults       StoreFaults
 	shortUntil   time.Time // end of StoreFaults.ShortFor
-	away         bool      // refuses calls until it comes back from a copy
+	away         bool      // refuses calls until it is restored from a copy
 	taken        Copy      // by TakeCopy through the control interface
 	calls        int64
 	start        time.Time
@@ -69,7 +69,7 @@
 }
 
 // Handler returns the HTTP interface of the store, and the paths below /control/ by which tests control it: PUT faults,
-// DELETE history, POST copy, POST return, POST rows and GET list.
+// DELETE history, POST copy, POST restore, POST rows and GET list.
 func (s *Store) Handler() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/api/rows-tx", s.withFaults(s.transact)).Methods(http.MethodPost)
@@ -86,7 +86,7 @@
 	router.HandleFunc("/control/history", func(http.ResponseWriter, *http.Request) { s.DropHistory() }).
 		Methods(http.MethodDelete)
 	router.HandleFunc("/control/copy", func(http.ResponseWriter, *http.Request) { s.TakeCopy() }).Methods(http.MethodPost)
-	router.HandleFunc("/control/return", s.controlReturn).Methods(http.MethodPost)
+	router.HandleFunc("/control/restore", s.controlRestore).Methods(http.MethodPost)
 	router.HandleFunc("/control/rows", s.transact).Methods(http.MethodPost) // for the operator and the backend servers: no faults
 	router.HandleFunc("/control/list", s.list).Methods(http.MethodGet)
 	return router
--- a/internal/freshness/era_test.go
+++ b/internal/freshness/era_test.go
@@ -23,7 +23,7 @@
 }
 
 // Guards against confirmations that count for ever because the store's clock went back, and against rows that count as too old because
-// it went forward, when the store comes back from a copy.
+// it went forward, when the store is restored from a copy.
 func TestAgesGoOnCountingOnTheClockOfANewEra(t *testing.T) {
 	for name, clock := range map[string]time.Duration{"same": time.Hour + second, "went back": time.Minute, "went forward": 2 * time.Hour} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -88,7 +88,7 @@
 }
 
 // highestEpoch returns the highest epoch that this planner held or that a sidecar got an order of. The row may have a lower one if the
-// table service came back from a copy; sidecars would refuse its orders.
+// table service was restored from a copy; sidecars would refuse its orders.
 func (p *Planner) highestEpoch() int64 {
 	highest := p.lease.row.Epoch
 	for _, s := range p.opts.Sidecars.Statuses() {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -256,7 +256,7 @@
 	})
 
 	// Guards against orders that all sidecars refuse, and against an epoch of two planners, because the lease row is an earlier one.
-	DescribeTable("has a higher epoch than before when the table service came back from a copy", func(holder bool) {
+	DescribeTable("has a higher epoch than before when the table service was restored from a copy", func(holder bool) {
 		first := newPlanner("g1", "i1", 0)
 		runRounds(first, 1)
 		taken := store.row
--- a/internal/rowversion/rowversion.go
+++ b/internal/rowversion/rowversion.go
@@ -1,10 +1,10 @@
-// Package rowversion orders the versions of the rows of the platform's store, also across a return of the store from an earlier
-// copy. After such a return the store counts on from the copy's version, so that numbers are given out again. The store tells the
-// returns apart by an era, which rises by one each time.
+// Package rowversion orders the versions of the rows of the platform's store, also across a restore of the store from an earlier
+// copy. After such a restore the store counts on from the copy's version, so that numbers are given out again. The store tells the
+// restores apart by an era, which rises by one each time.
 //
 // A version is one integer: the era in the upper bits and the store's number in the lower ones. Versions, and the fencing tokens and
 // epochs that are made from them, therefore never fall and are never given out twice. What a newer version does not tell is whether its
-// row was written after the return or stems from the copy; Compare decides which of two rows is the newer one.
+// row was written after the restore: it may be a row of the copy; Compare decides which of two rows is the newer one.
 package rowversion
 
 import (
@@ -74,7 +74,7 @@
 		return replaces(held, next)
 	}
 	if replaces(next, held) == NotNewer {
-		return Newer // held stems from the copy, and next was written after the copy was taken
+		return Newer // held is a row of the copy, and next was written after the copy was taken
 	}
 	return NotNewer
 }
--- a/internal/rowversion/rowversion_test.go
+++ b/internal/rowversion/rowversion_test.go
@@ -69,7 +69,7 @@
 		Entry("a peer lacks the removal of the new era", gone(2, 30, 3), live(1, 50, 5), rowversion.NotNewer),
 		Entry("a peer knows a removal that the copy lacks", live(2, 30, 3), gone(1, 50, 5), rowversion.Newer),
 		Entry("a peer's removal of before the row was there again", live(2, 30, 6), gone(1, 50, 5), rowversion.NotNewer),
-		Entry("two returns", live(1, 50, 5), live(3, 10, 5), rowversion.Newer),
+		Entry("two restores", live(1, 50, 5), live(3, 10, 5), rowversion.Newer),
 		Entry("from a release without eras", live(2, 30, 5), live(0, 60, 5), rowversion.NotNewer),
 	)
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -16,13 +16,13 @@
 	PlanCrashingPrompt Plan = "crashing-prompt"
 	// PlanScarce draws from what uses up the descriptors of processes, and from kills of all gateways beside failing servers.
 	PlanScarce Plan = "scarce"
-	// PlanStoreReturns draws from returns of the store from an earlier copy, in series, beside ends and pauses of processes, changes of
+	// PlanStoreRestores draws from restores of the store from an earlier copy, in series, beside ends and pauses of processes, changes of
 	// the configuration, data centres out of service and servers that leave.
-	PlanStoreReturns Plan = "store-returns"
+	PlanStoreRestores Plan = "store-restores"
 )
 
 // Plans are the known plans.
-var Plans = []Plan{PlanDisruptions, PlanPlanned, PlanCrashingPrompt, PlanScarce, PlanStoreReturns}
+var Plans = []Plan{PlanDisruptions, PlanPlanned, PlanCrashingPrompt, PlanScarce, PlanStoreRestores}
 
 // plan is how a Plan is run.
 type plan struct {
@@ -41,8 +41,8 @@
 		return plan{faults: besideCrashes, maxConcurrent: 2, recoveryTime: 8 * time.Second, loadBefore: 2 * loadBeforeFaults, pause: 4 * time.Second}
 	case PlanScarce:
 		return plan{faults: scarce, maxConcurrent: 3, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
-	case PlanStoreReturns:
-		return plan{faults: besideReturns, maxConcurrent: 4, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
+	case PlanStoreRestores:
+		return plan{faults: besideRestores, maxConcurrent: 4, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
 	}
 	return plan{faults: disruptions, maxConcurrent: 3, recoveryTime: 8 * time.Second, loadBefore: loadBeforeFaults}
 }
--- a/internal/soak/returns.go
+++ b/internal/soak/restores.go
@@ -19,11 +19,11 @@
 	ordersTime = 2 * time.Second
 )
 
-// besideReturns are the faults of PlanStoreReturns. Returns are drawn more often than each of the others.
-var besideReturns = []fault{
-	{"store came back from a copy", returnStore},
-	{"store came back from a copy", returnStore},
-	{"store came back from a copy twice", returnStoreTwice},
+// besideRestores are the faults of PlanStoreRestores. Restores are drawn more often than each of the others.
+var besideRestores = []fault{
+	{"store was restored from a copy", restoreStore},
+	{"store was restored from a copy", restoreStore},
+	{"store was restored from a copy twice", restoreStoreTwice},
 	{"gateway killed", func(s *system, rng *rand.Rand) error { return restart(pick(s.gateways, rng), syscall.SIGKILL, rng) }},
 	{"gateway stopped", func(s *system, rng *rand.Rand) error { return restart(pick(s.gateways, rng), syscall.SIGTERM, rng) }},
 	{"gateway paused", func(s *system, rng *rand.Rand) error { return pause(pick(s.gateways, rng), rng) }},
@@ -47,9 +47,9 @@
 	}},
 }
 
-// returnStore makes the store come back from a copy. In half of the cases it is away for no time, and in half of them so many rows were
+// restoreStore restores the store from a copy. In half of the cases it is away for no time, and in half of them so many rows were
 // written since the copy was taken that the versions do not reach those of before for a long time.
-func returnStore(s *system, rng *rand.Rand) error {
+func restoreStore(s *system, rng *rand.Rand) error {
 	if err := s.sendControl(s.storeAddress(), "/control/copy", nil); err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 		}
 	}
 	time.Sleep(age / 2)
-	return s.comeBack(rng)
+	return s.restoreNow(rng)
 }
 
 // raiseVersion makes the given number of writes to the store.
@@ -75,9 +75,9 @@
 	return nil
 }
 
-// changeAfterReturn makes the store come back from a copy after many writes, and then writes a configuration that withdraws a key, and
+// changeAfterRestore restores the store from a copy after many writes, and then writes a configuration that withdraws a key, and
 // restarts an agent that started after the copy was taken. The versions do not reach those of before until the end of the run.
-func (s *system) changeAfterReturn(rng *rand.Rand) error {
+func (s *system) changeAfterRestore(rng *rand.Rand) error {
 	if err := s.sendControl(s.storeAddress(), "/control/copy", nil); err != nil {
 		return err
 	}
@@ -92,7 +92,7 @@
 		return err
 	}
 	time.Sleep(ordersTime)
-	if err := s.comeBack(rng); err != nil {
+	if err := s.restoreNow(rng); err != nil {
 		return err
 	}
 	if err := s.configOperator.withdrawKey(rng.IntN(spareKeys)); err != nil {
@@ -101,21 +101,21 @@
 	return restart(agent, syscall.SIGTERM, rng)
 }
 
-// returnStoreTwice makes the store come back from a copy, and from the same one again shortly after.
-func returnStoreTwice(s *system, rng *rand.Rand) error {
-	if err := returnStore(s, rng); err != nil {
+// restoreStoreTwice restores the store from a copy, and from the same one again shortly after.
+func restoreStoreTwice(s *system, rng *rand.Rand) error {
+	if err := restoreStore(s, rng); err != nil {
 		return err
 	}
 	time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
-	return s.comeBack(rng)
+	return s.restoreNow(rng)
 }
 
-func (s *system) comeBack(rng *rand.Rand) error {
-	how := fake.Return{RewriteAfter: time.Duration(rng.IntN(300)) * time.Millisecond}
+func (s *system) restoreNow(rng *rand.Rand) error {
+	how := fake.Restore{RewriteAfter: time.Duration(rng.IntN(300)) * time.Millisecond}
 	if rng.IntN(2) == 0 {
 		how.Away = time.Duration(rng.Int64N(int64(maxAway)))
 	}
-	return s.sendControl(s.storeAddress(), "/control/return", how)
+	return s.sendControl(s.storeAddress(), "/control/restore", how)
 }
 
 // checkFencingNumbers checks that the fencing number of each agent rises with each start, also if the agent sends no order under it.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -64,8 +64,8 @@
 	r.InjectedFaults = s.injectFaults(faultCtx, rng, start)
 	<-crashesDone
 	s.clearFaults()
-	if o.Plan == PlanStoreReturns {
-		if err := s.changeAfterReturn(rng); err != nil {
+	if o.Plan == PlanStoreRestores {
+		if err := s.changeAfterRestore(rng); err != nil {
 			return r, err
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,7 +17,7 @@
 	plannedSeeds  = []uint64{11}
 	crashingSeeds = []uint64{21}
 	scarceSeeds   = []uint64{31}
-	returnSeeds   = []uint64{41}
+	restoreSeeds  = []uint64{41}
 )
 
 // Checks the guarantees of the real programs under faults: number of executions, complete answers, limits, keys,
@@ -37,10 +37,10 @@
 	run(t, scarceSeeds, soak.Options{Plan: soak.PlanScarce, FaultDuration: 12 * time.Second, Rate: 200})
 }
 
-// Guards against configurations, keys, data centres and servers of before a return of the store from a copy, against orders with a lower
+// Guards against configurations, keys, data centres and servers of before a restore of the store from a copy, against orders with a lower
 // fencing token or of two planners, and against gateways that do not recover.
-func TestSoakStoreReturnsFromACopy(t *testing.T) {
-	run(t, returnSeeds, soak.Options{Plan: soak.PlanStoreReturns, FaultDuration: 20 * time.Second, Rate: 40})
+func TestSoakStoreRestores(t *testing.T) {
+	run(t, restoreSeeds, soak.Options{Plan: soak.PlanStoreRestores, FaultDuration: 20 * time.Second, Rate: 40})
 }
 
 // run runs the real programs once with each seed.
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -287,7 +287,7 @@
 	}
 	method := http.MethodPut
 	switch path {
-	case "/control/rows", "/control/copy", "/control/return", "/control/restart", "/control/end", "/control/leave", "/control/drain":
+	case "/control/rows", "/control/copy", "/control/restore", "/control/restart", "/control/end", "/control/leave", "/control/drain":
 		method = http.MethodPost
 	case "/control/history":
 		method = http.MethodDelete
