agent: test a token of an earlier release

An engine that got an order with a token without an era takes the next one of this release: its token is higher.

--- a/internal/agent/era_test.go
+++ b/internal/agent/era_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	fake "github.com/pomelowheel/pomelowheel/internal/fake/fleet"
+	"github.com/pomelowheel/pomelowheel/platform"
 )
 
 var _ = Describe("after the store was restored from a copy", func() {
@@ -66,3 +67,21 @@
 		Eventually(row, 2*eventuallyTimeout).Should(ContainSubstring(`"a"`))
 	})
 })
+
+// Guards against an engine that refuses all orders after an upgrade, because the tokens of earlier releases were higher.
+var _ = Describe("after an upgrade from a release whose tokens have no era", func() {
+	It("an agent has a higher fencing number", func() {
+		h := newHost("a")
+		ctx := context.Background()
+		engine := platform.NewEngineClient(h.server.Listener.Addr().String(), nil)
+		report, err := engine.Report(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		outcome, err := engine.Send(ctx, platform.Order{
+			Load: true, Model: "a", Adapter: "a1", Sequence: report.Sequence, Holder: "side-1", Fence: 812345, Replica: "i-1",
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome).To(Equal(platform.OrderAccepted))
+		Eventually(func() error { return h.ensureAdapter("a2") }, eventuallyTimeout).Should(Succeed())
+		h.expectNoCrash()
+	})
+})
