configsync: ask the other peers if one did not answer

Cause: a process asks one peer at random, and the others only if the copy is not fresh after the answer. A copy that was confirmed one poll earlier is fresh for 8 s whatever the answer, so a refused connection or an answer without a configuration ended the round, and with one of three gateways down a third of a sidecar's polls did nothing. Only an answer that confirms the copy ends the round now.

--- a/internal/configsync/refresh.go
+++ b/internal/configsync/refresh.go
@@ -180,6 +180,7 @@
 // peerAnswer is the outcome of a request to a peer that answered.
 type peerAnswer struct {
 	storeAway bool  // the peer cannot reach the table service
+	confirmed bool  // the answer confirmed the copy
 	err       error // the delta could not be applied
 }
 
@@ -211,7 +212,8 @@
 }
 
 // askPeers asks one peer, and then the other chosen peers if the first has not answered within hedgeDelay or
-// its answer does not make the copy fresh.
+// its answer does not make the copy fresh. A copy that is still fresh from an earlier round does not end the round, because
+// it may lack a change that another peer has.
 func (c *Copy) askPeers(ctx context.Context, a *roundResult) {
 	peers, peersKnown := c.choosePeers()
 	a.peersKnown = peersKnown
@@ -239,7 +241,7 @@
 		case r := <-results:
 			answered++
 			c.recordAnswer(r, a)
-			if Decide(c.decisionInput(*a)) == Use {
+			if r != nil && r.confirmed && Decide(c.decisionInput(*a)) == Use {
 				return
 			}
 			askOthers()
@@ -275,11 +277,11 @@
 		finish(nil)
 		return
 	}
-	err = c.applyDelta(delta, since, sent)
+	confirmed, err := c.applyDelta(delta, since, sent)
 	if err != nil {
 		c.opts.Log.Warn("could not apply the configuration received from a peer", "peer", address, "error", err)
 	}
-	finish(&peerAnswer{storeAway: delta.GetStoreAway(), err: err})
+	finish(&peerAnswer{storeAway: delta.GetStoreAway(), confirmed: confirmed, err: err})
 }
 
 func (c *Copy) recordAnswer(r *peerAnswer, a *roundResult) {
@@ -292,26 +294,28 @@
 	}
 }
 
-// applyDelta applies the changes after a version that a peer sent. The copy counts as confirmed from the time the request was
-// sent, less the confirmation age that the peer reports, so that ages add up over several hops. An answer from a peer with an
-// older version is ignored and confirms nothing, as is one without changes from a peer with a newer version.
-func (c *Copy) applyDelta(delta *wirepb.ConfigDelta, since int64, sent time.Time) error {
+// applyDelta applies the changes after a version that a peer sent, and reports whether they confirmed the copy. The copy
+// counts as confirmed from the time the request was sent, less the confirmation age that the peer reports, so that ages add up
+// over several hops. An answer from a peer with an older version is ignored and confirms nothing, as is one without changes
+// from a peer with a newer version.
+func (c *Copy) applyDelta(delta *wirepb.ConfigDelta, since int64, sent time.Time) (confirmed bool, err error) {
 	before := c.Version()
 	version := delta.GetVersion()
 	if version < before || version <= 0 || (since == confirmOnly && version != before) {
-		return nil
+		return false, nil
 	}
 	entities, err := fromWire(delta.GetEntities(), version)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := c.apply(version, entities); err != nil {
-		return err
+		return false, err
 	}
 	if age := delta.GetConfirmedAgeMs(); age >= 0 && age <= maxClaimedAgeMS {
 		c.confirm(sent.Add(-time.Duration(age) * time.Millisecond))
+		confirmed = true
 	}
-	return nil
+	return confirmed, nil
 }
 
 // askOverPool is the default FetchFunc. It uses the session pool of the options.
--- a/internal/configsync/run_test.go
+++ b/internal/configsync/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +61,54 @@
 		<-done
 	})
 }
+
+// Guards against a change that reaches a process polls too late, because each time it asked a peer first that did not
+// answer, or that had no configuration, and asked no other.
+func TestRunInForceWithinBoundBesideAPeerWithoutAnswer(t *testing.T) {
+	for name, answer := range map[string]func() (*wirepb.ConfigDelta, error){
+		"unreachable":      func() (*wirepb.ConfigDelta, error) { return nil, errors.New("connection refused") },
+		"no configuration": func() (*wirepb.ConfigDelta, error) { return &wirepb.ConfigDelta{ConfirmedAgeMs: -1}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				RegisterTestingT(t)
+				inForceBeside(t.Context(), answer)
+			})
+		})
+	}
+}
+
+// inForceBeside accepts changes one after another, and expects each in the copy of a process whose peers are a gateway and a
+// process that answers with answer.
+func inForceBeside(ctx context.Context, answer func() (*wirepb.ConfigDelta, error)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := newCluster()
+	f.accept()
+	g := configsync.New(configsync.Options{Store: f.store, PollInterval: 4 * time.Second, Peers: func() []string { return nil }})
+	s := configsync.New(configsync.Options{
+		PollInterval: 3 * time.Second, Peers: func() []string { return []string{"g", "other"} },
+		FetchDelta: func(_ context.Context, address string, r *wirepb.ConfigRequest) (*wirepb.ConfigDelta, error) {
+			if address == "other" {
+				return answer()
+			}
+			return g.ServeConfig(r), nil
+		},
+	})
+	seen := make(chan int64, 10)
+	s.Subscribe(func(n *config.Snapshot) { seen <- n.Version() })
+	done := make(chan error, 2)
+	go func() { done <- g.Run(ctx) }()
+	synctest.Wait()
+	go func() { done <- s.Run(ctx) }()
+	Expect(<-seen).To(Equal(int64(1)))
+	for want := int64(2); want < 100; want++ {
+		accepted := time.Now()
+		f.accept()
+		Expect(<-seen).To(Equal(want))
+		Expect(time.Since(accepted)).To(BeNumerically("<=", 8*time.Second), "version %d", want)
+	}
+	cancel()
+	<-done
+	<-done
+}
