soak: send SIGHUP to a process after its first log line

The run had just started the gateway again. Its first statement sets the handler of SIGHUP, but until a program has run so far the signal ends it, and under load that takes longer than the pauses between the signals. The program can't prevent this, so the check was wrong.

The run sends as many signals as before, but waits up to 5 s until the process has logged something; both programs log after they set their handlers. TestHangupOfAProcessThatStarts fails if SIGHUP is sent at once.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,6 +64,24 @@
 	return n
 }
 
+// Guards against a process that SIGHUP ends because the run sends it before the process has set its handlers.
+func TestHangupOfAProcessThatStarts(t *testing.T) {
+	RegisterTestingT(t)
+	p := &program{name: "p", path: "/bin/sh", logDir: t.TempDir(), args: []string{"-c",
+		"sleep 0.3; trap 'echo hung up' HUP; echo started; while :; do sleep 0.02; done"}}
+	Expect(p.start()).To(Succeed())
+	defer func() {
+		p.signal(syscall.SIGKILL, true)
+		<-p.exited
+	}()
+	p.hangup()
+	Eventually(func() (string, error) {
+		log, err := os.ReadFile(p.logFile(1))
+		return string(log), err
+	}, startTimeout).Should(Equal("started\nhung up\n"))
+	Expect(p.recordedFailures()).To(BeEmpty())
+}
+
 // Guards against a check of losses that excuses more than the rule does, or less.
 func TestCheckLosses(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,8 +33,8 @@
 	{"agent paused", func(s *system, rng *rand.Rand) error { return pause(pick(s.agents, rng), rng) }},
 	{"server paused", func(s *system, rng *rand.Rand) error { return pause(pick(s.servers, rng), rng) }},
 	{"SIGHUP sent", func(s *system, rng *rand.Rand) error {
-		pick(s.gateways, rng).signal(syscall.SIGHUP, false)
-		pick(s.agents, rng).signal(syscall.SIGHUP, false)
+		pick(s.gateways, rng).hangup()
+		pick(s.agents, rng).hangup()
 		return nil
 	}},
 	{"engine restarted", func(s *system, rng *rand.Rand) error {
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -74,8 +74,8 @@
 // sendHangups sends SIGHUP to the gateways and agents, several times to each.
 func sendHangups(s *system, rng *rand.Rand) error {
 	for range 4 + rng.IntN(8) {
-		pick(s.gateways, rng).signal(syscall.SIGHUP, false)
-		pick(s.agents, rng).signal(syscall.SIGHUP, false)
+		pick(s.gateways, rng).hangup()
+		pick(s.agents, rng).hangup()
 		time.Sleep(time.Duration(rng.IntN(250)) * time.Millisecond)
 	}
 	return nil
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,6 +13,12 @@
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// startTimeout is how long a process may take from its start to its first log line, at which it handles signals.
+	startTimeout      = 5 * time.Second
+	startPollInterval = 10 * time.Millisecond
+)
+
 // program is one process of the run, which may be started many times.
 type program struct {
 	name   string
@@ -100,15 +106,35 @@
 		return
 	}
 	p.stopRequested = p.stopRequested || terminates
-	if s != syscall.SIGHUP {
-		p.disturbedAt = append(p.disturbedAt, time.Now())
-	}
+	p.disturbedAt = append(p.disturbedAt, time.Now())
 	if s == syscall.SIGTERM {
 		p.terminatedAt = append(p.terminatedAt, time.Now())
 	}
 	_ = p.command.Process.Signal(s) // fails if the process has just ended
 }
 
+// hangup sends SIGHUP to the process, if it runs. A process that was just started gets it after its first log line, because
+// SIGHUP ends any program that has not yet set its handlers.
+func (p *program) hangup() {
+	for deadline := time.Now().Add(startTimeout); !p.sendHangup() && time.Now().Before(deadline); {
+		time.Sleep(startPollInterval)
+	}
+}
+
+// sendHangup sends SIGHUP unless the process has logged nothing yet, and reports whether there is nothing left to send.
+func (p *program) sendHangup() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return true
+	}
+	if log, err := os.Stat(p.logFile(len(p.startedAt))); err != nil || log.Size() == 0 {
+		return false
+	}
+	_ = p.command.Process.Signal(syscall.SIGHUP) // fails if the process has just ended
+	return true
+}
+
 // wait waits until the process ends, and kills it after limit. It reports whether the process ended by itself.
 func (p *program) wait(limit time.Duration) bool {
 	p.mu.Lock()
