arrivals: wait in a test until the memory of a head is given back

The test sends a head that takes most of the budget as soon as it has read the response to the one before, whose memory the connection gives back after it has written the response. Under load the next head may come first, so that something else was in progress.

The test waits until nothing is held before it sends the next head, and now also fails if memory is never given back. Release lowers what Held returns after the memory is free.

--- a/internal/arrivals/limits_test.go
+++ b/internal/arrivals/limits_test.go
@@ -106,11 +106,18 @@
 func TestTheLongestLegalHeadIsServedInCalm(t *testing.T) {
 	head := "GET / HTTP/1.1\r\nHost: a\r\n"
 	head += strings.Repeat("a:\r\n", (128<<10-len(head))/4) + "\r\n"
-	l := startLimited(t, 0, arrivals.Limits{MaxFields: 32 << 10, Heads: memorybudget.New(memorybudget.Divide(48 << 20).Heads)}, ok)
-	for range 3 { // the memory is given back
+	heads := memorybudget.New(memorybudget.Divide(48 << 20).Heads)
+	l := startLimited(t, 0, arrivals.Limits{MaxFields: 32 << 10, Heads: heads}, ok)
+	for range 3 {
 		if got := statuses(l.send(head), 1)[0]; got != http.StatusOK {
 			t.Fatalf("status %d", got)
 		}
+		// The connection gives the memory back after its response, which the client may read before.
+		for deadline := time.Now().Add(limitTimeout); heads.Held() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d bytes not given back", heads.Held())
+			}
+		}
 	}
 }
 
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -133,8 +133,8 @@
 // Release gives all bytes back. The lease may be used again.
 func (l *Lease) Release() {
 	if l.held > 0 {
-		l.budget.held.Add(-l.held)
 		l.budget.free.Release(l.held)
+		l.budget.held.Add(-l.held)
 		l.held = 0
 	}
 }
