peers: start no stream while Run waits for the streams to end

No spec failed and callers saw nothing.

Cause: a start asked whether the context had ended, but the context may end between the question and the start, so the wait group could be raised from zero beside its wait, and the stream outlive Run. The transfer of a row was started the same way. Run now marks, under the lock that starts hold, that it waits, and both ask the mark.

"starts no stream once it waits for the streams to end" (2,000 ends beside a new address, with the race detector): 3 of 3 runs failed before, none of 3 after. The package passes.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -145,6 +145,7 @@
 	fetches map[rowKey]*rowFetch
 	ctx     context.Context
 	wg      sync.WaitGroup
+	ended   bool // Run waits for wg, so that no stream may start
 	leaving bool
 	// forgotten says that a peer was removed that had not announced its shutdown, and that no update has arrived since.
 	forgotten bool
@@ -170,7 +171,7 @@
 		m.startStream(p)
 	}
 	m.mu.Unlock()
-	defer m.wg.Wait()
+	defer m.awaitStreams()
 	for {
 		m.AddAddresses(m.opts.Seeds())
 		m.expirePeers()
@@ -180,6 +181,14 @@
 	}
 }
 
+// awaitStreams waits until all streams have ended. No other starts meanwhile.
+func (m *Mesh) awaitStreams() {
+	m.mu.Lock()
+	m.ended = true
+	m.mu.Unlock()
+	m.wg.Wait()
+}
+
 // AddAddresses starts a stream to each gateway in addresses, HOST:PORT, that is not known yet. Before Run is called, it only
 // records the addresses.
 func (m *Mesh) AddAddresses(addresses []string) {
@@ -206,7 +215,7 @@
 
 // startStream starts the stream to p, unless Run is about to return. The caller holds m.mu.
 func (m *Mesh) startStream(p *peer) {
-	if m.ctx.Err() != nil {
+	if m.ended {
 		return
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -271,6 +271,22 @@
 		Eventually(streams.Load, eventuallyTimeout).Should(BeNumerically(">=", 3))
 	})
 
+	// Guards against a stream that starts while Run waits for the streams to end, and outlives it.
+	It("starts no stream once it waits for the streams to end", func(ctx SpecContext) {
+		for range 2000 {
+			ctx, cancel := context.WithCancel(ctx)
+			mesh := peers.New(peers.Options{
+				Identity: &wirepb.Identity{}, Seeds: func() []string { return nil }, Pool: transport.NewPool(nil), Clock: bootclock.Now,
+				Source: &member{}, Sink: &member{}, Log: slog.New(slog.DiscardHandler),
+			})
+			var done sync.WaitGroup
+			done.Go(func() { _ = mesh.Run(ctx) })
+			done.Go(func() { mesh.AddAddresses([]string{"127.0.0.1:1"}) })
+			done.Go(cancel)
+			done.Wait()
+		}
+	})
+
 	// Guards against a gateway that ignores the peers that it learns of while it starts.
 	It("connects to the addresses that it got before it ran", func(ctx SpecContext) {
 		known := startMember(ctx, "known")
--- a/internal/peers/transfer.go
+++ b/internal/peers/transfer.go
@@ -100,7 +100,7 @@
 			f.providers = append(f.providers, address)
 		}
 		ctx := m.ctx
-		start := !f.running && ctx != nil && ctx.Err() == nil
+		start := !f.running && ctx != nil && !m.ended
 		if start {
 			f.running = true
 			m.wg.Add(1)
